--- /dev/null
+++ b/poplarspar/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for models that span several VMs."""
--- /dev/null
+++ b/poplarspar/state/__init__.py
@@ -0,0 +1,1 @@
+"""The state layer."""
--- /dev/null
+++ b/poplarspar/state/metrics.py
@@ -0,0 +1,41 @@
+"""Counters and latency histograms of one process."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50, 95, 99)
+
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+@dataclass
+class Metrics:
+    """What a process counts and times; names carry their units."""
+
+    count_by_name: Counter = field(default_factory=Counter)
+    histogram_by_name: dict[str, HdrHistogram] = field(default_factory=dict)
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Add `by` to a counter."""
+        self.count_by_name[name] += by
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Add a duration to the histogram `name`, which ends in ``_us``."""
+        histogram = self.histogram_by_name.setdefault(name, new_histogram())
+        histogram.record_value(max(LOWEST_US, int(seconds * 1e6)))
+
+    def percentiles_us(self, name: str) -> dict[str, int]:
+        """Return the percentiles of a histogram in microseconds."""
+        histogram = self.histogram_by_name[name]
+        return {
+            f"p{percentile}": histogram.get_value_at_percentile(percentile)
+            for percentile in PERCENTILES
+        }
