Add the coordination layer: freshness, owners, admission, at most once

Weighed for admission: shares of each backend server spread over all entries, against one owning entry per backend server that lends single slots. One owner keeps the limit by a decision inside one process, so no partition can exceed it and a cold server that bears two requests need not be split nine ways.

--- /dev/null
+++ b/poplarspar/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""The coordination layer."""
--- /dev/null
+++ b/poplarspar/coordination/admission.py
@@ -0,0 +1,283 @@
+"""Admission of requests to the backend servers that this entry owns.
+
+Each backend server has exactly one owner, so its limit is kept by a decision
+inside one process. The owner admits requests of its own callers and lends
+single slots to other entries.
+"""
+
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from poplarspar.coordination.fairness import Demand, FairQueue, Waiter
+from poplarspar.state.ledger import Ledger
+from poplarspar.state.objects import ModelDeployment, ServiceDeployment
+from poplarspar.state.refusals import Reason, Refusal
+from poplarspar.state.replicas import MemberReport, ReplicaGroup, Reports, member_agrees
+from poplarspar.state.view import View
+
+REPORT_MAX_AGE_S = 1.5
+
+
+@dataclass(eq=False)
+class Slot:
+    """The right to send one request to one backend server.
+
+    Attributes
+    ----------
+    lender : str
+        Entry that lent the slot, empty when this entry owns it.
+    taken_at : float
+        Monotonic time in seconds, at or before the admission.
+    """
+
+    backend: str
+    address: str
+    workspace: str
+    deployment: str
+    tokens: int
+    lender: str
+    taken_at: float
+
+
+@dataclass(frozen=True)
+class Completed:
+    """The backend server gave a whole answer."""
+
+    incarnation: str
+
+
+@dataclass(frozen=True)
+class Broken:
+    """The backend server failed; it may have restarted."""
+
+
+@dataclass(frozen=True)
+class Unused:
+    """Nothing was sent, or the stream was cancelled on our side."""
+
+
+Outcome = Completed | Broken | Unused
+
+
+class Admission:
+    """Keeps the limits of the backend servers that this entry owns.
+
+    Parameters
+    ----------
+    entry : str
+        Identifier of this entry's process.
+    reports : Reports
+        Last reports of the members of owned replica groups.
+    is_fresh : callable
+        Says whether this entry may start new work now.
+    """
+
+    def __init__(
+        self, entry: str, reports: Reports, is_fresh: Callable[[], bool]
+    ) -> None:
+        self._entry = entry
+        self._reports = reports
+        self._is_fresh = is_fresh
+        self._view = View()
+        self._queue_by_deployment: dict[str, FairQueue] = {}
+        self.ledger_by_backend: dict[str, Ledger] = {}
+
+    @property
+    def view(self) -> View:
+        """The view that decisions are taken on."""
+        return self._view
+
+    def update(self, view: View) -> None:
+        """Act on a newer view from now on."""
+        for group in view.groups_by_name.values():
+            self._update_ledger(self._view, view, group)
+        for backend in list(self.ledger_by_backend):
+            ledger = self.ledger_by_backend[backend]
+            if backend not in view.groups_by_name and ledger.requests == 0:
+                del self.ledger_by_backend[backend]
+        self._view = view
+        self.serve_waiters()
+
+    def take(self, demand: Demand, until: float) -> Result[Slot, Refusal]:
+        """Admit a request, waiting for room until the monotonic time `until`."""
+        queue = self._queue(demand.deployment)
+        if not queue.has_waiters():
+            slot = self.try_take(demand)
+            if slot is not None:
+                return Ok(slot)
+        wait_s = until - time.monotonic()
+        if wait_s <= 0:
+            return Error(self._no_room(demand))
+        if queue.is_full(demand):
+            message = f"workspace {demand.workspace!r} has too many requests waiting"
+            return Error(Refusal(Reason.QUEUE_FULL, message))
+        return self._wait(queue, demand, wait_s)
+
+    def try_take(self, demand: Demand) -> Slot | None:
+        """Admit a request if there is room now."""
+        now = time.monotonic()
+        if not self._is_fresh():
+            return None
+        usable = [
+            (self.ledger_by_backend[group.name], group)
+            for group in self._usable_groups(demand.deployment, now)
+            if self.ledger_by_backend[group.name].has_room(demand.tokens)
+        ]
+        if not usable:
+            return None
+        ledger, group = min(usable, key=lambda pair: pair[0].load)
+        ledger.reserve(demand.tokens)
+        self._queue(demand.deployment).start(demand.workspace)
+        return Slot(
+            backend=group.name,
+            address=group.members[0].address,
+            workspace=demand.workspace,
+            deployment=demand.deployment,
+            tokens=demand.tokens,
+            lender="",
+            taken_at=now,
+        )
+
+    def give_back(self, slot: Slot, outcome: Outcome) -> None:
+        """Return a slot that this entry's own ledgers gave out."""
+        self._queue(slot.deployment).finish(slot.workspace)
+        ledger = self.ledger_by_backend.get(slot.backend)
+        if ledger is None:
+            return
+        ledger.release(slot.tokens)
+        match outcome:
+            case Completed(incarnation) if ledger.is_from_present(incarnation):
+                ledger.complete()
+            case Completed():
+                self._suspect(ledger)
+            case Broken():
+                self._suspect(ledger)
+            case Unused():
+                pass
+        self.serve_waiters()
+
+    def accepts(self, slot: Slot) -> bool:
+        """Return whether the slot may still be used to send a request."""
+        group = self._view.groups_by_name.get(slot.backend)
+        if group is None or not self._is_fresh():
+            return False
+        return self._view.accepts_work(group)
+
+    def serve_waiters(self) -> None:
+        """Offer free capacity to waiting requests."""
+        for queue in self._queue_by_deployment.values():
+            queue.serve(self._try_grant)
+
+    def drained(self) -> list[str]:
+        """Return ``backend@generation`` of each handover that may go ahead.
+
+        They are the backend servers that were taken from this entry and on
+        which none of its requests runs any more.
+        """
+        ready = []
+        for backend, ownership in self._view.owners.by_backend.items():
+            ledger = self.ledger_by_backend.get(backend)
+            idle = ledger is None or ledger.requests == 0
+            if ownership.previous == self._entry and idle:
+                ready.append(f"{backend}@{ownership.generation}")
+        return ready
+
+    def reported_vms(self) -> dict[str, str]:
+        """Return the addresses by VM whose reports this entry needs."""
+        return {
+            member.vm: member.address
+            for group in self._view.groups_by_name.values()
+            if self._view.ownership_of(group.name).owner == self._entry
+            for member in group.members
+        }
+
+    def _queue(self, deployment: str) -> FairQueue:
+        return self._queue_by_deployment.setdefault(deployment, FairQueue())
+
+    def _wait(
+        self, queue: FairQueue, demand: Demand, wait_s: float
+    ) -> Result[Slot, Refusal]:
+        waiter = queue.join(demand)
+        try:
+            slot = waiter.granted.wait(timeout=wait_s)
+        finally:
+            queue.leave(waiter)
+        if slot is None and waiter.granted.ready():
+            slot = waiter.granted.wait()
+        return Error(self._no_room(demand)) if slot is None else Ok(slot)
+
+    def _try_grant(self, waiter: Waiter) -> bool:
+        slot = self.try_take(waiter.demand)
+        if slot is not None:
+            waiter.granted.send(slot)
+        return slot is not None
+
+    def _no_room(self, demand: Demand) -> Refusal:
+        if not self._is_fresh():
+            return Refusal(Reason.STALE, "this entry lost touch with the cluster")
+        message = f"no backend server of {demand.deployment!r} has room"
+        return Refusal(Reason.NO_BACKEND, message)
+
+    def _update_ledger(self, old: View, new: View, group: ReplicaGroup) -> None:
+        deployment = new.deployment_of(group)
+        if deployment is None:
+            return
+        ledger = self.ledger_by_backend.get(group.name)
+        if ledger is None:
+            if new.ownership_of(group.name).owner != self._entry:
+                return
+            ledger = Ledger.open(group.name, deployment)
+            self.ledger_by_backend[group.name] = ledger
+        ledger.cold, ledger.warm = deployment.cold, deployment.warm
+        returned = new.accepts_work(group) and not self._accepted(old, group.name)
+        taken = old.ownership_of(group.name) != new.ownership_of(group.name)
+        if returned or taken:
+            ledger.cool()
+
+    @staticmethod
+    def _accepted(view: View, backend: str) -> bool:
+        group = view.groups_by_name.get(backend)
+        return group is not None and view.accepts_work(group)
+
+    def _usable_groups(self, deployment: str, now: float) -> Iterator[ReplicaGroup]:
+        for group in self._view.groups_of(deployment):
+            ownership = self._view.ownership_of(group.name)
+            if ownership.owner != self._entry or ownership.previous:
+                continue
+            if self._view.accepts_work(group) and self._is_present(group, now):
+                yield group
+
+    def _is_present(self, group: ReplicaGroup, now: float) -> bool:
+        """Check that every member reported lately, and note the incarnation."""
+        reports = [
+            self._reports.recent(member.vm, now, REPORT_MAX_AGE_S)
+            for member in group.members
+        ]
+        if not all(
+            report is not None and self._agrees(group, index, report)
+            for index, report in enumerate(reports)
+        ):
+            return False
+        ledger = self.ledger_by_backend[group.name]
+        incarnations = tuple(report.incarnation for report in reports)
+        ledger.see_incarnations(incarnations, now)
+        return True
+
+    def _agrees(self, group: ReplicaGroup, index: int, report: MemberReport) -> bool:
+        match self._view.deployment_of(group):
+            case ModelDeployment():
+                return member_agrees(group, index, report)
+            case ServiceDeployment():
+                return report.ready
+            case None:
+                return False
+
+    def _suspect(self, ledger: Ledger) -> None:
+        """Treat a backend server as restarted until a new report says otherwise."""
+        ledger.cool()
+        group = self._view.groups_by_name.get(ledger.backend)
+        for member in group.members if group is not None else ():
+            self._reports.forget(member.vm)
--- /dev/null
+++ b/poplarspar/coordination/barrier.py
@@ -0,0 +1,36 @@
+"""When a revision that withdraws something is sure to be obeyed everywhere.
+
+A node acts on a view only while it is fresh. Once a majority of stewards acts
+on a revision, every other node either learns of it or stops being fresh within
+the freshness bound. So a fixed time after a majority was seen to act on a
+revision, no node starts new work on the strength of an older one.
+"""
+
+import time
+from collections import deque
+
+from poplarspar.coordination.freshness import WITHDRAWAL_S
+
+
+class WithdrawalBarrier:
+    """Remembers since when a majority has acted on which revision."""
+
+    def __init__(self) -> None:
+        self._seen: deque[tuple[int, float]] = deque()
+        self._passed_revision = 0
+
+    def majority_acts_on(self, revision: int) -> None:
+        """Take in that a majority acts on `revision` at this time."""
+        if not self._seen or revision > self._seen[-1][0]:
+            self._seen.append((revision, time.monotonic()))
+        self._advance()
+
+    def has_passed(self, revision: int) -> bool:
+        """Return whether no node starts work on a view older than `revision`."""
+        self._advance()
+        return revision <= self._passed_revision
+
+    def _advance(self) -> None:
+        limit = time.monotonic() - WITHDRAWAL_S
+        while self._seen and self._seen[0][1] <= limit:
+            self._passed_revision = self._seen.popleft()[0]
--- /dev/null
+++ b/poplarspar/coordination/capacity.py
@@ -0,0 +1,106 @@
+"""Finding a slot: first on owned backend servers, then on loan from others."""
+
+import random
+import time
+from collections.abc import Callable, Iterator
+from typing import Protocol
+
+from expression import Error, Result
+
+from poplarspar.coordination.admission import Admission, Outcome, Slot
+from poplarspar.coordination.fairness import Demand
+from poplarspar.coordination.freshness import LOAN_USE_S
+from poplarspar.state.refusals import Reason, Refusal
+from poplarspar.state.view import View
+
+LOAN_WAIT_S = 0.1
+LENDERS_ASKED = 3
+FINAL_REASONS = (Reason.QUEUE_FULL, Reason.STALE)
+
+
+class Lenders(Protocol):
+    """Links to the entries that lend slots."""
+
+    def borrow(
+        self, address: str, lender: str, demand: Demand, wait_s: float
+    ) -> Result[Slot, Refusal]:
+        """Ask one lender for a slot."""
+
+    def give_back(self, slot: Slot, outcome: Outcome) -> None:
+        """Return a borrowed slot to its lender."""
+
+
+class Capacity:
+    """Slots of the whole cluster as one entry sees them."""
+
+    def __init__(self, entry: str, admission: Admission, lenders: Lenders) -> None:
+        self._entry = entry
+        self._admission = admission
+        self._lenders = lenders
+
+    def acquire(self, demand: Demand) -> Result[Slot, Refusal]:
+        """Find a slot for a request within the demand's patience."""
+        deadline = time.monotonic() + demand.patience_s
+        refusal = Refusal(Reason.NO_BACKEND, "no backend server had room in time")
+        for wait_s in _rising_waits(deadline):
+            for attempt in self._places(demand):
+                result = attempt(demand, wait_s)
+                match result:
+                    case Result(tag="ok"):
+                        return result
+                    case Result(error=refusal):
+                        if refusal.reason in FINAL_REASONS:
+                            return result
+        return Error(refusal)
+
+    def release(self, slot: Slot, outcome: Outcome) -> None:
+        """Give a slot back to whoever it came from."""
+        if slot.lender:
+            self._lenders.give_back(slot, outcome)
+        else:
+            self._admission.give_back(slot, outcome)
+
+    def may_send(self, slot: Slot) -> bool:
+        """Return whether a request may be sent on the slot at this moment."""
+        if slot.lender and time.monotonic() - slot.taken_at > LOAN_USE_S:
+            return False
+        return self._admission.accepts(slot)
+
+    def _places(self, demand: Demand) -> Iterator[Callable]:
+        names = owners_of(self._admission.view, demand.deployment)
+        if self._entry in names or not names:
+            yield self._take_own
+        others = sorted(names - {self._entry})
+        for lender in random.sample(others, min(LENDERS_ASKED, len(others))):
+            yield lambda demand, wait_s, lender=lender: self._borrow(
+                lender, demand, wait_s
+            )
+
+    def _take_own(self, demand: Demand, wait_s: float) -> Result[Slot, Refusal]:
+        return self._admission.take(demand, time.monotonic() + wait_s)
+
+    def _borrow(
+        self, lender: str, demand: Demand, wait_s: float
+    ) -> Result[Slot, Refusal]:
+        owners = self._admission.view.owners
+        address = owners.lender_address_by_entry.get(lender)
+        if address is None:
+            return Error(Refusal(Reason.NO_BACKEND, f"entry {lender!r} is unknown"))
+        return self._lenders.borrow(address, lender, demand, wait_s)
+
+
+def owners_of(view: View, deployment: str) -> set[str]:
+    """Return the entries that own usable capacity of a deployment."""
+    owners = set()
+    for group in view.groups_of(deployment):
+        ownership = view.ownership_of(group.name)
+        if ownership.owner and not ownership.previous and view.accepts_work(group):
+            owners.add(ownership.owner)
+    return owners
+
+
+def _rising_waits(deadline: float) -> Iterator[float]:
+    """Yield 0 first, then short waits until the deadline."""
+    yield 0.0
+    while (left_s := deadline - time.monotonic()) > 0:
+        yield min(LOAN_WAIT_S, left_s)
--- /dev/null
+++ b/poplarspar/coordination/drain.py
@@ -0,0 +1,39 @@
+"""Graceful shutdown: counting what runs, and waiting for it to end."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from eventlet.event import Event
+
+
+class Drain:
+    """Requests that run in this process, and whether it is shutting down."""
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.draining = False
+        self._idle = Event()
+
+    def begin(self) -> None:
+        """Start to shut down."""
+        self.draining = True
+        self._check()
+
+    @contextmanager
+    def request(self) -> Iterator[None]:
+        """Count a request as running for the length of a ``with`` block."""
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+            self._check()
+
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until nothing runs and return whether that came about."""
+        self._idle.wait(timeout=timeout_s)
+        return self.running == 0
+
+    def _check(self) -> None:
+        if self.draining and self.running == 0 and not self._idle.ready():
+            self._idle.send()
--- /dev/null
+++ b/poplarspar/coordination/fairness.py
@@ -0,0 +1,102 @@
+"""Waiting requests, served so that each workspace gets its part."""
+
+from collections import Counter, deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+
+from eventlet.event import Event
+
+
+@dataclass(frozen=True)
+class Demand:
+    """Capacity that one request needs.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens that the request may hold at the backend server.
+    patience_s : float
+        Longest time to wait for capacity, in seconds.
+    hold_s : float
+        Seconds after which the request has surely ended.
+    """
+
+    workspace: str
+    weight: int
+    queue_limit: int
+    deployment: str
+    tokens: int
+    patience_s: float
+    hold_s: float
+
+    def within(self, limit_s: float) -> "Demand":
+        """Return the same demand, waiting at most `limit_s`."""
+        return replace(self, patience_s=min(self.patience_s, limit_s))
+
+
+@dataclass(eq=False)
+class Waiter:
+    """A request that waits for capacity."""
+
+    demand: Demand
+    granted: Event = field(default_factory=Event)
+
+
+class FairQueue:
+    """Requests that wait for one deployment, first come first served per workspace.
+
+    Between workspaces the one with the least running work for its weight goes
+    first, so a large workspace cannot starve a small one.
+    """
+
+    def __init__(self) -> None:
+        self._waiters_by_workspace: dict[str, deque[Waiter]] = {}
+        self._running_by_workspace: Counter[str] = Counter()
+
+    def is_full(self, demand: Demand) -> bool:
+        """Return whether the workspace has no place left in the queue."""
+        waiting = self._waiters_by_workspace.get(demand.workspace, ())
+        return len(waiting) >= demand.queue_limit
+
+    def has_waiters(self) -> bool:
+        """Return whether any request waits."""
+        return any(self._waiters_by_workspace.values())
+
+    def join(self, demand: Demand) -> Waiter:
+        """Add a request to the queue."""
+        waiter = Waiter(demand)
+        self._waiters_by_workspace.setdefault(demand.workspace, deque()).append(waiter)
+        return waiter
+
+    def leave(self, waiter: Waiter) -> None:
+        """Remove a request that no longer waits."""
+        waiters = self._waiters_by_workspace.get(waiter.demand.workspace, deque())
+        if waiter in waiters:
+            waiters.remove(waiter)
+
+    def start(self, workspace: str) -> None:
+        """Count a running request of the workspace."""
+        self._running_by_workspace[workspace] += 1
+
+    def finish(self, workspace: str) -> None:
+        """Count a running request of the workspace less."""
+        self._running_by_workspace[workspace] -= 1
+
+    def serve(self, try_grant: Callable[[Waiter], bool]) -> None:
+        """Offer capacity to waiting requests until no more can be granted."""
+        while any(self._grant(waiter, try_grant) for waiter in self._heads()):
+            pass
+
+    def _grant(self, waiter: Waiter, try_grant: Callable[[Waiter], bool]) -> bool:
+        if not try_grant(waiter):
+            return False
+        self.leave(waiter)
+        return True
+
+    def _heads(self) -> Iterator[Waiter]:
+        heads = [w[0] for w in self._waiters_by_workspace.values() if w]
+        yield from sorted(heads, key=self._share_in_use)
+
+    def _share_in_use(self, waiter: Waiter) -> float:
+        running = self._running_by_workspace[waiter.demand.workspace]
+        return running / waiter.demand.weight
--- /dev/null
+++ b/poplarspar/coordination/freshness.py
@@ -0,0 +1,120 @@
+"""Whether a node's view is recent enough to act on.
+
+A steward is fresh if, within the bound, it heard from the store, or from a
+majority of the roster none of which knew a newer revision. Contacts are dated
+by the time at which the question was sent, so a late answer never makes a view
+look newer than it is. Only peers that were once fresh since their start count:
+a restarted peer may have forgotten a revision that it had acknowledged.
+"""
+
+import time
+from dataclasses import dataclass
+
+FRESHNESS_BOUND_S = 3.0
+LOAN_USE_S = 0.5
+CLOCK_MARGIN_S = 0.5
+WITHDRAWAL_S = FRESHNESS_BOUND_S + LOAN_USE_S + CLOCK_MARGIN_S
+
+
+@dataclass
+class PeerContact:
+    """The last answer of a peer that bears on freshness."""
+
+    asked_at: float = float("-inf")
+    in_force: int = 0
+
+
+class RosterFreshness:
+    """Freshness of a steward among the roster.
+
+    Parameters
+    ----------
+    name : str
+        Name of this steward.
+    roster : list of str
+        Names of all stewards, this one included.
+    """
+
+    def __init__(self, name: str, roster: list[str]) -> None:
+        self._name = name
+        self._contact_by_peer = {peer: PeerContact() for peer in roster if peer != name}
+        self._majority = len(roster) // 2 + 1
+        self._store_asked_at = float("-inf")
+        self.synced = False
+
+    def hear_store(self, asked_at: float) -> None:
+        """Take in that a read sent at `asked_at` was answered and merged."""
+        self._store_asked_at = max(self._store_asked_at, asked_at)
+        self.synced = True
+
+    def hear_peer(
+        self, peer: str, asked_at: float, *, synced: bool, newer: bool, in_force: int
+    ) -> None:
+        """Take in a peer's answer to a question sent at `asked_at`.
+
+        Parameters
+        ----------
+        synced : bool
+            Whether the peer was fresh at some time since its start.
+        newer : bool
+            Whether the peer knows a newer revision than this node.
+        in_force : int
+            Revision that the peer and its entries act on.
+        """
+        contact = self._contact_by_peer[peer]
+        contact.in_force = in_force if synced else 0
+        if synced and not newer:
+            contact.asked_at = max(contact.asked_at, asked_at)
+        if self._peers_asked_at() > float("-inf"):
+            self.synced = True
+
+    def fresh_until(self) -> float:
+        """Return the monotonic time up to which this node is fresh."""
+        return max(self._store_asked_at, self._peers_asked_at()) + FRESHNESS_BOUND_S
+
+    def is_fresh(self) -> bool:
+        """Return whether this node may act on its view now."""
+        return time.monotonic() < self.fresh_until()
+
+    def majority_has(self, revision: int, own: int) -> bool:
+        """Return whether a majority acts on `revision` or a newer one."""
+        holders = sum(
+            contact.in_force >= revision for contact in self._contact_by_peer.values()
+        )
+        return holders + (own >= revision) >= self._majority
+
+    def in_force_on(self, revision: int, own: int, own_name: str) -> list[str]:
+        """Return the stewards that act on `revision` or a newer one."""
+        names = [
+            peer
+            for peer, contact in self._contact_by_peer.items()
+            if contact.in_force >= revision
+        ]
+        return sorted(names + [own_name] if own >= revision else names)
+
+    def _peers_asked_at(self) -> float:
+        # The node itself counts once it has been fresh; before that it may
+        # have forgotten what it acknowledged, and needs a majority of others.
+        needed = self._majority - 1 if self.synced else self._majority
+        if needed == 0:
+            return time.monotonic() if self.synced else float("-inf")
+        times = sorted(
+            (contact.asked_at for contact in self._contact_by_peer.values()),
+            reverse=True,
+        )
+        return times[needed - 1] if len(times) >= needed else float("-inf")
+
+
+class GrantedFreshness:
+    """Freshness of an entry, granted by the steward that it is linked to."""
+
+    def __init__(self) -> None:
+        self._fresh_until = float("-inf")
+
+    def grant(self, asked_at: float, fresh_for_s: float) -> None:
+        """Take in a steward's answer to a question sent at `asked_at`."""
+        self._fresh_until = max(self._fresh_until, asked_at + fresh_for_s)
+
+    def is_fresh(self) -> bool:
+        """Return whether this entry may start new work now."""
+        return time.monotonic() < self._fresh_until
--- /dev/null
+++ b/poplarspar/coordination/reporting.py
@@ -0,0 +1,55 @@
+"""Following the load reports of backend servers, one task for each."""
+
+import time
+from collections.abc import Callable
+
+import eventlet
+from eventlet.greenthread import GreenThread
+
+from poplarspar.coordination.ports import ReportSource
+from poplarspar.exceptions import CoordinationError
+from poplarspar.state.replicas import Reports
+
+RECONNECT_S = 0.25
+
+
+class ReportReaders:
+    """Tasks that read the reports of a changing set of VMs.
+
+    Parameters
+    ----------
+    on_report : callable
+        Called after each report.
+    """
+
+    def __init__(
+        self, source: ReportSource, reports: Reports, on_report: Callable[[], None]
+    ) -> None:
+        self._source = source
+        self._reports = reports
+        self._on_report = on_report
+        self._task_by_target: dict[tuple[str, str], GreenThread] = {}
+
+    def follow(self, address_by_vm: dict[str, str]) -> None:
+        """Read the reports of exactly these VMs from now on."""
+        wanted = set(address_by_vm.items())
+        for target in set(self._task_by_target) - wanted:
+            self._task_by_target.pop(target).kill()
+            self._reports.forget(target[0])
+        for target in wanted - set(self._task_by_target):
+            self._task_by_target[target] = eventlet.spawn(self._read, *target)
+
+    def close(self) -> None:
+        """End all tasks."""
+        self.follow({})
+
+    def _read(self, vm: str, address: str) -> None:
+        while True:
+            try:
+                for report in self._source.reports(vm, address):
+                    self._reports.record(report, time.monotonic())
+                    self._on_report()
+            except CoordinationError:
+                pass
+            self._reports.forget(vm)
+            eventlet.sleep(RECONNECT_S)
--- /dev/null
+++ b/poplarspar/coordination/swapping.py
@@ -0,0 +1,64 @@
+"""Compare-and-swap with a definite outcome where one can be had."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from poplarspar.coordination.ports import Store
+from poplarspar.exceptions import RevisionConflict, StoreUnavailable
+from poplarspar.state.snapshot import StoredValue
+
+
+@dataclass(frozen=True)
+class Written:
+    """The write took effect; the key holds `value` or a successor of it."""
+
+    value: StoredValue
+
+
+@dataclass(frozen=True)
+class Conflicted:
+    """The write did not take effect, because the key holds `current`."""
+
+    current: StoredValue
+
+
+@dataclass(frozen=True)
+class Unknown:
+    """No answer came, and the key could not be read either."""
+
+
+SwapOutcome = Written | Conflicted | Unknown
+
+
+def swap(
+    store: Store, key: str, expected: int, text: str, holds: Callable[[str], bool]
+) -> SwapOutcome:
+    """Write `text` if `key` is at revision `expected`, and find out whether it did.
+
+    Parameters
+    ----------
+    holds : callable
+        Says whether a text of the key contains this very change.
+    """
+    try:
+        return Written(StoredValue(key, store.swap(key, expected, text), text))
+    except RevisionConflict:
+        pass
+    except StoreUnavailable:
+        pass
+    return _find_out(store, key, expected, holds)
+
+
+def _find_out(
+    store: Store, key: str, expected: int, holds: Callable[[str], bool]
+) -> SwapOutcome:
+    try:
+        current = store.read(key)
+    except StoreUnavailable:
+        return Unknown()
+    if current.revision and holds(current.text):
+        return Written(current)
+    if current.revision == expected:
+        # The lost write may still be on its way to the store.
+        return Unknown()
+    return Conflicted(current)
