--- /dev/null
+++ b/poplarspar/entry.py
@@ -0,0 +1,181 @@
+"""The entry daemon: serves callers."""
+
+import uuid
+from contextlib import ExitStack
+
+import eventlet
+
+from poplarspar.coordination.admission import Admission
+from poplarspar.coordination.capacity import Capacity
+from poplarspar.coordination.drain import Drain
+from poplarspar.coordination.freshness import GrantedFreshness
+from poplarspar.coordination.idempotency import RequestRecords
+from poplarspar.coordination.reporting import ReportReaders
+from poplarspar.coordination.service import RequestService
+from poplarspar.coordination.timers import TimerService
+from poplarspar.events import Event, log_event
+from poplarspar.protocol.documents import JsonDocuments
+from poplarspar.protocol.settings import EntrySettings
+from poplarspar.state.entries import EntryStatus
+from poplarspar.state.metrics import Metrics
+from poplarspar.state.replicas import Reports
+from poplarspar.state.snapshot import Snapshot, StoredValue
+from poplarspar.transport.addresses import bound_address, listen
+from poplarspar.transport.backends import HttpBackends, HttpReports
+from poplarspar.transport.callers import CallerApi
+from poplarspar.transport.entry_links import StewardLink
+from poplarspar.transport.lending import LenderLinks, LoanDesk
+from poplarspar.transport.links import Identity, LinkServer
+from poplarspar.transport.platform import HttpStore
+from poplarspar.transport.server import SEND_BUFFER_BYTES, HttpServer
+
+HANDOVER_S = 2.0
+
+
+class Entry:
+    """One entry process; `close` ends everything it started."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        # Each process is an owner of its own: a restarted one knows nothing of
+        # the requests that its predecessor left running.
+        self.name = f"{settings.name}.{uuid.uuid4().hex[:8]}"
+        self._settings = settings
+        self._stack = ExitStack()
+        self._documents = JsonDocuments()
+        self._snapshot = Snapshot()
+        self._freshness = GrantedFreshness()
+        self._reports = Reports()
+        self.metrics = Metrics()
+        self.drain = Drain()
+        self.admission = Admission(self.name, self._reports, self._freshness.is_fresh)
+        self._timers = TimerService()
+        self._stack.callback(self._timers.close)
+        self._start()
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Addresses by what is served there."""
+        return {
+            "http": bound_address(self._http_listener),
+            "lending": bound_address(self._lending_listener),
+        }
+
+    def shut_down(self) -> None:
+        """Leave gracefully: let the balancer notice, then let requests finish."""
+        log_event(Event.DRAINING, running=self.drain.running)
+        self.drain.begin()
+        eventlet.sleep(self._settings.drain_notice_s)
+        self._server.stop_accepting()
+        finished = self.drain.wait_idle(self._settings.drain_timeout_s)
+        # One more question tells the steward that the capacity is free.
+        eventlet.sleep(HANDOVER_S)
+        log_event(Event.STOPPED, finished=finished, running=self.drain.running)
+
+    def close(self) -> None:
+        """Close all that the entry holds."""
+        self._stack.close()
+
+    def _start(self) -> None:
+        identity = Identity(self.name, self._settings.cluster.peer_token)
+        self._readers = ReportReaders(
+            HttpReports(), self._reports, self.admission.serve_waiters
+        )
+        self._stack.callback(self._readers.close)
+        self._start_lending(identity)
+        self._start_serving(identity)
+        self._follow_stewards(identity)
+
+    def _start_lending(self, identity: Identity) -> None:
+        desk = LoanDesk(self.admission, self._timers)
+        self._lending_listener = listen(self._settings.lending_listen)
+        links = LinkServer(self._lending_listener, identity.token, desk.serve)
+        self._stack.callback(links.close)
+
+    def _start_serving(self, identity: Identity) -> None:
+        settings = self._settings
+        store = HttpStore(settings.cluster.store)
+        self._stack.callback(store.close)
+        lenders = LenderLinks(identity)
+        self._stack.callback(lenders.close)
+        service = RequestService(
+            self.admission,
+            Capacity(self.name, self.admission, lenders),
+            RequestRecords(store, self._documents.record_text, self._documents.record),
+            HttpBackends(),
+            self._timers,
+            self.metrics,
+            settings.queue_timeout_s,
+        )
+        api = CallerApi(service, self.drain, self.metrics, self.is_ready, self.describe)
+        self._http_listener = listen(settings.http_listen, SEND_BUFFER_BYTES)
+        self._server = HttpServer(
+            self._http_listener,
+            api.handle,
+            connection_limit=settings.connection_limit,
+            header_timeout_s=settings.header_timeout_s,
+            body_limit_bytes=settings.body_limit_bytes,
+        )
+        self._stack.callback(self._server.close)
+
+    def _follow_stewards(self, identity: Identity) -> None:
+        roster = self._settings.cluster.steward_address_by_name
+        link = StewardLink(
+            [roster[name] for name in self._settings.stewards],
+            identity,
+            self._freshness,
+            self._status,
+            self._apply,
+        )
+        self._stack.callback(eventlet.spawn(link.follow).kill)
+
+    def _apply(self, values: list[StoredValue]) -> None:
+        if not self._snapshot.merge(values):
+            return
+        self.admission.update(self._documents.view(self._snapshot))
+        self._readers.follow(self.admission.reported_vms())
+        log_event(Event.VIEW_CHANGED, revision=self._snapshot.revision)
+
+    def _status(self) -> EntryStatus:
+        settings = self._settings
+        address = settings.lending_address
+        if address == settings.lending_listen:
+            address = self.addresses["lending"]
+        return EntryStatus(
+            name=self.name,
+            zone=settings.zone,
+            lending_address=address,
+            revision=self._snapshot.revision,
+            leaving=self.drain.draining,
+            running=self.drain.running,
+            drained=tuple(self.admission.drained()),
+        )
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        zone = self.admission.view.objects.zones_by_name.get(self._settings.zone)
+        in_service = zone is not None and zone.serving
+        return in_service and self._freshness.is_fresh() and not self.drain.draining
+
+    def describe(self) -> dict:
+        """Return this entry's state and metrics for its status page."""
+        return {
+            "name": self.name,
+            "revision": self._snapshot.revision,
+            "fresh": self._freshness.is_fresh(),
+            "draining": self.drain.draining,
+            "running": self.drain.running,
+            "owned": {
+                name: {
+                    "requests": ledger.requests,
+                    "request_limit": ledger.limit.requests,
+                    "tokens": ledger.tokens,
+                    "token_limit": ledger.limit.tokens,
+                }
+                for name, ledger in sorted(self.admission.ledger_by_backend.items())
+            },
+            "counters": dict(sorted(self.metrics.count_by_name.items())),
+            "latencies_us": {
+                name: self.metrics.percentiles_us(name)
+                for name in sorted(self.metrics.histogram_by_name)
+            },
+        }
--- /dev/null
+++ b/poplarspar/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol layer."""
--- /dev/null
+++ b/poplarspar/protocol/callers.py
@@ -0,0 +1,96 @@
+"""Callers' requests and the answers to them, as JSON."""
+
+import json
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from poplarspar.coordination.streams import Prompt
+from poplarspar.exceptions import InvalidRequest
+from poplarspar.state.refusals import Reason, Refusal
+
+MAX_KEY_LENGTH = 200
+MAX_TOKENS = 100_000
+
+STATUS_BY_REASON = {
+    Reason.INVALID: 400,
+    Reason.NOT_FOUND: 404,
+    Reason.IN_PROGRESS: 409,
+    Reason.KEY_REUSED: 422,
+    Reason.QUEUE_FULL: 429,
+    Reason.BACKEND: 502,
+    Reason.STALE: 503,
+    Reason.NO_BACKEND: 503,
+    Reason.STORE: 503,
+    Reason.DRAINING: 503,
+    Reason.TIMEOUT: 504,
+}
+
+
+class GenerateRequest(BaseModel):
+    """Body of a request for generated text."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    prompt: str = Field(min_length=1)
+    max_tokens: int = Field(default=256, ge=1, le=MAX_TOKENS)
+    stream: bool = True
+
+    def to_prompt(self) -> Prompt:
+        """Return the request as the coordination layer knows it."""
+        return Prompt(self.prompt, self.max_tokens)
+
+
+def parse_generate(body: bytes) -> GenerateRequest:
+    """Check a request for generated text; raises `InvalidRequest`."""
+    return parse_json(GenerateRequest, body)
+
+
+def parse_json(model: type[BaseModel], body: bytes) -> BaseModel:
+    """Check a JSON body against `model`; raises `InvalidRequest`."""
+    try:
+        return model.model_validate_json(body)
+    except ValidationError as error:
+        raise InvalidRequest("; ".join(map(_describe, error.errors()))) from error
+
+
+def check_key(key: str) -> str:
+    """Check an idempotency key; raises `InvalidRequest`."""
+    if len(key) > MAX_KEY_LENGTH:
+        message = f"header Idempotency-Key: longer than {MAX_KEY_LENGTH} characters"
+        raise InvalidRequest(message)
+    return key
+
+
+def refusal_body(refusal: Refusal) -> bytes:
+    """Return the JSON body of a refusal."""
+    document = {
+        "error": {
+            "reason": refusal.reason.value,
+            "message": refusal.message,
+            "ran": refusal.ran.value,
+        }
+    }
+    return json.dumps(document).encode()
+
+
+def text_event(text: str) -> bytes:
+    """Return the server-sent event of one piece of text."""
+    return b"data: " + json.dumps({"text": text}).encode() + b"\n\n"
+
+
+def error_event(refusal: Refusal) -> bytes:
+    """Return the server-sent event that ends a stream which cannot go on."""
+    return b"event: error\ndata: " + refusal_body(refusal) + b"\n\n"
+
+
+END_EVENT = b"data: [DONE]\n\n"
+
+
+def whole_text(text: str) -> bytes:
+    """Return the JSON body of an answer that is not streamed."""
+    return json.dumps({"text": text}).encode()
+
+
+def _describe(item: dict) -> str:
+    where = ".".join(str(part) for part in item["loc"]) or "body"
+    return f"{where}: {item['msg']}"
--- /dev/null
+++ b/poplarspar/protocol/cluster.capnp
@@ -0,0 +1,87 @@
+@0xd6a1f2b7c3e49085;
+
+# Messages between the daemons. One frame on a link holds one Message.
+
+struct Value {
+  key @0 :Text;
+  revision @1 :UInt64;
+  text @2 :Text;
+}
+
+struct Entry {
+  name @0 :Text;
+  zone @1 :Text;
+  lendingAddress @2 :Text;
+  revision @3 :UInt64;
+  leaving @4 :Bool;
+  running @5 :UInt32;
+  drained @6 :List(Text);
+}
+
+struct Hello {
+  name @0 :Text;
+}
+
+# An entry's question to its steward.
+struct EntryPing {
+  entry @0 :Entry;
+}
+
+# The steward's answer, with the values that the entry lacks.
+struct EntryPong {
+  freshForS @0 :Float64;
+  values @1 :List(Value);
+}
+
+# A steward's question to a peer.
+struct PeerPing {
+  revision @0 :UInt64;
+}
+
+# The peer's answer, with the values that the asker lacks.
+struct PeerPong {
+  revision @0 :UInt64;
+  inForce @1 :UInt64;
+  synced @2 :Bool;
+  values @3 :List(Value);
+  entries @4 :List(Entry);
+}
+
+struct Borrow {
+  workspace @0 :Text;
+  weight @1 :UInt32;
+  queueLimit @2 :UInt32;
+  deployment @3 :Text;
+  tokens @4 :UInt64;
+  waitS @5 :Float64;
+  holdS @6 :Float64;
+}
+
+struct Lent {
+  backend @0 :Text;
+  address @1 :Text;
+}
+
+struct Declined {
+  reason @0 :Text;
+  message @1 :Text;
+}
+
+struct Returned {
+  outcome @0 :Text;
+  incarnation @1 :Text;
+}
+
+struct Message {
+  union {
+    hello @0 :Hello;
+    entryPing @1 :EntryPing;
+    entryPong @2 :EntryPong;
+    peerPing @3 :PeerPing;
+    peerPong @4 :PeerPong;
+    borrow @5 :Borrow;
+    lent @6 :Lent;
+    declined @7 :Declined;
+    returned @8 :Returned;
+  }
+}
--- /dev/null
+++ b/poplarspar/protocol/documents.py
@@ -0,0 +1,110 @@
+"""JSON documents that the cluster keeps in the store."""
+
+import base64
+
+from pydantic import TypeAdapter
+from pydantic.dataclasses import dataclass as validated
+
+from poplarspar.coordination.cluster import (
+    CONFIGURATION_KEY,
+    DOMAIN_PREFIX,
+    OWNERS_KEY,
+)
+from poplarspar.coordination.idempotency import Progress, RequestRecord
+from poplarspar.coordination.ports import Answer
+from poplarspar.protocol.objects import parse_objects
+from poplarspar.state.configuration import Configuration
+from poplarspar.state.objects import ObjectSet
+from poplarspar.state.ownership import OwnerTable
+from poplarspar.state.replicas import DomainAssignment
+from poplarspar.state.snapshot import Snapshot
+from poplarspar.state.view import View, build_view
+
+_CONFIGURATION = TypeAdapter(Configuration)
+_ASSIGNMENT = TypeAdapter(DomainAssignment)
+_OWNERS = TypeAdapter(OwnerTable)
+
+
+@validated(frozen=True)
+class _RecordDocument:
+    attempt: str
+    fingerprint: str
+    progress: str
+    status: int = 0
+    body: str = ""
+
+
+_RECORD = TypeAdapter(_RecordDocument)
+
+
+class JsonDocuments:
+    """Encodes and decodes the documents; see `coordination.ports.Documents`."""
+
+    def __init__(self) -> None:
+        self._objects_text = ""
+        self._objects = ObjectSet()
+
+    def view(self, snapshot: Snapshot) -> View:
+        """Return the view that a snapshot describes."""
+        assignments = [
+            self.assignment(key.removeprefix(DOMAIN_PREFIX), value.text)
+            for key, value in sorted(snapshot.values_by_key.items())
+            if key.startswith(DOMAIN_PREFIX)
+        ]
+        owners_text = snapshot.get(OWNERS_KEY).text
+        owners = _OWNERS.validate_json(owners_text) if owners_text else OwnerTable()
+        objects = self.objects(snapshot.get(CONFIGURATION_KEY).text)
+        return build_view(snapshot.revision, objects, assignments, owners)
+
+    def objects(self, text: str) -> ObjectSet:
+        """Return the objects of a configuration document."""
+        objects_text = self.configuration(text).text
+        if objects_text != self._objects_text:
+            self._objects = parse_objects(objects_text)
+            self._objects_text = objects_text
+        return self._objects
+
+    def configuration(self, text: str) -> Configuration:
+        """Return a configuration; an empty text has no objects."""
+        return _CONFIGURATION.validate_json(text) if text else Configuration()
+
+    def configuration_text(self, configuration: Configuration) -> str:
+        """Return the document of a configuration."""
+        return _CONFIGURATION.dump_json(configuration).decode()
+
+    def assignment(self, domain: str, text: str) -> DomainAssignment:
+        """Return the assignment in `text`; an empty text holds no groups."""
+        return _ASSIGNMENT.validate_json(text) if text else DomainAssignment(domain)
+
+    def assignment_text(self, assignment: DomainAssignment) -> str:
+        """Return the document of an assignment."""
+        return _ASSIGNMENT.dump_json(assignment).decode()
+
+    def owners_text(self, table: OwnerTable) -> str:
+        """Return the document of an owner table."""
+        return _OWNERS.dump_json(table).decode()
+
+    def record(self, text: str) -> RequestRecord:
+        """Return a record of a request that must not be repeated."""
+        document = _RECORD.validate_json(text)
+        answer = None
+        if document.progress == Progress.DONE:
+            answer = Answer(document.status, base64.b64decode(document.body))
+        return RequestRecord(
+            document.attempt,
+            document.fingerprint,
+            Progress(document.progress),
+            answer,
+        )
+
+    def record_text(self, record: RequestRecord) -> str:
+        """Return the document of such a record."""
+        answer = record.answer or Answer(0, b"")
+        document = _RecordDocument(
+            record.attempt,
+            record.fingerprint,
+            record.progress.value,
+            answer.status,
+            base64.b64encode(answer.body).decode(),
+        )
+        return _RECORD.dump_json(document).decode()
--- /dev/null
+++ b/poplarspar/protocol/peers.py
@@ -0,0 +1,288 @@
+"""Messages between the daemons, in Cap'n Proto."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import capnp
+
+from poplarspar.coordination.admission import Broken, Completed, Outcome, Unused
+from poplarspar.exceptions import MalformedFrame
+from poplarspar.state.entries import EntryStatus
+from poplarspar.state.refusals import Reason, Refusal
+from poplarspar.state.snapshot import StoredValue
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(Path(__file__).with_name("cluster.capnp")))
+
+
+@dataclass(frozen=True)
+class Hello:
+    """First message on every link."""
+
+    name: str
+
+
+@dataclass(frozen=True)
+class EntryPing:
+    """An entry's question to its steward."""
+
+    entry: EntryStatus
+
+
+@dataclass(frozen=True)
+class EntryPong:
+    """The steward's answer, with the values that the entry lacks."""
+
+    fresh_for_s: float
+    values: list[StoredValue]
+
+
+@dataclass(frozen=True)
+class PeerPing:
+    """A steward's question to a peer."""
+
+    revision: int
+
+
+@dataclass(frozen=True)
+class PeerPong:
+    """The peer's answer, with the values that the asker lacks."""
+
+    revision: int
+    in_force: int
+    synced: bool
+    values: list[StoredValue]
+    entries: list[EntryStatus]
+
+
+@dataclass(frozen=True)
+class Borrow:
+    """Question for a slot.
+
+    Attributes
+    ----------
+    wait_s : float
+        Seconds that the lender may wait for room.
+    hold_s : float
+        Seconds after which the request has ended in any case.
+    """
+
+    workspace: str
+    weight: int
+    queue_limit: int
+    deployment: str
+    tokens: int
+    wait_s: float
+    hold_s: float
+
+
+@dataclass(frozen=True)
+class Lent:
+    """A slot, lent until it is returned on the same link."""
+
+    backend: str
+    address: str
+
+
+@dataclass(frozen=True)
+class Declined:
+    """No slot could be lent."""
+
+    refusal: Refusal
+
+
+@dataclass(frozen=True)
+class Returned:
+    """The slot is given back."""
+
+    outcome: Outcome
+
+
+Message = (
+    Hello
+    | EntryPing
+    | EntryPong
+    | PeerPing
+    | PeerPong
+    | Borrow
+    | Lent
+    | Declined
+    | Returned
+)
+
+
+def encode(message: Message) -> bytes:
+    """Return the frame of a message."""
+    # Fields are set one by one: setting a union from a dictionary raises and
+    # catches a C++ exception inside, which must not happen on a green thread.
+    frame = _SCHEMA.Message.new_message()
+    match message:
+        case Hello():
+            _set(frame.init("hello"), name=message.name)
+        case EntryPing():
+            _set_entry(frame.init("entryPing").init("entry"), message.entry)
+        case EntryPong():
+            pong = _set(frame.init("entryPong"), freshForS=message.fresh_for_s)
+            _set_values(pong, message.values)
+        case PeerPing():
+            _set(frame.init("peerPing"), revision=message.revision)
+        case PeerPong():
+            _set_peer_pong(frame.init("peerPong"), message)
+        case Borrow():
+            _set_borrow(frame.init("borrow"), message)
+        case Lent():
+            lent = frame.init("lent")
+            _set(lent, backend=message.backend, address=message.address)
+        case Declined(refusal):
+            declined = frame.init("declined")
+            _set(declined, reason=refusal.reason.value, message=refusal.message)
+        case Returned():
+            _set_outcome(frame.init("returned"), message.outcome)
+    return frame.to_bytes_packed()
+
+
+def decode(data: bytes) -> Message:
+    """Return the message in a frame; raises `MalformedFrame`."""
+    try:
+        return _decode(_SCHEMA.Message.from_bytes_packed(data))
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        raise MalformedFrame(f"not a message: {type(error).__name__}") from error
+
+
+def _decode(frame) -> Message:
+    match frame.which():
+        case "hello":
+            return Hello(frame.hello.name)
+        case "entryPing":
+            return EntryPing(_entry(frame.entryPing.entry))
+        case "entryPong":
+            pong = frame.entryPong
+            return EntryPong(pong.freshForS, [_value(value) for value in pong.values])
+        case "peerPing":
+            return PeerPing(frame.peerPing.revision)
+        case "peerPong":
+            return _peer_pong(frame.peerPong)
+        case "borrow":
+            return _borrow(frame.borrow)
+        case "lent":
+            return Lent(frame.lent.backend, frame.lent.address)
+        case "declined":
+            declined = frame.declined
+            return Declined(Refusal(Reason(declined.reason), declined.message))
+        case "returned":
+            return Returned(_outcome(frame.returned))
+        case other:
+            raise MalformedFrame(f"unknown message {other!r}")
+
+
+def _set(builder, **fields):
+    for name, value in fields.items():
+        setattr(builder, name, value)
+    return builder
+
+
+def _set_entry(builder, entry: EntryStatus) -> None:
+    _set(
+        builder,
+        name=entry.name,
+        zone=entry.zone,
+        lendingAddress=entry.lending_address,
+        revision=entry.revision,
+        leaving=entry.leaving,
+        running=entry.running,
+    )
+    drained = builder.init("drained", len(entry.drained))
+    for index, handover in enumerate(entry.drained):
+        drained[index] = handover
+
+
+def _entry(fields) -> EntryStatus:
+    return EntryStatus(
+        fields.name,
+        fields.zone,
+        fields.lendingAddress,
+        fields.revision,
+        fields.leaving,
+        fields.running,
+        tuple(fields.drained),
+    )
+
+
+def _set_values(builder, values: list[StoredValue]) -> None:
+    items = builder.init("values", len(values))
+    for item, value in zip(items, values, strict=True):
+        _set(item, key=value.key, revision=value.revision, text=value.text)
+
+
+def _value(fields) -> StoredValue:
+    return StoredValue(fields.key, fields.revision, fields.text)
+
+
+def _set_peer_pong(builder, message: PeerPong) -> None:
+    _set(
+        builder,
+        revision=message.revision,
+        inForce=message.in_force,
+        synced=message.synced,
+    )
+    _set_values(builder, message.values)
+    entries = builder.init("entries", len(message.entries))
+    for item, entry in zip(entries, message.entries, strict=True):
+        _set_entry(item, entry)
+
+
+def _peer_pong(fields) -> PeerPong:
+    return PeerPong(
+        fields.revision,
+        fields.inForce,
+        fields.synced,
+        [_value(value) for value in fields.values],
+        [_entry(entry) for entry in fields.entries],
+    )
+
+
+def _set_borrow(builder, message: Borrow) -> None:
+    _set(
+        builder,
+        workspace=message.workspace,
+        weight=message.weight,
+        queueLimit=message.queue_limit,
+        deployment=message.deployment,
+        tokens=message.tokens,
+        waitS=message.wait_s,
+        holdS=message.hold_s,
+    )
+
+
+def _borrow(fields) -> Borrow:
+    return Borrow(
+        fields.workspace,
+        fields.weight,
+        fields.queueLimit,
+        fields.deployment,
+        fields.tokens,
+        fields.waitS,
+        fields.holdS,
+    )
+
+
+def _set_outcome(builder, outcome: Outcome) -> None:
+    match outcome:
+        case Completed(incarnation):
+            _set(builder, outcome="completed", incarnation=incarnation)
+        case Broken():
+            _set(builder, outcome="broken")
+        case Unused():
+            _set(builder, outcome="unused")
+
+
+def _outcome(fields) -> Outcome:
+    match fields.outcome:
+        case "completed":
+            return Completed(fields.incarnation)
+        case "broken":
+            return Broken()
+        case "unused":
+            return Unused()
+        case other:
+            raise MalformedFrame(f"unknown outcome {other!r}")
--- /dev/null
+++ b/poplarspar/steward.py
@@ -0,0 +1,151 @@
+"""The steward daemon: configuration, freshness, replica groups and owners."""
+
+from contextlib import ExitStack
+
+import eventlet
+
+from poplarspar.coordination.cluster import ClusterState
+from poplarspar.coordination.lease import PlannerLease
+from poplarspar.coordination.planner import Planner
+from poplarspar.coordination.publishing import Publisher
+from poplarspar.coordination.reporting import ReportReaders
+from poplarspar.events import Event, log_event
+from poplarspar.protocol.documents import JsonDocuments
+from poplarspar.protocol.settings import StewardSettings
+from poplarspar.state.replicas import Reports
+from poplarspar.transport.addresses import bound_address, listen
+from poplarspar.transport.backends import HttpOrders, HttpReports
+from poplarspar.transport.links import Identity, LinkServer
+from poplarspar.transport.operators import OperatorApi
+from poplarspar.transport.platform import HttpStore, HttpVmList
+from poplarspar.transport.server import HttpServer
+from poplarspar.transport.steward_links import StewardLinks
+
+CONNECTION_LIMIT = 256
+HEADER_TIMEOUT_S = 10.0
+BODY_LIMIT_BYTES = 2_000_000
+
+
+class Steward:
+    """One steward process; `close` ends everything it started."""
+
+    def __init__(self, settings: StewardSettings) -> None:
+        self._settings = settings
+        self._stack = ExitStack()
+        self._documents = JsonDocuments()
+        roster = settings.cluster.steward_address_by_name
+        self.cluster = ClusterState(settings.name, sorted(roster), self._documents)
+        self._store = HttpStore(settings.cluster.store)
+        self._stack.callback(self._store.close)
+        self._reports = Reports()
+        self._start_links()
+        self._start_planner()
+        self._start_operators()
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Addresses by what is served there."""
+        return {
+            "http": bound_address(self._http_listener),
+            "peer": bound_address(self._peer_listener),
+        }
+
+    def shut_down(self) -> None:
+        """Leave; entries go on with another steward."""
+        log_event(Event.DRAINING)
+        log_event(Event.STOPPED)
+
+    def close(self) -> None:
+        """Close all that the steward holds."""
+        self._stack.close()
+
+    def describe(self) -> dict:
+        """Return the cluster's state as this steward knows it."""
+        view = self.cluster.view
+        return {
+            "steward": self.cluster.name,
+            "revision": self.cluster.snapshot.revision,
+            "in_force": self.cluster.in_force(),
+            "fresh": self.cluster.freshness.is_fresh(),
+            "planner": self._planner.is_active,
+            "zones": {
+                zone.name: "in" if zone.serving else "out"
+                for zone in view.objects.zones_by_name.values()
+            },
+            "entries": {
+                status.name: {
+                    "zone": status.zone,
+                    "revision": status.revision,
+                    "running": status.running,
+                    "leaving": status.leaving,
+                }
+                for status in self.cluster.entries().values()
+            },
+            "groups": {
+                group.name: {
+                    "deployment": group.deployment,
+                    "zone": group.zone,
+                    "epoch": group.epoch,
+                    "members": [member.vm for member in group.members],
+                    "accepts_work": view.accepts_work(group),
+                    "owner": view.ownership_of(group.name).owner,
+                    "draining_from": view.ownership_of(group.name).previous,
+                }
+                for group in view.groups_by_name.values()
+            },
+        }
+
+    def _start_links(self) -> None:
+        cluster_settings = self._settings.cluster
+        identity = Identity(self.cluster.name, cluster_settings.peer_token)
+        links = StewardLinks(self.cluster, self._store, identity)
+        self._peer_listener = listen(self._settings.peer_listen)
+        server = LinkServer(self._peer_listener, identity.token, links.serve)
+        self._stack.callback(server.close)
+        self._spawn(links.follow_store)
+        for peer, address in cluster_settings.steward_address_by_name.items():
+            if peer != self.cluster.name:
+                self._spawn(links.follow_peer, peer, address)
+
+    def _start_planner(self) -> None:
+        vm_list = HttpVmList(self._settings.cluster.vm_list)
+        self._stack.callback(vm_list.close)
+        readers = ReportReaders(HttpReports(), self._reports, lambda: None)
+        self._stack.callback(readers.close)
+        self._planner = Planner(
+            self.cluster,
+            self._store,
+            self._documents,
+            PlannerLease(self._store, self.cluster.name),
+            vm_list,
+            HttpOrders(),
+            readers,
+            self._reports,
+        )
+        self._spawn(self._planner.run)
+
+    def _start_operators(self) -> None:
+        publisher = Publisher(
+            self._store,
+            self.cluster,
+            self._documents.configuration_text,
+            self._documents.configuration,
+        )
+        api = OperatorApi(
+            self._settings.cluster.operator_token,
+            self.cluster,
+            publisher,
+            self.describe,
+        )
+        self._http_listener = listen(self._settings.http_listen)
+        server = HttpServer(
+            self._http_listener,
+            api.handle,
+            connection_limit=CONNECTION_LIMIT,
+            header_timeout_s=HEADER_TIMEOUT_S,
+            body_limit_bytes=BODY_LIMIT_BYTES,
+        )
+        self._stack.callback(server.close)
+
+    def _spawn(self, task, *arguments) -> None:
+        self._stack.callback(eventlet.spawn(task, *arguments).kill)
--- /dev/null
+++ b/poplarspar/transport/__init__.py
@@ -0,0 +1,1 @@
+"""The transport layer."""
--- /dev/null
+++ b/poplarspar/transport/addresses.py
@@ -0,0 +1,25 @@
+"""Socket addresses in the form ``host:port``."""
+
+import socket
+
+import eventlet
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def listen(address: str, send_buffer_bytes: int = 0) -> socket.socket:
+    """Return a listening socket; accepted connections inherit its buffer size."""
+    listener = eventlet.listen(split_address(address), backlog=1024)
+    if send_buffer_bytes:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
+    return listener
+
+
+def bound_address(listener: socket.socket) -> str:
+    """Return the address that a listening socket got."""
+    host, port = listener.getsockname()[:2]
+    return f"{host}:{port}"
--- /dev/null
+++ b/poplarspar/transport/callers.py
@@ -0,0 +1,163 @@
+"""Callers' HTTP: requests for generated text and calls of plain services."""
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack
+
+from expression import Result
+
+from poplarspar.coordination.drain import Drain
+from poplarspar.coordination.service import RequestService, Target
+from poplarspar.coordination.streams import TokenStream
+from poplarspar.exceptions import BackendFailed
+from poplarspar.protocol.callers import (
+    END_EVENT,
+    STATUS_BY_REASON,
+    GenerateRequest,
+    check_key,
+    error_event,
+    parse_generate,
+    refusal_body,
+    text_event,
+    whole_text,
+)
+from poplarspar.state.metrics import Metrics
+from poplarspar.state.refusals import Ran, Reason, Refusal
+from poplarspar.transport.server import Request, Response, json_response
+
+EVENT_STREAM = "text/event-stream"
+
+
+class CallerApi:
+    """Handles callers' requests at an entry.
+
+    Parameters
+    ----------
+    is_ready : callable
+        Says whether the balancer should send callers here.
+    """
+
+    def __init__(
+        self,
+        service: RequestService,
+        drain: Drain,
+        metrics: Metrics,
+        is_ready: Callable[[], bool],
+        status: Callable[[], dict],
+    ) -> None:
+        self._service = service
+        self._drain = drain
+        self._metrics = metrics
+        self._is_ready = is_ready
+        self._status = status
+
+    def handle(self, request: Request) -> Response:
+        """Answer one request."""
+        match request.method, request.path.strip("/").split("/"):
+            case "GET", ["ready"]:
+                ready = self._is_ready()
+                return json_response(200 if ready else 503, {"ready": ready})
+            case "GET", ["status"]:
+                return json_response(200, self._status())
+            case "POST", ["v1", workspace, route]:
+                return self._serve(workspace, route, request)
+            case _, ["v1", _, _] | ["ready"] | ["status"]:
+                return json_response(405, {"error": {"reason": "method_not_allowed"}})
+            case _:
+                message = "paths are /v1/WORKSPACE/ROUTE, /ready and /status"
+                return self._refuse(Refusal(Reason.NOT_FOUND, message))
+
+    def _serve(self, workspace: str, route: str, request: Request) -> Response:
+        self._metrics.count("requests")
+        match self._service.find(workspace, route):
+            case Result(tag="error", error=refusal):
+                return self._refuse(refusal)
+            case Result(ok=target):
+                pass
+        if self._service.is_model(target):
+            return self._generate(target, parse_generate(request.body))
+        return self._call(target, request)
+
+    def _call(self, target: Target, request: Request) -> Response:
+        key = check_key(request.headers.get("Idempotency-Key", ""))
+        started = time.monotonic()
+        with self._drain.request():
+            result = self._service.call(target, request.body, key)
+        match result:
+            case Result(tag="error", error=refusal):
+                return self._refuse(refusal)
+            case Result(ok=answer):
+                self._metrics.observe("call_us", time.monotonic() - started)
+                return Response(answer.status, answer.body)
+
+    def _generate(self, target: Target, wanted: GenerateRequest) -> Response:
+        started = time.monotonic()
+        with ExitStack() as stack:
+            stack.enter_context(self._drain.request())
+            match self._service.open_stream(target, wanted.to_prompt()):
+                case Result(tag="error", error=refusal):
+                    return self._refuse(refusal)
+                case Result(ok=stream):
+                    stack.callback(stream.close)
+            # The body outlives this call and takes over what must be closed.
+            body = CallerStream(stream, stack.pop_all(), self._metrics, started)
+        if wanted.stream:
+            return Response(200, body, EVENT_STREAM)
+        return self._collect(body)
+
+    def _collect(self, body: "CallerStream") -> Response:
+        try:
+            return Response(200, whole_text("".join(body.texts())))
+        except BackendFailed as error:
+            return self._refuse(Refusal(Reason.BACKEND, str(error), Ran.UNKNOWN))
+        finally:
+            body.close()
+
+    def _refuse(self, refusal: Refusal) -> Response:
+        self._metrics.count(f"refused_{refusal.reason.value}")
+        status = STATUS_BY_REASON[refusal.reason]
+        headers = {"Retry-After": "1"} if status == 503 else {}
+        return Response(status, refusal_body(refusal), headers=headers)
+
+
+class CallerStream:
+    """Body of a streamed answer; the server closes it when the caller is gone."""
+
+    def __init__(
+        self,
+        stream: TokenStream,
+        owned: ExitStack,
+        metrics: Metrics,
+        started: float,
+    ) -> None:
+        self._stream = stream
+        self._owned = owned
+        self._metrics = metrics
+        self._started = started
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield server-sent events."""
+        try:
+            for text in self.texts():
+                yield text_event(text)
+            yield END_EVENT
+        except BackendFailed as error:
+            self._metrics.count("streams_broken")
+            yield error_event(Refusal(Reason.BACKEND, str(error), Ran.UNKNOWN))
+
+    def texts(self) -> Iterator[str]:
+        """Yield the texts of the answer and note when the first one came."""
+        first = True
+        for text in self._stream:
+            if first:
+                self._metrics.observe(
+                    "first_token_us", time.monotonic() - self._started
+                )
+                first = False
+            self._metrics.count("tokens")
+            yield text
+        self._metrics.count("streams_completed")
+
+    def close(self) -> None:
+        """Release the stream; safe to call more than once."""
+        self._owned.close()
--- /dev/null
+++ b/poplarspar/transport/platform.py
@@ -0,0 +1,119 @@
+"""The platform's services: its key-value store and its list of VMs."""
+
+import json
+from urllib.parse import quote
+
+from poplarspar.exceptions import (
+    CoordinationError,
+    ProtocolError,
+    RevisionConflict,
+    StoreUnavailable,
+    TransportError,
+)
+from poplarspar.protocol.engines import parse_vm_list
+from poplarspar.state.replicas import Vm
+from poplarspar.state.snapshot import StoredValue
+from poplarspar.transport.http import HttpAnswer, HttpClient
+
+STORE_TIMEOUT_S = 2.0
+VM_LIST_TIMEOUT_S = 1.0
+OK = 200
+NOT_FOUND = 404
+CONFLICT = 409
+
+
+class HttpStore:
+    """The key-value store; see `coordination.ports.Store`."""
+
+    def __init__(self, address: str) -> None:
+        self._client = HttpClient(address)
+
+    def read(self, key: str) -> StoredValue:
+        """Return the value at `key`, at revision 0 when absent."""
+        answer = self._send("GET", f"/v1/values/{quote(key, safe='')}")
+        if answer.status == NOT_FOUND:
+            return StoredValue(key, 0, "")
+        return self._value(self._document(answer))
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> list[StoredValue]:
+        """Return values newer than revision `after`, waiting up to `wait_s`."""
+        path = f"/v1/watch?prefix={quote(prefix)}&after={after}&wait_s={wait_s}"
+        answer = self._send("GET", path, wait_s=wait_s)
+        return [self._value(item) for item in self._document(answer)["values"]]
+
+    def swap(self, key: str, expected: int, text: str, lease: str = "") -> int:
+        """Write if the key is at revision `expected` and return the new revision."""
+        body = {"expected": expected, "text": text, "lease": lease}
+        answer = self._send("PUT", f"/v1/values/{quote(key, safe='')}", body)
+        if answer.status == CONFLICT:
+            raise RevisionConflict(f"{key!r} is not at revision {expected}")
+        return self._document(answer)["revision"]
+
+    def delete(self, key: str, expected: int) -> None:
+        """Delete the key if it is at revision `expected`."""
+        path = f"/v1/values/{quote(key, safe='')}?expected={expected}"
+        answer = self._send("DELETE", path)
+        if answer.status == CONFLICT:
+            raise RevisionConflict(f"{key!r} is not at revision {expected}")
+        self._document(answer)
+
+    def grant_lease(self, ttl_s: float) -> str:
+        """Return the identifier of a new lease."""
+        answer = self._send("POST", "/v1/leases", {"ttl_s": ttl_s})
+        return self._document(answer)["lease"]
+
+    def renew_lease(self, lease: str) -> bool:
+        """Prolong a lease and return whether it still existed."""
+        answer = self._send("POST", f"/v1/leases/{lease}/renew", {})
+        if answer.status == NOT_FOUND:
+            return False
+        self._document(answer)
+        return True
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    def _send(
+        self, method: str, path: str, body: dict | None = None, wait_s: float = 0.0
+    ) -> HttpAnswer:
+        data = b"" if body is None else json.dumps(body).encode()
+        timeout_s = STORE_TIMEOUT_S + wait_s
+        try:
+            return self._client.send(method, path, data, read_timeout_s=timeout_s)
+        except TransportError as error:
+            raise StoreUnavailable(f"store: {error}") from error
+
+    @staticmethod
+    def _document(answer: HttpAnswer) -> dict:
+        if answer.status != OK:
+            raise StoreUnavailable(f"store answered with status {answer.status}")
+        try:
+            return answer.json()
+        except TransportError as error:
+            raise StoreUnavailable(f"store: {error}") from error
+
+    @staticmethod
+    def _value(item: dict) -> StoredValue:
+        return StoredValue(item["key"], item["revision"], item["text"])
+
+
+class HttpVmList:
+    """The list of VMs; see `coordination.ports.VmList`."""
+
+    def __init__(self, address: str) -> None:
+        self._client = HttpClient(address)
+
+    def list(self) -> list[Vm]:
+        """Return the VMs that the platform knows."""
+        try:
+            answer = self._client.send(
+                "GET", "/v1/vms", read_timeout_s=VM_LIST_TIMEOUT_S
+            )
+            return parse_vm_list(answer.body)
+        except (TransportError, ProtocolError) as error:
+            raise CoordinationError(f"VM list: {error}") from error
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
