--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around poplarspar."""
--- /dev/null
+++ b/standins/common.py
@@ -0,0 +1,46 @@
+"""What all stand-ins share: patching, serving a handler, options."""
+
+import warnings
+
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is")
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import argparse
+import json
+import signal
+
+from eventlet.event import Event
+
+from poplarspar.transport.addresses import bound_address, listen
+from poplarspar.transport.server import HttpServer
+
+BODY_LIMIT_BYTES = 4_000_000
+
+
+def serve(handler) -> None:
+    """Serve a handler on a free port, print the address, run until SIGTERM."""
+    stop = Event()
+    signal.signal(signal.SIGTERM, lambda number, frame: stop.send())
+    listener = listen("127.0.0.1:0")
+    HttpServer(
+        listener,
+        handler,
+        connection_limit=4096,
+        header_timeout_s=60.0,
+        body_limit_bytes=BODY_LIMIT_BYTES,
+    )
+    print(json.dumps({"http": bound_address(listener)}), flush=True)
+    stop.wait()
+
+
+def parse_options(**defaults):
+    """Return options from the command line, typed like their defaults."""
+    parser = argparse.ArgumentParser()
+    for name, default in defaults.items():
+        parser.add_argument(
+            f"--{name.replace('_', '-')}", type=type(default), default=default
+        )
+    return parser.parse_args()
--- /dev/null
+++ b/standins/faultproxy.py
@@ -0,0 +1,118 @@
+"""Fault-injecting TCP proxy: cuts, freezes, delays and forgotten connections."""
+
+from standins.common import serve  # isort: skip
+
+import json
+from dataclasses import dataclass, field
+
+import eventlet
+
+from poplarspar.transport.addresses import bound_address, listen, split_address
+from poplarspar.transport.server import Request, Response, json_response
+
+PIECE_BYTES = 65_536
+POLL_S = 0.02
+
+
+@dataclass(eq=False)
+class Pair:
+    """One proxied connection; `silent` once its ends have lost each other."""
+
+    sockets: tuple
+    silent: bool = False
+
+
+@dataclass
+class Path:
+    """One listening port and the faults on the way behind it.
+
+    The mode is one of pass, cut, freeze, drop_up, drop_down and forget (which
+    silences the connections that are open now, while new ones work).
+    """
+
+    upstream: str = ""
+    mode: str = "pass"
+    delay_s: float = 0.0
+    pairs: set[Pair] = field(default_factory=set)
+
+
+class FaultProxy:
+    """All paths of one test, driven over HTTP."""
+
+    def __init__(self) -> None:
+        self.path_by_address: dict[str, Path] = {}
+
+    def handle(self, request: Request) -> Response:
+        body = json.loads(request.body or b"{}")
+        if request.path == "/paths":
+            return json_response(200, {"address": self.open(body.get("upstream", ""))})
+        path = self.path_by_address[body["address"]]
+        path.upstream = body.get("upstream", path.upstream)
+        path.delay_s = body.get("delay_s", path.delay_s)
+        self.set_mode(path, body.get("mode", path.mode))
+        return json_response(200, {"connections": len(path.pairs)})
+
+    def open(self, upstream: str) -> str:
+        listener = listen("127.0.0.1:0")
+        address = bound_address(listener)
+        self.path_by_address[address] = Path(upstream)
+        eventlet.spawn(self.accept, listener, self.path_by_address[address])
+        return address
+
+    def set_mode(self, path: Path, mode: str) -> None:
+        if mode == "forget":
+            for pair in path.pairs:
+                pair.silent = True
+            mode = "pass"
+        if mode == "cut":
+            for pair in list(path.pairs):
+                self.close(path, pair)
+        path.mode = mode
+
+    def accept(self, listener, path: Path) -> None:
+        while True:
+            sock, _ = listener.accept()
+            if path.mode == "cut" or not path.upstream:
+                sock.close()
+                continue
+            eventlet.spawn(self.connect, path, sock)
+
+    def connect(self, path: Path, sock) -> None:
+        try:
+            other = eventlet.connect(split_address(path.upstream))
+        except OSError:
+            sock.close()
+            return
+        pair = Pair((sock, other))
+        path.pairs.add(pair)
+        eventlet.spawn(self.pump, path, pair, sock, other, "drop_up")
+        eventlet.spawn(self.pump, path, pair, other, sock, "drop_down")
+
+    def pump(self, path: Path, pair: Pair, source, target, drop_mode: str) -> None:
+        try:
+            while piece := source.recv(PIECE_BYTES):
+                if path.delay_s:
+                    eventlet.sleep(path.delay_s)
+                while path.mode == "freeze" and pair in path.pairs:
+                    eventlet.sleep(POLL_S)
+                if not pair.silent and path.mode != drop_mode:
+                    target.sendall(piece)
+        except OSError:
+            pass
+        # An end that goes away behind a silent path is not heard of either.
+        if not pair.silent and path.mode not in ("freeze", drop_mode):
+            self.close(path, pair)
+
+    @staticmethod
+    def close(path: Path, pair: Pair) -> None:
+        # The sockets close by themselves when both pumps have ended.
+        path.pairs.discard(pair)
+        for sock in pair.sockets:
+            try:
+                sock.shutdown(2)
+            except OSError:
+                pass
+
+
+if __name__ == "__main__":
+    serve(FaultProxy().handle)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; run them with ``python -m tests``."""
