--- a/standins/backend.py
+++ b/standins/backend.py
@@ -52,6 +52,7 @@
         """Count one request; too many of them make the server fall over."""
         incarnation = self.incarnation
         self.running += 1
+        self.counts["started"] += 1
         self.note()
         if self.running > self.bears:
             self.counts["overloads"] += 1
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -291,7 +291,8 @@
         """End a process if it runs and start it anew."""
         arguments = self.by_name[name].arguments
         self.by_name[name].stop()
-        process = self._spawn(name, arguments).wait_started()
+        process = Process(name, arguments, self.folder / f"{name}.log").wait_started()
+        self.by_name[name] = process
         self.connect_paths(name)
         return process
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -23,11 +23,14 @@
     def __init__(self, options) -> None:
         super().__init__(options.vm, options.cold, options.warm, options.boot_s)
         self.options = options
+        self.tokens = 0
+
+    def start(self) -> None:
+        super().start()
         self.place = {"group": "", "epoch": 0, "index": 0}
         self.members: list[str] = []
         self.loaded = ""
         self.present: set[str] = set()
-        self.tokens = 0
 
     def handle(self, request: Request) -> Response:
         common = self.handle_common(request)
--- a/tests/base.py
+++ b/tests/base.py
@@ -165,10 +165,12 @@
             number += 1
             entry = self.entries[(caller + number) % len(self.entries)]
             try:
-                self.outcomes[self._send(entry, f"{caller}-{number}")] += 1
+                self.outcomes[self._send(entry, f"{self.route}-{caller}-{number}")] += 1
             except (urllib3.exceptions.HTTPError, OSError) as error:
                 self.outcomes["broken"] += 1
-                self.problems.append(f"{entry} {caller}-{number}: {error!r}")
+                self.problems.append(
+                    f"{entry} {self.route}-{caller}-{number}: {error!r}"
+                )
 
     def _send(self, entry: str, name: str) -> str:
         if self.route != "draft":
