Prove replica groups, whole answers, shutdowns, configuration and borders

Faults found, each with the test that failed first: - An entry cut off from the cluster borrowed and dropped slots in a tight loop until the deadline, then said 504. Cause: freshness was checked only when a slot was to be used. Ruled out for the failing ready check: a race of the test with its own signal.

--- a/poplarspar/coordination/admission.py
+++ b/poplarspar/coordination/admission.py
@@ -159,6 +159,13 @@
                 pass
         self.serve_waiters()
 
+    def check_fresh(self) -> Result[None, Refusal]:
+        """Return a refusal when this entry may not start new work now."""
+        if self._is_fresh():
+            return Ok(None)
+        message = "this entry lost touch with the cluster"
+        return Error(Refusal(Reason.STALE, message))
+
     def accepts(self, slot: Slot) -> bool:
         """Return whether the slot may still be used to send a request."""
         group = self._view.groups_by_name.get(slot.backend)
@@ -216,8 +223,6 @@
         return slot is not None
 
     def _no_room(self, demand: Demand) -> Refusal:
-        if not self._is_fresh():
-            return Refusal(Reason.STALE, "this entry lost touch with the cluster")
         message = f"no backend server of {demand.deployment!r} has room"
         return Refusal(Reason.NO_BACKEND, message)
 
--- a/poplarspar/coordination/capacity.py
+++ b/poplarspar/coordination/capacity.py
@@ -15,7 +15,6 @@
 
 LOAN_WAIT_S = 0.1
 LENDERS_ASKED = 3
-FINAL_REASONS = (Reason.QUEUE_FULL, Reason.STALE)
 
 
 class Lenders(Protocol):
@@ -43,13 +42,16 @@
         deadline = time.monotonic() + demand.patience_s
         refusal = Refusal(Reason.NO_BACKEND, "no backend server had room in time")
         for wait_s in _rising_waits(deadline):
+            match self._admission.check_fresh():
+                case Result(tag="error") as stale:
+                    return stale
             for attempt in self._places(demand):
                 result = attempt(demand, wait_s)
                 match result:
                     case Result(tag="ok"):
                         return result
                     case Result(error=refusal):
-                        if refusal.reason in FINAL_REASONS:
+                        if refusal.reason is Reason.QUEUE_FULL:
                             return result
         return Error(refusal)
 
--- a/poplarspar/transport/links.py
+++ b/poplarspar/transport/links.py
@@ -152,7 +152,7 @@
         self._task.kill()
         self._listener.close()
         for task in list(self._pool.coroutines_running):
-            task.kill()
+            eventlet.kill(task)
 
     def _accept(self) -> None:
         while True:
--- a/poplarspar/transport/server.py
+++ b/poplarspar/transport/server.py
@@ -15,6 +15,7 @@
 SEND_BUFFER_BYTES = 8_192
 WRITE_TIMEOUT_S = 300.0
 URL_LIMIT_BYTES = 4_096
+CONNECTION_KEY = "poplarspar.connection"
 STATUS_TEXT = {
     200: "OK",
     202: "Accepted",
@@ -109,7 +110,7 @@
         """Stop at once."""
         self.stop_accepting()
         for task in list(self._pool.coroutines_running):
-            task.kill()
+            eventlet.kill(task)
 
     def _serve(self) -> None:
         protocol = type(
@@ -142,9 +143,13 @@
 
     def _respond(self, environ: dict) -> Response:
         try:
-            return self._handler(self._read(environ))
-        except BodyTooLarge as error:
-            return self._problem(413, error)
+            request = self._read(environ)
+        except InvalidRequest as error:
+            # Nobody waits for the rest of a body that is not wanted.
+            environ[CONNECTION_KEY].shutdown(socket.SHUT_RD)
+            return self._problem(413 if isinstance(error, BodyTooLarge) else 400, error)
+        try:
+            return self._handler(request)
         except InvalidRequest as error:
             return self._problem(400, error)
         except PoplarsparError as error:
@@ -156,7 +161,6 @@
         document = {"reason": "invalid_request", "message": str(error), "ran": "no"}
         if status == 500:
             document.update(reason="internal_error", ran="unknown")
-        # The rest of the body may be unread, so the connection can't be reused.
         close = {"Connection": "close"}
         body = json.dumps({"error": document}).encode()
         return Response(status, body, headers=close)
@@ -215,6 +219,10 @@
         finally:
             self._header_timer.cancel()
 
+    def get_environ(self):
+        """Return the request's environment with its connection."""
+        return {**super().get_environ(), CONNECTION_KEY: self.connection}
+
     def handle_one_response(self):
         """Answer a request whose headers are complete."""
         self._header_timer.cancel()
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -9,7 +9,7 @@
 
 FOLDER = Path(__file__).resolve().parent
 KNOWN_RED = FOLDER.parent / "KNOWN-RED.txt"
-WORKERS = 4
+WORKERS = 6
 MODULE_TIMEOUT_S = 400
 
 
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,122 @@
+"""Accepted configurations hold everywhere and never go back."""
+
+import threading
+
+from standins.cluster import wait_for
+from tests.base import TIDEWATER, ClusterTestCase, Load, service_vms
+
+
+class ConfigurationTest(ClusterTestCase):
+    vms = service_vms()
+    groups = 2
+
+    def control_store(self, **faults) -> None:
+        self.cluster.http.post(self.cluster.address("store"), "/control", faults)
+
+    def weighted(self, weight: int) -> str:
+        return TIDEWATER.replace("weight = 4", f"weight = {weight}")
+
+    def audit(self) -> list[dict]:
+        return self.cluster.operate("GET", "/v1/audit")[1]["audit"]
+
+    def test_racing_operators(self):
+        base = self.cluster.operate("GET", "/v1/objects")[1]["revision"]
+        answers = []
+
+        def publish(number):
+            steward = self.cluster.steward_names[number % 3]
+            text = self.weighted(10 + number)
+            answers.append(self.cluster.publish(text, steward, base))
+
+        threads = [threading.Thread(target=publish, args=(i,)) for i in range(9)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        accepted = [document for status, document in answers if status == 200]
+        conflicts = [document for status, document in answers if status == 409]
+        self.assertEqual((1, 8), (len(accepted), len(conflicts)))
+        self.wait_in_force(accepted[0]["revision"])
+        self.assertEqual(2, len(self.audit()))
+        for conflict in conflicts:
+            self.assertEqual(accepted[0]["changes"], conflict["changes"])
+
+    def test_racing_service_changes_all_hold(self):
+        changes = [("zone", "a"), ("zone", "b"), ("server", "svc-a"), ("zone", "c")]
+        threads = [
+            threading.Thread(
+                target=self.cluster.set_serving, args=(kind, name, False, steward)
+            )
+            for (kind, name), steward in zip(
+                changes, self.cluster.steward_names * 2, strict=False
+            )
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        text = self.cluster.operate("GET", "/v1/objects")[1]["text"]
+        wait_for(
+            lambda: (
+                self.cluster.operate("GET", "/v1/objects")[1]["text"].count(
+                    "serving = no"
+                )
+                == len(changes)
+            ),
+            f"all changes in {text}",
+        )
+
+    def test_lost_answer_is_found_out(self):
+        self.control_store(lose_answers=1)
+        status, document = self.cluster.publish(self.weighted(7))
+        self.assertEqual((200, "accepted"), (status, document["outcome"]))
+        self.assertEqual(2, len(self.audit()))
+
+    def test_outage_says_unknown(self):
+        self.control_store(outage=True)
+        status, document = self.cluster.publish(self.weighted(8))
+        self.assertEqual((503, "unknown"), (status, document["outcome"]))
+
+    def test_fresh_nodes_in_an_outage(self):
+        revision = self.publish(self.weighted(9))
+        self.wait_in_force(revision)
+        self.control_store(outage=True)
+        self.cluster.restart("steward-3")
+        self.cluster.restart("entry-3")
+        wait_for(lambda: self.cluster.entry_status("entry-3")["fresh"], "a fresh entry")
+        self.assertGreaterEqual(
+            self.cluster.entry_status("entry-3")["revision"], revision
+        )
+        document = self.cluster.operate("GET", "/v1/objects", steward="steward-3")[1]
+        self.assertEqual(revision, document["revision"])
+        with Load(self, "balance") as load:
+            load.wait_served(60)
+        self.assertEqual([], load.problems)
+
+    def test_outage_and_partition_refuse_in_the_minority(self):
+        self.control_store(outage=True)
+        self.cluster.isolate("steward-3")
+        self.cluster.isolate("entry-3")
+        wait_for(
+            lambda: not self.cluster.entry_status("entry-3")["fresh"], "the minority"
+        )
+        refused = self.call("entry-3", "balance", {})
+        self.assertEqual((503, "no"), (refused.status, refused.json()["error"]["ran"]))
+        with Load(self, "balance", entries=["entry-1", "entry-2"]) as load:
+            load.wait_served(60)
+        self.assertEqual([], load.problems)
+
+    def test_never_goes_back(self):
+        first = self.publish(self.weighted(5))
+        second = self.publish(self.weighted(6))
+        self.wait_in_force(second)
+        seen = []
+        for name in self.cluster.steward_names:
+            self.control_store(outage=True)
+            self.cluster.restart(name)
+            wait_for(lambda n=name: self.cluster.status(n)["fresh"], f"{name} is fresh")
+            self.control_store(outage=False)
+            document = self.cluster.operate("GET", "/v1/objects", steward=name)[1]
+            seen.append(document["revision"])
+        self.assertLess(first, second)
+        self.assertEqual([second] * 3, seen)
--- /dev/null
+++ b/tests/test_replicas.py
@@ -0,0 +1,158 @@
+"""Replica groups: whole or not serving, no VM in two, repaired from spares."""
+
+import json
+import signal
+
+from standins.cluster import wait_for
+from tests.base import TIDEWATER, ClusterTestCase, Load, engine_vms
+
+
+class ReplicasTest(ClusterTestCase):
+    vms = engine_vms()
+    groups = 3
+
+    def group_in(self, zone: str) -> dict:
+        (group,) = self.groups_in_zone(zone)
+        return group
+
+    def started(self, vm: str) -> int:
+        return self.cluster.counts(vm).get("started", 0)
+
+    def assert_no_vm_in_two_groups(self) -> None:
+        members = [
+            vm
+            for group in self.cluster.status()["groups"].values()
+            for vm in group["members"]
+        ]
+        self.assertEqual(len(members), len(set(members)))
+
+    def wait_repaired(self, zone: str, lost: str) -> None:
+        wait_for(
+            lambda: lost not in self.group_in(zone)["members"], f"{lost} is replaced"
+        )
+        self.cluster.wait_serving(3)
+
+    def planner(self) -> str:
+        names = self.cluster.steward_names
+        return next((n for n in names if self.cluster.status(n)["planner"]), "")
+
+    def test_member_killed(self):
+        with Load(self, "draft") as load:
+            load.wait_served(20)
+            lost = self.group_in("a")["members"][1]
+            self.cluster.by_name[lost].stop()
+            self.wait_repaired("a", lost)
+            load.wait_served(40)
+        self.assertEqual([], load.problems)
+        self.assert_no_vm_in_two_groups()
+
+    def test_group_with_missing_member_gets_no_work(self):
+        # No spare is left in zone a, so its group stays broken.
+        leader, member = self.group_in("a")["members"]
+        spare = ({"vm-a0", "vm-a1", "vm-a2"} - {leader, member}).pop()
+        self.cluster.by_name[spare].stop()
+        with Load(self, "draft") as load:
+            load.wait_served(20)
+            self.cluster.by_name[member].signal(signal.SIGSTOP)
+            load.wait_served(40)
+            before = self.started(leader)
+            load.wait_served(60)
+            self.assertEqual(before, self.started(leader))
+            self.cluster.by_name[member].signal(signal.SIGCONT)
+            wait_for(lambda: self.started(leader) > before, "the group serves again")
+        self.assertEqual([], load.problems)
+
+    def test_fewer_replicas_are_published(self):
+        self.publish(TIDEWATER.replace("replicas = 3", "replicas = 2"))
+        with Load(self, "draft") as load:
+            wait_for(lambda: len(self.cluster.status()["groups"]) == 2, "two groups")
+            load.wait_served(40)
+        self.assertEqual([], load.problems)
+
+    def test_planner_paused_and_resumed(self):
+        planner = wait_for(self.planner, "a planner")
+        others = [n for n in self.cluster.steward_names if n != planner]
+        lost = self.group_in("b")["members"][0]
+        self.cluster.by_name[planner].signal(signal.SIGSTOP)
+        self.cluster.by_name[lost].stop()
+        self.cluster.steward_names.remove(planner)
+        wait_for(lambda: self.planner() in others, "another steward plans")
+        self.wait_repaired("b", lost)
+        self.cluster.steward_names.append(planner)
+        self.cluster.by_name[planner].signal(signal.SIGCONT)
+        with Load(self, "draft") as load:
+            load.wait_served(40)
+        self.assert_no_vm_in_two_groups()
+        self.assertEqual([], load.problems)
+
+    def test_fabric_domain_dark_and_back(self):
+        with Load(self, "draft") as load:
+            load.wait_served(20)
+            for vm in ("vm-a0", "vm-a1", "vm-a2"):
+                self.cluster.fault("any", vm, "freeze")
+            load.wait_served(40)
+            for vm in ("vm-a0", "vm-a1", "vm-a2"):
+                self.cluster.fault("any", vm, "pass")
+            before = sum(self.started(f"vm-a{i}") for i in range(3))
+            wait_for(
+                lambda: sum(self.started(f"vm-a{i}") for i in range(3)) > before,
+                "zone a serves again",
+            )
+        self.assertEqual([], load.problems)
+        self.assert_no_vm_in_two_groups()
+
+    def test_store_outage_during_member_loss(self):
+        store = self.cluster.address("store")
+        with Load(self, "draft") as load:
+            load.wait_served(20)
+            self.cluster.http.post(store, "/control", {"outage": True})
+            lost = self.group_in("c")["members"][1]
+            self.cluster.by_name[lost].stop()
+            load.wait_served(60)
+            self.cluster.http.post(store, "/control", {"outage": False})
+            self.wait_repaired("c", lost)
+            load.wait_served(20)
+        self.assertEqual([], load.problems)
+
+    def test_leaving_vm_is_replaced_without_a_cut(self):
+        leaving = self.group_in("b")["members"][1]
+        with Load(self, "draft", max_tokens=60) as load:
+            load.wait_served(10)
+            self.cluster.leaving.add(leaving)
+            self.cluster.publish_vms()
+            self.wait_repaired("b", leaving)
+            load.wait_served(20)
+        self.assertEqual([], load.problems)
+        self.assertEqual(0, sum(self.resumed(e) for e in self.cluster.entry_names))
+
+    def resumed(self, entry: str) -> int:
+        return self.cluster.entry_status(entry)["counters"].get("streams_resumed", 0)
+
+
+class UnfencedReplicasTest(ReplicasTest):
+    """The same with engines that ignore the fencing number."""
+
+    vms = engine_vms(fenced=0)
+    objects = TIDEWATER.replace("fenced = yes", "fenced = no")
+
+    def test_stray_order_is_corrected(self):
+        leader, member = self.group_in("a")["members"]
+        stray = {
+            "group": "stray",
+            "deployment": "dues-drafter",
+            "epoch": 0,
+            "index": 0,
+            "members": [self.cluster.address(member)],
+        }
+        with Load(self, "draft") as load:
+            load.wait_served(20)
+            address = self.cluster.address(member)
+            answer = self.cluster.http.send("POST", address, "/v1/orders", stray)
+            self.assertEqual(200, answer.status, json.dumps(stray))
+            orders = self.cluster.counts(member)["orders"]
+            wait_for(
+                lambda: self.cluster.counts(member)["orders"] > orders, "a new order"
+            )
+            before = self.started(leader)
+            wait_for(lambda: self.started(leader) > before, "the group serves again")
+        self.assertEqual([], load.problems)
