--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each script prints a table and one JSON line."""
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -105,8 +105,10 @@
 
     Parameters
     ----------
-    zones : list of str
+    zones : tuple of str
         Steward and entry number i run in zone i modulo their number.
+    direct : bool
+        Whether requests to backend servers go past the fault proxy.
     """
 
     def __init__(
@@ -118,6 +120,7 @@
         entry_settings: dict | None = None,
         weights: dict | None = None,
         lag_s: float = 1.0,
+        direct: bool = False,
     ) -> None:
         self.http = Http()
         self.stack = ExitStack()
@@ -133,6 +136,7 @@
         self.entry_names = [f"entry-{i + 1}" for i in range(entries)]
         self.weights = weights or {}
         self.lag_s = lag_s
+        self.direct = direct
 
     def __enter__(self) -> "LocalCluster":
         try:
@@ -237,13 +241,16 @@
                 "name": vm.name,
                 "zone": vm.zone,
                 "domain": vm.domain,
-                "address": self.path_by_ends[("any", vm.name)],
+                "address": self._vm_address(vm.name),
                 "leaving": vm.name in self.leaving,
             }
             for vm in self._vms()
         ]
         self.http.post(self.address("vm-list"), "/control", {"vms": vms})
 
+    def _vm_address(self, name: str) -> str:
+        return self.address(name) if self.direct else self.path_by_ends["any", name]
+
     def _cluster_section(self, name: str) -> str:
         lines = [
             "[cluster]",
@@ -275,12 +282,15 @@
         order = [self.steward_names[(number + i) % count] for i in range(count)]
         extra = {"drain_notice_s": 0.5, **self.entry_settings}
         lines = "\n".join(f"{key} = {value}" for key, value in extra.items())
+        lending = f"lending_address = {self.path('any', name, 'lending')}"
+        if self.direct:
+            lending = ""
         text = f"""[entry]
 name = {name}
 zone = {self._zone(name)}
 http_listen = 127.0.0.1:0
 lending_listen = 127.0.0.1:0
-lending_address = {self.path("any", name, "lending")}
+{lending}
 stewards = {", ".join(order)}
 {lines}
 {self._cluster_section(name)}
--- a/standins/faultproxy.py
+++ b/standins/faultproxy.py
@@ -34,6 +34,7 @@
     mode: str = "pass"
     delay_s: float = 0.0
     pairs: set[Pair] = field(default_factory=set)
+    carried_bytes: int = 0
 
 
 class FaultProxy:
@@ -44,6 +45,9 @@
 
     def handle(self, request: Request) -> Response:
         body = json.loads(request.body or b"{}")
+        if request.path == "/carried":
+            paths = self.path_by_address.items()
+            return json_response(200, {a: p.carried_bytes for a, p in paths})
         if request.path == "/paths":
             return json_response(200, {"address": self.open(body.get("upstream", ""))})
         path = self.path_by_address[body["address"]]
@@ -95,6 +99,7 @@
                     eventlet.sleep(path.delay_s)
                 while path.mode == "freeze" and pair in path.pairs:
                     eventlet.sleep(POLL_S)
+                path.carried_bytes += len(piece)
                 if not pair.silent and path.mode != drop_mode:
                     target.sendall(piece)
         except OSError:
