--- a/bench/control.py
+++ b/bench/control.py
@@ -7,7 +7,7 @@
 from standins.cluster import LocalCluster
 from tests.base import TIDEWATER
 
-SIZES = (3, 9, 18)
+SIZES = tuple(int(size) for size in sys.argv[1:]) or (3, 9, 18)
 SECONDS = 20.0
 ENGINE = {"cold": 2, "warm": 8, "boot_s": 0.2}
 
--- /dev/null
+++ b/bench/downtime.py
@@ -0,0 +1,127 @@
+"""Group downtime and stranded accelerators for each kind of failure.
+
+The floor is the time to notice the silence of a member plus one weight load.
+"""
+
+import signal
+import sys
+import threading
+import time
+
+from bench.common import post, report, vms
+from poplarspar.coordination.planner import MEMBER_SILENT_S
+from standins.cluster import LocalCluster, wait_for
+from tests.base import TIDEWATER
+
+LOAD_S = 2.0
+BOOT_S = 1.0
+ENGINE = {"cold": 2, "warm": 8, "boot_s": BOOT_S, "token_s": 0.01}
+SERVICE = {"cold": 4, "warm": 16}
+POLL_S = 0.05
+MEMBERS = 2
+
+
+def started(cluster: LocalCluster, zone: str) -> int:
+    """Return the requests that engines of a zone started so far."""
+    names = [vm.name for vm in cluster.vm_by_name.values() if vm.zone == zone]
+    alive = [n for n in names if cluster.by_name[n].popen.poll() is None]
+    total = 0
+    for name in alive:
+        try:
+            address = cluster.address(name)
+            answer = cluster.http.send("GET", address, "/counts", timeout=0.2)
+            total += answer.json().get("started", 0)
+        except Exception:  # A paused member answers nothing.
+            continue
+    return total
+
+
+def measure(kind: str, fail) -> dict:
+    """Let one group fail under load and time how long it serves nothing."""
+    with LocalCluster(vms(ENGINE, SERVICE), weights={"load_s": LOAD_S}) as cluster:
+        cluster.publish(TIDEWATER)
+        cluster.wait_serving(5)
+        stop = threading.Event()
+        failures = []
+
+        def run(caller):
+            while not stop.is_set():
+                document = {"prompt": f"{caller}", "max_tokens": 10}
+                entry = cluster.entry_names[caller % 3]
+                address = cluster.address(entry)
+                answer = post(cluster, address, "/v1/pilots/draft", document)
+                if answer.status != 200 or not answer.data.endswith(b"[DONE]\n\n"):
+                    failures.append(answer.status)
+
+        threads = [threading.Thread(target=run, args=(i,)) for i in range(9)]
+        for thread in threads:
+            thread.start()
+        wait_for(lambda: started(cluster, "a") > 20, "zone a serves")
+        fail(
+            cluster, cluster.status()["groups_by_name"]["drafters-gulf-a1-1"]["members"]
+        )
+        failed_at = time.monotonic()
+        time.sleep(POLL_S)
+        before = started(cluster, "a")
+        wait_for(lambda: started(cluster, "a") > before + 3, "zone a serves again", 90)
+        downtime = time.monotonic() - failed_at
+        stop.set()
+        for thread in threads:
+            thread.join()
+        floor = floor_s(kind)
+        return {
+            "failure": kind,
+            "downtime_s": round(downtime, 2),
+            "floor_s": floor,
+            "stranded_vm_s": round(downtime * (MEMBERS - 1), 2),
+            "requests_failed": len(failures),
+        }
+
+
+def floor_s(kind: str) -> float:
+    """Return the shortest time that a failure of this kind can last."""
+    if "restart" in kind:
+        return BOOT_S + LOAD_S
+    return MEMBER_SILENT_S + LOAD_S
+
+
+def kill_member(cluster, members):
+    """Kill the last member."""
+    cluster.by_name[members[-1]].stop()
+
+
+def kill_leader(cluster, members):
+    """Kill the first member."""
+    cluster.by_name[members[0]].stop()
+
+
+def pause_member(cluster, members):
+    """Pause the last member for good."""
+    cluster.by_name[members[-1]].signal(signal.SIGSTOP)
+
+
+def freeze_member(cluster, members):
+    """Freeze the path to the last member."""
+    cluster.fault("any", members[-1], "freeze")
+
+
+def restart_member(cluster, members):
+    """Let the last member restart without a word."""
+    cluster.http.post(cluster.address(members[-1]), "/restart")
+
+
+def main() -> int:
+    """Measure each kind of failure."""
+    kinds = {
+        "member killed": kill_member,
+        "leader killed": kill_leader,
+        "member paused": pause_member,
+        "path to member frozen": freeze_member,
+        "silent restart": restart_member,
+    }
+    report("downtime", [measure(kind, fail) for kind, fail in kinds.items()])
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/poplarspar/__main__.py
+++ b/poplarspar/__main__.py
@@ -1,10 +1,6 @@
 """Entry point of the command ``poplarspar``."""
 
 import sys
-import warnings
-
-# The library warns of its own deprecation at import; operators can't act on it.
-warnings.filterwarnings("ignore", message=r"\s*Eventlet is")
 
 import eventlet
 
--- a/poplarspar/coordination/lease.py
+++ b/poplarspar/coordination/lease.py
@@ -7,6 +7,7 @@
 
 LEASE_KEY = "locks/planner"
 LEASE_TTL_S = 6.0
+RENEWAL_S = 2.0
 ORDER_TIMEOUT_S = 1.0
 
 
@@ -27,6 +28,8 @@
     def hold(self) -> bool:
         """Take or renew the lease and return whether it is held."""
         asked_at = time.monotonic()
+        if self._lease and asked_at < self._ends_at - LEASE_TTL_S + RENEWAL_S:
+            return True
         try:
             held = self._renew() if self._lease else self._take(asked_at)
         except StoreUnavailable:
--- a/poplarspar/coordination/planner.py
+++ b/poplarspar/coordination/planner.py
@@ -29,6 +29,7 @@
 )
 
 PLAN_PERIOD_S = 0.5
+VM_LIST_PERIOD_S = 2.0
 MEMBER_SILENT_S = 2.0
 REPORT_LAG_S = 1.0
 START_UP_S = 3.0
@@ -61,6 +62,7 @@
         self._readers = readers
         self._reports = reports
         self._vms_by_name: dict[str, Vm] = {}
+        self._listed_at = float("-inf")
         self._planning_since: float | None = None
         self._handovers = Handovers(cluster.barrier)
         self._gone_since: dict[str, float] = {}
@@ -82,15 +84,14 @@
 
     def _rest(self) -> None:
         self._planning_since = None
+        self._listed_at = float("-inf")
         self._readers.follow({})
 
     def _plan_once(self) -> None:
         try:
-            vms = self._vm_list.list()
+            self._refresh_vms()
         except CoordinationError:
             return
-        self._vms_by_name = {vm.name: vm for vm in vms}
-        self._readers.follow({vm.name: vm.address for vm in vms})
         if self._planning_since is None:
             self._planning_since = time.monotonic()
         # Reports and heartbeats need a moment before silence means anything.
@@ -104,6 +105,15 @@
         self._plan_owners()
         self._send_orders()
 
+    def _refresh_vms(self) -> None:
+        now = time.monotonic()
+        if now < self._listed_at + VM_LIST_PERIOD_S:
+            return
+        vms = self._vm_list.list()
+        self._listed_at = now
+        self._vms_by_name = {vm.name: vm for vm in vms}
+        self._readers.follow({vm.name: vm.address for vm in vms})
+
     def _plan_group(self, vm_group: VmGroup) -> None:
         deployment = self._cluster.view.objects.deployments_by_name[vm_group.deployment]
         assignments = {name: self._assignment(name) for name in vm_group.domains}
--- a/poplarspar/entry.py
+++ b/poplarspar/entry.py
@@ -17,9 +17,11 @@
 from poplarspar.protocol.documents import JsonDocuments
 from poplarspar.protocol.settings import EntrySettings
 from poplarspar.state.entries import EntryStatus
+from poplarspar.state.ledger import Ledger
 from poplarspar.state.metrics import Metrics
 from poplarspar.state.replicas import Reports
 from poplarspar.state.snapshot import Snapshot, StoredValue
+from poplarspar.state.status import EntryReport, LedgerStatus
 from poplarspar.transport.addresses import bound_address, listen
 from poplarspar.transport.backends import HttpBackends, HttpReports
 from poplarspar.transport.callers import CallerApi
@@ -156,26 +158,30 @@
         in_service = zone is not None and zone.serving
         return in_service and self._freshness.is_fresh() and not self.drain.draining
 
-    def describe(self) -> dict:
-        """Return this entry's state and metrics for its status page."""
-        return {
-            "name": self.name,
-            "revision": self._snapshot.revision,
-            "fresh": self._freshness.is_fresh(),
-            "draining": self.drain.draining,
-            "running": self.drain.running,
-            "owned": {
-                name: {
-                    "requests": ledger.requests,
-                    "request_limit": ledger.limit.requests,
-                    "tokens": ledger.tokens,
-                    "token_limit": ledger.limit.tokens,
-                }
+    def describe(self) -> EntryReport:
+        """Return this entry's state and metrics."""
+        return EntryReport(
+            name=self.name,
+            revision=self._snapshot.revision,
+            fresh=self._freshness.is_fresh(),
+            draining=self.drain.draining,
+            running=self.drain.running,
+            ledger_by_backend={
+                name: _ledger_status(ledger)
                 for name, ledger in sorted(self.admission.ledger_by_backend.items())
             },
-            "counters": dict(sorted(self.metrics.count_by_name.items())),
-            "latencies_us": {
+            count_by_name=dict(sorted(self.metrics.count_by_name.items())),
+            percentiles_by_name={
                 name: self.metrics.percentiles_us(name)
                 for name in sorted(self.metrics.histogram_by_name)
             },
-        }
+        )
+
+
+def _ledger_status(ledger: Ledger) -> LedgerStatus:
+    return LedgerStatus(
+        requests=ledger.requests,
+        request_limit=ledger.limit.requests,
+        tokens=ledger.tokens,
+        token_limit=ledger.limit.tokens,
+    )
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -8,29 +8,99 @@
 
 
 class Event(Enum):
-    """Every event, with its number and message; docs/EVENTS.md explains each."""
-
-    STARTED = (100, "daemon started")
-    DRAINING = (101, "graceful shutdown began")
-    STOPPED = (102, "daemon stopped")
-    BAD_SETTINGS = (103, "settings were refused")
-    SIGNAL_IGNORED = (104, "second stop signal while shutting down")
-    VIEW_CHANGED = (200, "new revision in force here")
-    BECAME_FRESH = (201, "view is fresh")
-    BECAME_STALE = (202, "view is no longer fresh; new work is refused")
-    STEWARD_LOST = (203, "link to steward lost")
-    STEWARD_LINKED = (204, "linked to steward")
-    PEER_REFUSED = (205, "peer refused")
-    PEER_LOST = (206, "link to peer steward lost")
-    STORE_LOST = (300, "store does not answer")
-    STORE_BACK = (301, "store answers again")
-    PLANNER_STARTED = (310, "this steward is the planner")
-    PLANNER_ENDED = (311, "this steward is no longer the planner")
-    PUBLISHED = (400, "objects published")
-    PUBLISH_CONFLICT = (401, "publish met a conflict")
-    PUBLISH_UNKNOWN = (402, "outcome of a publish is unknown")
-    OPERATOR_REFUSED = (403, "operator request without a valid token")
-    REQUEST_FAILED = (500, "request failed inside the daemon")
+    """Every event: its number, message, cause, and what an operator does."""
+
+    STARTED = (
+        100,
+        "daemon started",
+        "A process came up and listens at the addresses in the line.",
+        "Nothing.",
+    )
+    DRAINING = (
+        101,
+        "graceful shutdown began",
+        "The process got SIGTERM or SIGINT.",
+        "Wait for event 102; it lets running requests finish.",
+    )
+    STOPPED = (
+        102,
+        "daemon stopped",
+        "A graceful shutdown ended; `running` counts requests that did not finish.",
+        "If `running` is not 0, raise drain_timeout_s.",
+    )
+    SIGNAL_IGNORED = (
+        104,
+        "second stop signal while shutting down",
+        "A stop signal came again during a graceful shutdown.",
+        "Wait, or end the process by SIGKILL and lose its running requests.",
+    )
+    VIEW_CHANGED = (
+        200,
+        "new revision in force here",
+        "An entry acts on newer objects, replica groups or owners.",
+        "Nothing.",
+    )
+    STEWARD_LOST = (
+        203,
+        "link to steward lost",
+        "A steward ended, was cut off, or is itself not fresh.",
+        "Nothing if it passes; the entry tries its other stewards.",
+    )
+    PEER_REFUSED = (
+        205,
+        "peer refused",
+        "A process sent a frame that is too long, malformed or not of this cluster.",
+        "Check the peer_token and the address of whoever connected.",
+    )
+    PEER_LOST = (
+        206,
+        "link to peer steward lost",
+        "Another steward ended or was cut off.",
+        "Nothing if it passes; look at that VM and the network if it stays.",
+    )
+    STORE_LOST = (
+        300,
+        "store does not answer",
+        "The platform's store is down, slow or cut off.",
+        "Service goes on; changes can't be published and calls that must not be "
+        "repeated are refused until event 301.",
+    )
+    STORE_BACK = (
+        301,
+        "store answers again",
+        "An outage of the store ended for this steward.",
+        "Nothing.",
+    )
+    PUBLISHED = (
+        400,
+        "objects published",
+        "An operator's change was accepted.",
+        "Nothing; `poplarspar audit` shows the change.",
+    )
+    PUBLISH_CONFLICT = (
+        401,
+        "publish met a conflict",
+        "Another operator's change came first.",
+        "Take over that change and publish again on the new revision.",
+    )
+    PUBLISH_UNKNOWN = (
+        402,
+        "outcome of a publish is unknown",
+        "The store gave no answer, neither to the write nor to a look afterwards.",
+        "When the store is back, look for the change in `poplarspar audit`.",
+    )
+    OPERATOR_REFUSED = (
+        403,
+        "operator request without a valid token",
+        "Somebody used the operators' address with a wrong token.",
+        "Check POPLARSPAR_TOKEN; if it was nobody of yours, change operator_token.",
+    )
+    REQUEST_FAILED = (
+        500,
+        "request failed inside the daemon",
+        "A fault of this software.",
+        "Report it with the line's `cause`.",
+    )
 
     @property
     def number(self) -> int:
@@ -42,6 +112,21 @@
         """The event's message."""
         return self.value[1]
 
+    @property
+    def cause(self) -> str:
+        """What brings the event about."""
+        return self.value[2]
+
+    @property
+    def action(self) -> str:
+        """What an operator does about it."""
+        return self.value[3]
+
+
+def find_event(number: int) -> Event | None:
+    """Return the event with a number, None if there is no such event."""
+    return next((event for event in Event if event.number == number), None)
+
 
 _LOGGER = logging.getLogger("poplarspar")
 
--- a/poplarspar/protocol/callers.py
+++ b/poplarspar/protocol/callers.py
@@ -2,12 +2,14 @@
 
 import json
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 
 from poplarspar.coordination.streams import Prompt
 from poplarspar.exceptions import InvalidRequest
 from poplarspar.state.refusals import Reason, Refusal
+from poplarspar.state.status import EntryReport
 
+ENTRY_REPORT = TypeAdapter(EntryReport)
 MAX_KEY_LENGTH = 200
 MAX_TOKENS = 100_000
 
--- a/poplarspar/steward.py
+++ b/poplarspar/steward.py
@@ -12,7 +12,9 @@
 from poplarspar.events import Event, log_event
 from poplarspar.protocol.documents import JsonDocuments
 from poplarspar.protocol.settings import StewardSettings
-from poplarspar.state.replicas import Reports
+from poplarspar.state.replicas import ReplicaGroup, Reports
+from poplarspar.state.status import ClusterStatus, GroupStatus
+from poplarspar.state.view import View
 from poplarspar.transport.addresses import bound_address, listen
 from poplarspar.transport.backends import HttpOrders, HttpReports
 from poplarspar.transport.links import Identity, LinkServer
@@ -59,41 +61,24 @@
         """Close all that the steward holds."""
         self._stack.close()
 
-    def describe(self) -> dict:
+    def describe(self) -> ClusterStatus:
         """Return the cluster's state as this steward knows it."""
         view = self.cluster.view
-        return {
-            "steward": self.cluster.name,
-            "revision": self.cluster.snapshot.revision,
-            "in_force": self.cluster.in_force(),
-            "fresh": self.cluster.freshness.is_fresh(),
-            "planner": self._planner.is_active,
-            "zones": {
-                zone.name: "in" if zone.serving else "out"
-                for zone in view.objects.zones_by_name.values()
-            },
-            "entries": {
-                status.name: {
-                    "zone": status.zone,
-                    "revision": status.revision,
-                    "running": status.running,
-                    "leaving": status.leaving,
-                }
-                for status in self.cluster.entries().values()
+        return ClusterStatus(
+            steward=self.cluster.name,
+            revision=self.cluster.snapshot.revision,
+            in_force=self.cluster.in_force(),
+            fresh=self.cluster.freshness.is_fresh(),
+            planner=self._planner.is_active,
+            serving_by_zone={
+                zone.name: zone.serving for zone in view.objects.zones_by_name.values()
             },
-            "groups": {
-                group.name: {
-                    "deployment": group.deployment,
-                    "zone": group.zone,
-                    "epoch": group.epoch,
-                    "members": [member.vm for member in group.members],
-                    "accepts_work": view.accepts_work(group),
-                    "owner": view.ownership_of(group.name).owner,
-                    "draining_from": view.ownership_of(group.name).previous,
-                }
+            entries_by_name=self.cluster.entries(),
+            groups_by_name={
+                group.name: _group_status(view, group)
                 for group in view.groups_by_name.values()
             },
-        }
+        )
 
     def _start_links(self) -> None:
         cluster_settings = self._settings.cluster
@@ -149,3 +134,16 @@
 
     def _spawn(self, task, *arguments) -> None:
         self._stack.callback(eventlet.spawn(task, *arguments).kill)
+
+
+def _group_status(view: View, group: ReplicaGroup) -> GroupStatus:
+    ownership = view.ownership_of(group.name)
+    return GroupStatus(
+        deployment=group.deployment,
+        zone=group.zone,
+        epoch=group.epoch,
+        members=tuple(member.vm for member in group.members),
+        accepts_work=view.accepts_work(group),
+        owner=ownership.owner,
+        draining_from=ownership.previous,
+    )
--- a/poplarspar/transport/callers.py
+++ b/poplarspar/transport/callers.py
@@ -12,6 +12,7 @@
 from poplarspar.exceptions import BackendFailed
 from poplarspar.protocol.callers import (
     END_EVENT,
+    ENTRY_REPORT,
     STATUS_BY_REASON,
     GenerateRequest,
     check_key,
@@ -23,6 +24,7 @@
 )
 from poplarspar.state.metrics import Metrics
 from poplarspar.state.refusals import Ran, Reason, Refusal
+from poplarspar.state.status import EntryReport
 from poplarspar.transport.server import Request, Response, json_response
 
 EVENT_STREAM = "text/event-stream"
@@ -43,7 +45,7 @@
         drain: Drain,
         metrics: Metrics,
         is_ready: Callable[[], bool],
-        status: Callable[[], dict],
+        status: Callable[[], EntryReport],
     ) -> None:
         self._service = service
         self._drain = drain
@@ -58,7 +60,7 @@
                 ready = self._is_ready()
                 return json_response(200 if ready else 503, {"ready": ready})
             case "GET", ["status"]:
-                return json_response(200, self._status())
+                return Response(200, ENTRY_REPORT.dump_json(self._status()))
             case "POST", ["v1", workspace, route]:
                 return self._serve(workspace, route, request)
             case _, ["v1", _, _] | ["ready"] | ["status"]:
--- a/poplarspar/transport/entry_links.py
+++ b/poplarspar/transport/entry_links.py
@@ -58,18 +58,22 @@
         link = connect(address, self._identity)
         try:
             while True:
-                self._ask(link)
+                if self._ask(link):
+                    # The next question says that the news is in force here.
+                    continue
                 eventlet.sleep(PING_PERIOD_S)
                 if not self._freshness.is_fresh():
                     raise ProtocolError("the steward is not fresh itself")
         finally:
             link.close()
 
-    def _ask(self, link: Link) -> None:
+    def _ask(self, link: Link) -> bool:
+        """Ask the steward once and return whether it had newer values."""
         asked_at = time.monotonic()
         match link.ask(EntryPing(self._status()), PONG_TIMEOUT_S):
             case EntryPong(fresh_for_s, values):
                 self._apply(values)
                 self._freshness.grant(asked_at, fresh_for_s)
+                return bool(values)
             case other:
                 raise ProtocolError(f"unexpected {type(other).__name__}")
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -352,7 +352,7 @@
         status = self.status()
         ready = [
             group
-            for group in status["groups"].values()
+            for group in status["groups_by_name"].values()
             if group["owner"]
             and not group["draining_from"]
             and all(self.counts(vm)["ready"] for vm in group["members"])
--- a/standins/common.py
+++ b/standins/common.py
@@ -1,9 +1,6 @@
 """What all stand-ins share: patching, serving a handler, options."""
 
-import warnings
-
-warnings.filterwarnings("ignore", message=r"\s*Eventlet is")
-
+import poplarspar  # isort: skip  # noqa: F401
 import eventlet
 
 eventlet.monkey_patch()
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -147,7 +147,7 @@
     revision = cluster.set_serving("zone", "c", False)
     say(f"zone c taken out: {wait_in_force(cluster, revision)}")
     demo.wait_served(20)
-    groups = cluster.status()["groups"].values()
+    groups = cluster.status()["groups_by_name"].values()
     victim = next(g for g in groups if g["zone"] == "a" and len(g["members"]) > 1)
     vm = victim["members"][1]
     cluster.by_name[vm].stop()
@@ -157,7 +157,10 @@
     say(f"zone c taken back: {wait_in_force(cluster, revision)}")
     wait_for(
         lambda: (
-            vm not in cluster.status()["groups"][name_of(victim, cluster)]["members"]
+            vm
+            not in cluster.status()["groups_by_name"][name_of(victim, cluster)][
+                "members"
+            ]
         ),
         "repair from a spare VM",
     )
@@ -168,7 +171,7 @@
 
 def name_of(group: dict, cluster: LocalCluster) -> str:
     """Return the name of a group, which it keeps when members are replaced."""
-    groups = cluster.status()["groups"]
+    groups = cluster.status()["groups_by_name"]
     return next(
         name
         for name, other in groups.items()
--- a/tests/base.py
+++ b/tests/base.py
@@ -108,7 +108,7 @@
         return self.cluster.http.send("POST", address, path, document, headers, timeout)
 
     def groups_in_zone(self, zone: str) -> list[dict]:
-        groups = self.cluster.status()["groups"].values()
+        groups = self.cluster.status()["groups_by_name"].values()
         return [group for group in groups if group["zone"] == zone]
 
     def total(self, name: str) -> int:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -20,7 +20,7 @@
         return [n for n, vm in self.cluster.vm_by_name.items() if vm.kind == "engine"]
 
     def leaders(self) -> list[str]:
-        groups = self.cluster.status()["groups"].values()
+        groups = self.cluster.status()["groups_by_name"].values()
         return [g["members"][0] for g in groups if len(g["members"]) > 1]
 
     def test_cold_start_under_full_load(self):
@@ -72,7 +72,7 @@
                 lambda: (
                     not any(
                         owned in g["owner"] or owned in g["draining_from"]
-                        for g in self.cluster.status()["groups"].values()
+                        for g in self.cluster.status()["groups_by_name"].values()
                     )
                 ),
                 "handover of what entry-1 owned",
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -48,7 +48,7 @@
 
     def wait_running(self) -> list[str]:
         """Wait until every leader runs a stream and return the leaders."""
-        groups = self.cluster.status()["groups"].values()
+        groups = self.cluster.status()["groups_by_name"].values()
         leaders = [group["members"][0] for group in groups]
         wait_for(
             lambda: all(self.cluster.counts(vm)["running"] for vm in leaders),
@@ -92,7 +92,7 @@
             b"Content-Length: %d\r\n\r\n%s" % (len(document), document)
         )
         wait_for(
-            lambda: self.cluster.entry_status("entry-1")["counters"].get(
+            lambda: self.cluster.entry_status("entry-1")["count_by_name"].get(
                 "streams_released_for_stall"
             ),
             "the stalled stream is released",
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,27 @@
+"""Tests that the catalogue of events and the code agree."""
+
+import re
+import unittest
+from pathlib import Path
+
+import poplarspar
+from poplarspar.events import Event
+
+PACKAGE = Path(poplarspar.__file__).parent
+CATALOGUE = PACKAGE.parent / "docs" / "EVENTS.md"
+
+
+class EventsTest(unittest.TestCase):
+    def test_catalogue_has_exactly_the_events(self):
+        rows = re.findall(
+            r"^\| (\d+) \| (.+?) \| (.+?) \| (.+?) \|$", CATALOGUE.read_text(), re.M
+        )
+        documented = [(int(row[0]), *row[1:]) for row in rows]
+        self.assertEqual([event.value for event in Event], documented)
+
+    def test_every_event_is_used(self):
+        used = set()
+        for path in PACKAGE.rglob("*.py"):
+            if path.name != "events.py":
+                used |= set(re.findall(r"Event\.([A-Z_]+)", path.read_text()))
+        self.assertEqual({event.name for event in Event}, used)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -21,7 +21,7 @@
     def assert_no_vm_in_two_groups(self) -> None:
         members = [
             vm
-            for group in self.cluster.status()["groups"].values()
+            for group in self.cluster.status()["groups_by_name"].values()
             for vm in group["members"]
         ]
         self.assertEqual(len(members), len(set(members)))
@@ -65,7 +65,9 @@
     def test_fewer_replicas_are_published(self):
         self.publish(TIDEWATER.replace("replicas = 3", "replicas = 2"))
         with Load(self, "draft") as load:
-            wait_for(lambda: len(self.cluster.status()["groups"]) == 2, "two groups")
+            wait_for(
+                lambda: len(self.cluster.status()["groups_by_name"]) == 2, "two groups"
+            )
             load.wait_served(40)
         self.assertEqual([], load.problems)
 
@@ -126,7 +128,9 @@
         self.assertEqual(0, sum(self.resumed(e) for e in self.cluster.entry_names))
 
     def resumed(self, entry: str) -> int:
-        return self.cluster.entry_status(entry)["counters"].get("streams_resumed", 0)
+        return self.cluster.entry_status(entry)["count_by_name"].get(
+            "streams_resumed", 0
+        )
 
 
 class UnfencedReplicasTest(ReplicasTest):
