Keep a planner cut off from its peers from planning; mend the drain

Faults found by reading, each with a test that failed first: - A planner that reached the store but no peer kept the lease, took all other entries for dead, and could never clear their handovers (no other steward planned within 60 s). It now plans only while it hears a majority (test_planner_cut_off_from_its_peers). - A shutdown that began idle did not wait for requests that came during the notice (test_waits_for_requests_that_came_after_the_start). Also by reading, without a test of its own: a malformed document or a fault in a long-running task is logged and the task starts again; a failing VM list no longer stops planning; a draining entry closes callers' connections; an entry that leaves waits for its handover instead of a fixed time.

--- a/bench/readers.py
+++ b/bench/readers.py
@@ -40,7 +40,7 @@
     """Measure with `count` readers that stand still."""
     address = cluster.address("entry-1")
     readers = [open_reader(address) for _ in range(count)]
-    counters = cluster.entry_status("entry-1")["count_by_name"]
+    counters = cluster.entry_status("entry-1")["metrics"]["count_by_name"]
     known = counters.get("streams_released_for_stall", 0)
     released = wait_for_release(cluster, known + count)
     resident = resident_mb(cluster.by_name["entry-1"])
@@ -69,7 +69,7 @@
     """Wait until all stalled streams gave their slots back."""
 
     def released():
-        counters = cluster.entry_status("entry-1")["count_by_name"]
+        counters = cluster.entry_status("entry-1")["metrics"]["count_by_name"]
         return counters.get("streams_released_for_stall", 0)
 
     wait_for(lambda: released() >= goal, f"{goal} released streams", 120)
--- a/poplarspar/coordination/admission.py
+++ b/poplarspar/coordination/admission.py
@@ -192,6 +192,13 @@
                 ready.append(f"{backend}@{ownership.generation}")
         return ready
 
+    def owns_anything(self) -> bool:
+        """Return whether this entry owns capacity or still has to hand it over."""
+        return any(
+            self._entry in (ownership.owner, ownership.previous)
+            for ownership in self._view.owners.by_backend.values()
+        )
+
     def reported_vms(self) -> dict[str, str]:
         """Return the addresses by VM whose reports this entry needs."""
         return {
--- a/poplarspar/coordination/drain.py
+++ b/poplarspar/coordination/drain.py
@@ -17,7 +17,6 @@
     def begin(self) -> None:
         """Start to shut down."""
         self.draining = True
-        self._check()
 
     @contextmanager
     def request(self) -> Iterator[None]:
@@ -27,13 +26,12 @@
             yield
         finally:
             self.running -= 1
-            self._check()
+            if self.running == 0:
+                idle, self._idle = self._idle, Event()
+                idle.send()
 
     def wait_idle(self, timeout_s: float) -> bool:
         """Wait until nothing runs and return whether that came about."""
-        self._idle.wait(timeout=timeout_s)
+        if self.running:
+            self._idle.wait(timeout=timeout_s)
         return self.running == 0
-
-    def _check(self) -> None:
-        if self.draining and self.running == 0 and not self._idle.ready():
-            self._idle.send()
--- a/poplarspar/coordination/freshness.py
+++ b/poplarspar/coordination/freshness.py
@@ -18,9 +18,18 @@
 
 @dataclass
 class PeerContact:
-    """The last answer of a peer that bears on freshness."""
+    """The last answers of a peer.
+
+    Attributes
+    ----------
+    asked_at : float
+        When the last question was sent whose answer bears on freshness.
+    heard_at : float
+        When the last question was sent that got any answer.
+    """
 
     asked_at: float = float("-inf")
+    heard_at: float = float("-inf")
     in_force: int = 0
 
 
@@ -62,6 +71,7 @@
             Revision that the peer and its entries act on.
         """
         contact = self._contact_by_peer[peer]
+        contact.heard_at = max(contact.heard_at, asked_at)
         contact.in_force = in_force if synced else 0
         if synced and not newer:
             contact.asked_at = max(contact.asked_at, asked_at)
@@ -76,6 +86,14 @@
         """Return whether this node may act on its view now."""
         return time.monotonic() < self.fresh_until()
 
+    def hears_majority(self) -> bool:
+        """Return whether a majority of the roster answered within the bound."""
+        oldest = time.monotonic() - FRESHNESS_BOUND_S
+        heard = sum(
+            contact.heard_at > oldest for contact in self._contact_by_peer.values()
+        )
+        return heard + 1 >= self._majority
+
     def majority_has(self, revision: int, own: int) -> bool:
         """Return whether a majority acts on `revision` or a newer one."""
         holders = sum(
--- a/poplarspar/coordination/planner.py
+++ b/poplarspar/coordination/planner.py
@@ -76,7 +76,9 @@
     def run(self) -> None:
         """Plan for as long as the process lives."""
         while True:
-            if self._lease.hold():
+            # A planner that hears no majority would take live entries for dead
+            # and wait in vain until its changes are in force.
+            if self._cluster.freshness.hears_majority() and self._lease.hold():
                 self._plan_once()
             else:
                 self._rest()
@@ -88,10 +90,7 @@
         self._readers.follow({})
 
     def _plan_once(self) -> None:
-        try:
-            self._refresh_vms()
-        except CoordinationError:
-            return
+        self._refresh_vms()
         if self._planning_since is None:
             self._planning_since = time.monotonic()
         # Reports and heartbeats need a moment before silence means anything.
@@ -109,8 +108,12 @@
         now = time.monotonic()
         if now < self._listed_at + VM_LIST_PERIOD_S:
             return
-        vms = self._vm_list.list()
         self._listed_at = now
+        try:
+            vms = self._vm_list.list()
+        except CoordinationError:
+            # The last list serves on; reports tell which of its VMs answer.
+            return
         self._vms_by_name = {vm.name: vm for vm in vms}
         self._readers.follow({vm.name: vm.address for vm in vms})
 
--- a/poplarspar/daemon.py
+++ b/poplarspar/daemon.py
@@ -3,12 +3,17 @@
 import json
 import signal
 import sys
+from collections.abc import Callable
 from typing import Protocol
 
+import eventlet
 from eventlet.event import Event as Signal
+from eventlet.greenthread import GreenThread
 
 from poplarspar.events import Event, log_event, set_up_logging
 
+RESTART_S = 1.0
+
 
 class Daemon(Protocol):
     """What `run_daemon` needs of a daemon."""
@@ -22,6 +27,24 @@
         """Close everything."""
 
 
+def keep_running(task: Callable[..., None], *arguments: object) -> GreenThread:
+    """Start a task that is to run for as long as the process lives.
+
+    If it fails by a fault, that is logged and the task starts again.
+    """
+
+    def run() -> None:
+        while True:
+            try:
+                task(*arguments)
+            except Exception as error:
+                cause = f"{type(error).__name__}: {error}"
+                log_event(Event.TASK_FAILED, task=task.__qualname__, cause=cause)
+            eventlet.sleep(RESTART_S)
+
+    return eventlet.spawn(run)
+
+
 def run_daemon(name: str, start) -> None:
     """Start a daemon, print its addresses as JSON, and run it until SIGTERM.
 
--- a/poplarspar/entry.py
+++ b/poplarspar/entry.py
@@ -4,6 +4,7 @@
 from contextlib import ExitStack
 
 import eventlet
+from eventlet.event import Event as Signal
 
 from poplarspar.coordination.admission import Admission
 from poplarspar.coordination.capacity import Capacity
@@ -13,6 +14,7 @@
 from poplarspar.coordination.reporting import ReportReaders
 from poplarspar.coordination.service import RequestService
 from poplarspar.coordination.timers import TimerService
+from poplarspar.daemon import keep_running
 from poplarspar.events import Event, log_event
 from poplarspar.protocol.documents import JsonDocuments
 from poplarspar.protocol.settings import EntrySettings
@@ -31,7 +33,7 @@
 from poplarspar.transport.platform import HttpStore
 from poplarspar.transport.server import SEND_BUFFER_BYTES, HttpServer
 
-HANDOVER_S = 2.0
+HANDOVER_TIMEOUT_S = 10.0
 
 
 class Entry:
@@ -50,6 +52,7 @@
         self.metrics = Metrics()
         self.drain = Drain()
         self.admission = Admission(self.name, self._reports, self._freshness.is_fresh)
+        self._view_changed = Signal()
         self._timers = TimerService()
         self._stack.callback(self._timers.close)
         self._start()
@@ -69,10 +72,15 @@
         eventlet.sleep(self._settings.drain_notice_s)
         self._server.stop_accepting()
         finished = self.drain.wait_idle(self._settings.drain_timeout_s)
-        # One more question tells the steward that the capacity is free.
-        eventlet.sleep(HANDOVER_S)
+        self._wait_handover()
         log_event(Event.STOPPED, finished=finished, running=self.drain.running)
 
+    def _wait_handover(self) -> None:
+        """Wait until other entries own all that this one owned."""
+        with eventlet.Timeout(HANDOVER_TIMEOUT_S, False):
+            while self.admission.owns_anything():
+                self._view_changed.wait()
+
     def close(self) -> None:
         """Close all that the entry holds."""
         self._stack.close()
@@ -128,7 +136,7 @@
             self._status,
             self._apply,
         )
-        self._stack.callback(eventlet.spawn(link.follow).kill)
+        self._stack.callback(keep_running(link.follow).kill)
 
     def _apply(self, values: list[StoredValue]) -> None:
         if not self._snapshot.merge(values):
@@ -136,6 +144,8 @@
         self.admission.update(self._documents.view(self._snapshot))
         self._readers.follow(self.admission.reported_vms())
         log_event(Event.VIEW_CHANGED, revision=self._snapshot.revision)
+        changed, self._view_changed = self._view_changed, Signal()
+        changed.send()
 
     def _status(self) -> EntryStatus:
         settings = self._settings
@@ -170,11 +180,7 @@
                 name: _ledger_status(ledger)
                 for name, ledger in sorted(self.admission.ledger_by_backend.items())
             },
-            count_by_name=dict(sorted(self.metrics.count_by_name.items())),
-            percentiles_by_name={
-                name: self.metrics.percentiles_us(name)
-                for name in sorted(self.metrics.histogram_by_name)
-            },
+            metrics=self.metrics.summary(),
         )
 
 
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -102,6 +102,13 @@
         "Report it with the line's `cause`.",
     )
 
+    TASK_FAILED = (
+        501,
+        "task failed and starts again",
+        "A fault of this software, or a document of another version in the store.",
+        "Report it with the line's `task` and `cause`.",
+    )
+
     @property
     def number(self) -> int:
         """The event's number."""
--- a/poplarspar/exceptions.py
+++ b/poplarspar/exceptions.py
@@ -67,6 +67,10 @@
     """A peer sent a frame that cannot be decoded."""
 
 
+class MalformedDocument(ProtocolError):
+    """A document in the store cannot be decoded."""
+
+
 class TransportError(PoplarsparError):
     """A connection failed or timed out."""
 
--- a/poplarspar/protocol/documents.py
+++ b/poplarspar/protocol/documents.py
@@ -1,8 +1,9 @@
 """JSON documents that the cluster keeps in the store."""
 
 import base64
+from typing import Any
 
-from pydantic import TypeAdapter
+from pydantic import TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass as validated
 
 from poplarspar.coordination.cluster import (
@@ -12,6 +13,7 @@
 )
 from poplarspar.coordination.idempotency import Progress, RequestRecord
 from poplarspar.coordination.ports import Answer
+from poplarspar.exceptions import MalformedDocument
 from poplarspar.protocol.objects import parse_objects
 from poplarspar.state.configuration import Configuration
 from poplarspar.state.objects import ObjectSet
@@ -52,7 +54,7 @@
             if key.startswith(DOMAIN_PREFIX)
         ]
         owners_text = snapshot.get(OWNERS_KEY).text
-        owners = _OWNERS.validate_json(owners_text) if owners_text else OwnerTable()
+        owners = _parse(_OWNERS, owners_text) if owners_text else OwnerTable()
         objects = self.objects(snapshot.get(CONFIGURATION_KEY).text)
         return build_view(snapshot.revision, objects, assignments, owners)
 
@@ -66,7 +68,7 @@
 
     def configuration(self, text: str) -> Configuration:
         """Return a configuration; an empty text has no objects."""
-        return _CONFIGURATION.validate_json(text) if text else Configuration()
+        return _parse(_CONFIGURATION, text) if text else Configuration()
 
     def configuration_text(self, configuration: Configuration) -> str:
         """Return the document of a configuration."""
@@ -74,7 +76,7 @@
 
     def assignment(self, domain: str, text: str) -> DomainAssignment:
         """Return the assignment in `text`; an empty text holds no groups."""
-        return _ASSIGNMENT.validate_json(text) if text else DomainAssignment(domain)
+        return _parse(_ASSIGNMENT, text) if text else DomainAssignment(domain)
 
     def assignment_text(self, assignment: DomainAssignment) -> str:
         """Return the document of an assignment."""
@@ -86,7 +88,7 @@
 
     def record(self, text: str) -> RequestRecord:
         """Return a record of a request that must not be repeated."""
-        document = _RECORD.validate_json(text)
+        document = _parse(_RECORD, text)
         answer = None
         if document.progress == Progress.DONE:
             answer = Answer(document.status, base64.b64decode(document.body))
@@ -108,3 +110,10 @@
             base64.b64encode(answer.body).decode(),
         )
         return _RECORD.dump_json(document).decode()
+
+
+def _parse(adapter: TypeAdapter, text: str) -> Any:
+    try:
+        return adapter.validate_json(text)
+    except ValidationError as error:
+        raise MalformedDocument(f"a stored document is malformed: {error}") from error
--- a/poplarspar/state/metrics.py
+++ b/poplarspar/state/metrics.py
@@ -16,6 +16,14 @@
     return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
 
 
+@dataclass(frozen=True)
+class MetricsSummary:
+    """Counters, and percentiles in microseconds, by name."""
+
+    count_by_name: dict[str, int]
+    percentiles_by_name: dict[str, dict[str, int]]
+
+
 @dataclass
 class Metrics:
     """What a process counts and times; names carry their units."""
@@ -32,10 +40,19 @@
         histogram = self.histogram_by_name.setdefault(name, new_histogram())
         histogram.record_value(max(LOWEST_US, int(seconds * 1e6)))
 
-    def percentiles_us(self, name: str) -> dict[str, int]:
-        """Return the percentiles of a histogram in microseconds."""
-        histogram = self.histogram_by_name[name]
-        return {
-            f"p{percentile}": histogram.get_value_at_percentile(percentile)
-            for percentile in PERCENTILES
-        }
+    def summary(self) -> MetricsSummary:
+        """Return all counters and the percentiles of all histograms."""
+        return MetricsSummary(
+            dict(sorted(self.count_by_name.items())),
+            {
+                name: _percentiles(histogram)
+                for name, histogram in sorted(self.histogram_by_name.items())
+            },
+        )
+
+
+def _percentiles(histogram: HdrHistogram) -> dict[str, int]:
+    return {
+        f"p{percentile}": histogram.get_value_at_percentile(percentile)
+        for percentile in PERCENTILES
+    }
--- a/poplarspar/state/status.py
+++ b/poplarspar/state/status.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from poplarspar.state.entries import EntryStatus
+from poplarspar.state.metrics import MetricsSummary
 
 
 @dataclass(frozen=True)
@@ -36,6 +37,7 @@
     serving_by_zone: dict[str, bool]
     entries_by_name: dict[str, EntryStatus]
     groups_by_name: dict[str, GroupStatus]
+    metrics: MetricsSummary
 
 
 @dataclass(frozen=True)
@@ -58,5 +60,4 @@
     draining: bool
     running: int
     ledger_by_backend: dict[str, LedgerStatus]
-    count_by_name: dict[str, int]
-    percentiles_by_name: dict[str, dict[str, int]]
+    metrics: MetricsSummary
--- a/poplarspar/steward.py
+++ b/poplarspar/steward.py
@@ -2,16 +2,16 @@
 
 from contextlib import ExitStack
 
-import eventlet
-
 from poplarspar.coordination.cluster import ClusterState
 from poplarspar.coordination.lease import PlannerLease
 from poplarspar.coordination.planner import Planner
 from poplarspar.coordination.publishing import Publisher
 from poplarspar.coordination.reporting import ReportReaders
+from poplarspar.daemon import keep_running
 from poplarspar.events import Event, log_event
 from poplarspar.protocol.documents import JsonDocuments
 from poplarspar.protocol.settings import StewardSettings
+from poplarspar.state.metrics import Metrics
 from poplarspar.state.replicas import ReplicaGroup, Reports
 from poplarspar.state.status import ClusterStatus, GroupStatus
 from poplarspar.state.view import View
@@ -40,6 +40,7 @@
         self._store = HttpStore(settings.cluster.store)
         self._stack.callback(self._store.close)
         self._reports = Reports()
+        self.metrics = Metrics()
         self._start_links()
         self._start_planner()
         self._start_operators()
@@ -78,12 +79,13 @@
                 group.name: _group_status(view, group)
                 for group in view.groups_by_name.values()
             },
+            metrics=self.metrics.summary(),
         )
 
     def _start_links(self) -> None:
         cluster_settings = self._settings.cluster
         identity = Identity(self.cluster.name, cluster_settings.peer_token)
-        links = StewardLinks(self.cluster, self._store, identity)
+        links = StewardLinks(self.cluster, self._store, identity, self.metrics)
         self._peer_listener = listen(self._settings.peer_listen)
         server = LinkServer(self._peer_listener, identity.token, links.serve)
         self._stack.callback(server.close)
@@ -133,7 +135,7 @@
         self._stack.callback(server.close)
 
     def _spawn(self, task, *arguments) -> None:
-        self._stack.callback(eventlet.spawn(task, *arguments).kill)
+        self._stack.callback(keep_running(task, *arguments).kill)
 
 
 def _group_status(view: View, group: ReplicaGroup) -> GroupStatus:
--- a/poplarspar/transport/callers.py
+++ b/poplarspar/transport/callers.py
@@ -55,6 +55,13 @@
 
     def handle(self, request: Request) -> Response:
         """Answer one request."""
+        response = self._dispatch(request)
+        if self._drain.draining:
+            # The caller's next request has to come on a connection elsewhere.
+            response.headers["Connection"] = "close"
+        return response
+
+    def _dispatch(self, request: Request) -> Response:
         match request.method, request.path.strip("/").split("/"):
             case "GET", ["ready"]:
                 ready = self._is_ready()
--- a/poplarspar/transport/steward_links.py
+++ b/poplarspar/transport/steward_links.py
@@ -15,6 +15,7 @@
     PeerPing,
     PeerPong,
 )
+from poplarspar.state.metrics import Metrics
 from poplarspar.transport.links import Identity, Link, connect
 
 PEER_PERIOD_S = 1.0
@@ -27,10 +28,17 @@
 class StewardLinks:
     """Tasks that keep a steward in touch, one for each peer and connection."""
 
-    def __init__(self, cluster: ClusterState, store: Store, identity: Identity) -> None:
+    def __init__(
+        self,
+        cluster: ClusterState,
+        store: Store,
+        identity: Identity,
+        metrics: Metrics,
+    ) -> None:
         self._cluster = cluster
         self._store = store
         self._identity = identity
+        self._metrics = metrics
         self._changed = Signal()
         cluster.listen(self._announce_change)
 
@@ -46,11 +54,13 @@
                 if answering:
                     log_event(Event.STORE_LOST, cause=str(error))
                 answering = False
+                self._metrics.count("store_failures")
                 eventlet.sleep(STORE_RETRY_S)
                 continue
             if not answering:
                 log_event(Event.STORE_BACK)
             answering = True
+            self._metrics.count("store_answers")
             self._cluster.merge(values)
             self._cluster.freshness.hear_store(asked_at)
             self._cluster.update_barrier()
@@ -69,10 +79,12 @@
         while True:
             match link.receive(LINK_SILENCE_S):
                 case EntryPing(entry):
+                    self._metrics.count("entry_questions")
                     self._cluster.hear_entry(entry)
                     self._cluster.update_barrier()
                     link.send(self._entry_pong(entry.revision))
                 case PeerPing(revision) if name in self._cluster.roster:
+                    self._metrics.count("peer_questions")
                     link.send(self._peer_pong(revision))
                 case other:
                     kind = type(other).__name__
@@ -85,7 +97,9 @@
                 changed = self._changed
                 asked_at = time.monotonic()
                 ping = PeerPing(self._cluster.snapshot.revision)
-                self._take_answer(peer, asked_at, link.ask(ping, PEER_ANSWER_S))
+                answer = link.ask(ping, PEER_ANSWER_S)
+                self._metrics.observe("peer_answer_us", time.monotonic() - asked_at)
+                self._take_answer(peer, asked_at, answer)
                 changed.wait(timeout=PEER_PERIOD_S)
         finally:
             link.close()
