--- a/poplarspar/cmdline.py
+++ b/poplarspar/cmdline.py
@@ -268,6 +268,9 @@
             _print(answer, outcome_lines(answer), as_json)
             message = "look at the audit trail before you try again"
             raise CommandFailed(message, Exit.UNKNOWN)
+        case Outcome.UNAVAILABLE:
+            _print(answer, outcome_lines(answer), as_json)
+            raise CommandFailed("nothing was changed", Exit.FAILED)
         case Outcome.INVALID:
             raise CommandFailed("\n".join(answer.problems), Exit.WRONG_USE)
 
--- a/poplarspar/coordination/lease.py
+++ b/poplarspar/coordination/lease.py
@@ -23,13 +23,15 @@
         self._name = name
         self._lease = ""
         self._ends_at = float("-inf")
+        self._next_try_at = float("-inf")
         self._orders_from = float("inf")
 
     def hold(self) -> bool:
         """Take or renew the lease and return whether it is held."""
         asked_at = time.monotonic()
-        if self._lease and asked_at < self._ends_at - LEASE_TTL_S + RENEWAL_S:
-            return True
+        if asked_at < self._next_try_at:
+            return self.may_plan()
+        self._next_try_at = asked_at + RENEWAL_S
         try:
             held = self._renew() if self._lease else self._take(asked_at)
         except StoreUnavailable:
--- a/poplarspar/coordination/publishing.py
+++ b/poplarspar/coordination/publishing.py
@@ -41,7 +41,12 @@
     change_id: str
 
 
-PublishOutcome = Accepted | Rejected | Undetermined
+@dataclass(frozen=True)
+class Unavailable:
+    """The store could not be read, so no change was tried."""
+
+
+PublishOutcome = Accepted | Rejected | Undetermined | Unavailable
 
 
 class Publisher:
@@ -100,11 +105,11 @@
 
         The change is worked out anew when another operator's edit came first.
         """
-        outcome: PublishOutcome = Undetermined("")
+        outcome: PublishOutcome = Unavailable()
         for _ in range(EDIT_ATTEMPTS):
             value = self._read_current()
             if value is None:
-                return Undetermined("")
+                return Unavailable()
             base = self._decode(value.text)
             outcome = self.publish(change(base.text), value.revision, operator, action)
             if not isinstance(outcome, Rejected):
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -95,6 +95,12 @@
         "Somebody used the operators' address with a wrong token.",
         "Check POPLARSPAR_TOKEN; if it was nobody of yours, change operator_token.",
     )
+    PUBLISH_UNAVAILABLE = (
+        404,
+        "change not tried",
+        "The store could not be read, so a change of one object was not tried.",
+        "Try again when the store is back (event 301).",
+    )
     REQUEST_FAILED = (
         500,
         "request failed inside the daemon",
--- a/poplarspar/protocol/documents.py
+++ b/poplarspar/protocol/documents.py
@@ -45,14 +45,17 @@
     def __init__(self) -> None:
         self._objects_text = ""
         self._objects = ObjectSet()
+        self._assignment_by_text: dict[str, DomainAssignment] = {}
 
     def view(self, snapshot: Snapshot) -> View:
         """Return the view that a snapshot describes."""
-        assignments = [
-            self.assignment(key.removeprefix(DOMAIN_PREFIX), value.text)
+        # Most domains stay as they were from one view to the next.
+        self._assignment_by_text = {
+            value.text: self.assignment(key.removeprefix(DOMAIN_PREFIX), value.text)
             for key, value in sorted(snapshot.values_by_key.items())
             if key.startswith(DOMAIN_PREFIX)
-        ]
+        }
+        assignments = list(self._assignment_by_text.values())
         owners_text = snapshot.get(OWNERS_KEY).text
         owners = _parse(_OWNERS, owners_text) if owners_text else OwnerTable()
         objects = self.objects(snapshot.get(CONFIGURATION_KEY).text)
@@ -76,7 +79,9 @@
 
     def assignment(self, domain: str, text: str) -> DomainAssignment:
         """Return the assignment in `text`; an empty text holds no groups."""
-        return _parse(_ASSIGNMENT, text) if text else DomainAssignment(domain)
+        if not text:
+            return DomainAssignment(domain)
+        return self._assignment_by_text.get(text) or _parse(_ASSIGNMENT, text)
 
     def assignment_text(self, assignment: DomainAssignment) -> str:
         """Return the document of an assignment."""
--- a/poplarspar/protocol/operators.py
+++ b/poplarspar/protocol/operators.py
@@ -9,6 +9,7 @@
     Accepted,
     PublishOutcome,
     Rejected,
+    Unavailable,
     Undetermined,
 )
 from poplarspar.exceptions import ProtocolError
@@ -25,6 +26,7 @@
     ACCEPTED = "accepted"
     CONFLICT = "conflict"
     UNKNOWN = "unknown"
+    UNAVAILABLE = "unavailable"
     INVALID = "invalid"
 
 
@@ -102,6 +104,8 @@
             )
         case Undetermined(change_id):
             return ChangeAnswer(outcome=Outcome.UNKNOWN, change_id=change_id)
+        case Unavailable():
+            return ChangeAnswer(outcome=Outcome.UNAVAILABLE)
 
 
 def parse_answer(model: type[BaseModel], body: bytes) -> BaseModel:
--- a/poplarspar/reports.py
+++ b/poplarspar/reports.py
@@ -50,6 +50,8 @@
             return [first, *(f"    {line}" for line in answer.changes)]
         case Outcome.UNKNOWN:
             return [f"unknown: the store gave no answer (change {answer.change_id})"]
+        case Outcome.UNAVAILABLE:
+            return ["not recorded: the store does not answer"]
         case Outcome.INVALID:
             return answer.problems
 
--- a/poplarspar/transport/operators.py
+++ b/poplarspar/transport/operators.py
@@ -31,11 +31,13 @@
     Outcome.CONFLICT: 409,
     Outcome.INVALID: 422,
     Outcome.UNKNOWN: 503,
+    Outcome.UNAVAILABLE: 503,
 }
 EVENT_BY_OUTCOME = {
     Outcome.ACCEPTED: Event.PUBLISHED,
     Outcome.CONFLICT: Event.PUBLISH_CONFLICT,
     Outcome.UNKNOWN: Event.PUBLISH_UNKNOWN,
+    Outcome.UNAVAILABLE: Event.PUBLISH_UNAVAILABLE,
 }
 
 
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -81,7 +81,12 @@
         store = self.cluster.address("store")
         self.cluster.http.post(store, "/control", {"outage": True})
         status, output, _ = self.command("out", "zone", "c")
+        self.assertEqual(
+            (1, "not recorded: the store does not answer\n"), (status, output)
+        )
+        status, output, _ = self.command("publish", self.edited(6), "--yes")
         self.assertEqual(5, status)
+        self.assertIn("unknown: the store gave no answer", output)
 
     def test_wrong_use(self):
         cases = [
