Share the callers of demo, tests and measurements; split the planner

The demo, the tests and two measurements each had callers of their own; there is one now (standins/callers.py). Handovers and the spread of replicas left the planner's file.

--- a/bench/downtime.py
+++ b/bench/downtime.py
@@ -5,11 +5,11 @@
 
 import signal
 import sys
-import threading
 import time
 
-from bench.common import post, report, vms
+from bench.common import report, vms
 from poplarspar.coordination.planner import MEMBER_SILENT_S
+from standins.callers import Load
 from standins.cluster import LocalCluster, wait_for
 from tests.base import TIDEWATER
 
@@ -42,36 +42,17 @@
     with LocalCluster(vms(ENGINE, SERVICE), weights={"load_s": LOAD_S}) as cluster:
         cluster.publish(TIDEWATER)
         cluster.wait_serving(5)
-        stop = threading.Event()
-        failures = []
-
-        def run(caller):
-            while not stop.is_set():
-                document = {"prompt": f"{caller}", "max_tokens": 10}
-                entry = cluster.entry_names[caller % 3]
-                address = cluster.address(entry)
-                answer = post(cluster, address, "/v1/pilots/draft", document)
-                if answer.status != 200 or not answer.data.endswith(b"[DONE]\n\n"):
-                    failures.append(answer.status)
-
-        threads = [threading.Thread(target=run, args=(i,)) for i in range(9)]
-        for thread in threads:
-            thread.start()
-        wait_for(lambda: started(cluster, "a") > 20, "zone a serves")
-        fail(
-            cluster, cluster.status()["groups_by_name"]["drafters-gulf-a1-1"]["members"]
-        )
-        downtime = longest_gap_s(cluster)
-        stop.set()
-        for thread in threads:
-            thread.join()
-        floor = floor_s(kind)
+        with Load(cluster, "draft", 9, 10) as load:
+            wait_for(lambda: started(cluster, "a") > 20, "zone a serves")
+            groups = cluster.status()["groups_by_name"]
+            fail(cluster, groups["drafters-gulf-a1-1"]["members"])
+            downtime = longest_gap_s(cluster)
         return {
             "failure": kind,
             "downtime_s": round(downtime, 2),
-            "floor_s": floor,
+            "floor_s": floor_s(kind),
             "stranded_vm_s": round(downtime * (MEMBERS - 1), 2),
-            "requests_failed": len(failures),
+            "requests_failed": len(load.problems),
         }
 
 
--- a/bench/zones.py
+++ b/bench/zones.py
@@ -1,14 +1,13 @@
 """Requests served, refused and late while an availability zone leaves and returns."""
 
 import sys
-import threading
 import time
-from collections import Counter
 
-from bench.common import percentiles_ms, post, report, vms
+from bench.common import percentiles_ms, report, vms
 from poplarspar.state.metrics import new_histogram
+from standins.callers import Load
 from standins.cluster import LocalCluster, wait_for
-from tests.base import TIDEWATER, expected_text, streamed_text
+from tests.base import TIDEWATER
 
 TOKENS = 30
 CALLERS = 9
@@ -19,44 +18,31 @@
 SERVICE = {"cold": 4, "warm": 16, "boot_s": 1.0}
 
 
-class Phases:
-    """Counts outcomes by the phase in which a request was sent."""
+def row(phase: str, load: Load) -> dict:
+    """Return the figures of one phase."""
+    histogram = new_histogram()
+    seconds = load.seconds_by_phase[phase]
+    for value in seconds:
+        histogram.record_value(int(value * 1e6))
+    late = sum(value > LATE_S for value in seconds)
+    outcomes = load.outcomes_by_phase[phase]
+    refused = sum(n for name, n in outcomes.items() if name.startswith("refused"))
+    return {
+        "phase": phase,
+        "served_per_s": round(outcomes["served"] / PHASE_S, 1),
+        "refused_per_s": round(refused / PHASE_S, 1),
+        "late_per_s": round(late / PHASE_S, 1),
+        "broken_per_s": round(outcomes["broken"] / PHASE_S, 1),
+        **percentiles_ms(histogram),
+    }
 
-    def __init__(self, cluster: LocalCluster) -> None:
-        self.cluster = cluster
-        self.phase = "before"
-        self.counts_by_phase: dict[str, Counter] = {}
-        self.histogram_by_phase = {}
-        self.stop = threading.Event()
 
-    def run(self, caller: int) -> None:
-        number = 0
-        while not self.stop.is_set():
-            number += 1
-            names = self.cluster.entry_names
-            entry = names[(caller + number) % len(names)]
-            phase = self.phase
-            started = time.monotonic()
-            outcome = self.send(entry, f"{caller}-{number}")
-            elapsed = time.monotonic() - started
-            if outcome == "served" and elapsed > LATE_S:
-                outcome = "late"
-            self.counts_by_phase.setdefault(phase, Counter())[outcome] += 1
-            histogram = self.histogram_by_phase.setdefault(phase, new_histogram())
-            histogram.record_value(int(elapsed * 1e6))
-
-    def send(self, entry: str, prompt: str) -> str:
-        document = {"prompt": prompt, "max_tokens": TOKENS}
-        address = self.cluster.address(entry)
-        answer = post(self.cluster, address, "/v1/pilots/draft", document)
-        if answer.status != 200:
-            return "refused"
-        whole = streamed_text(answer.data) == expected_text(prompt, TOKENS)
-        return "served" if whole else "broken"
-
-    def last(self, phase: str, seconds: float) -> None:
-        self.phase = phase
-        time.sleep(seconds)
+def change_zone(cluster: LocalCluster, serving: bool) -> float:
+    """Take zone a out or back; return the seconds until that is in force."""
+    started = time.monotonic()
+    revision = cluster.set_serving("zone", "a", serving)
+    wait_for(lambda: cluster.in_force(revision), "change in force")
+    return time.monotonic() - started
 
 
 def main() -> int:
@@ -64,47 +50,27 @@
     with LocalCluster(vms(ENGINE, SERVICE)) as cluster:
         cluster.publish(TIDEWATER)
         cluster.wait_serving(5)
-        phases = Phases(cluster)
-        threads = [
-            threading.Thread(target=phases.run, args=(caller,))
-            for caller in range(CALLERS)
-        ]
-        for thread in threads:
-            thread.start()
-        phases.last("warm-up", PHASE_S)
-        phases.last("before", PHASE_S)
-        phases.phase = "leaving"
-        started = time.monotonic()
-        revision = cluster.set_serving("zone", "a", False)
-        wait_for(lambda: cluster.in_force(revision), "zone out")
-        out_s = time.monotonic() - started
-        time.sleep(PHASE_S - out_s)
-        phases.last("out", PHASE_S)
-        phases.phase = "returning"
-        started = time.monotonic()
-        revision = cluster.set_serving("zone", "a", True)
-        wait_for(lambda: cluster.in_force(revision), "zone back")
-        back_s = time.monotonic() - started
-        time.sleep(PHASE_S - back_s)
-        phases.last("after", PHASE_S)
-        phases.stop.set()
-        for thread in threads:
-            thread.join()
+        load = Load(cluster, "draft", CALLERS, TOKENS)
+        load.phase = "warm-up"
+        with load:
+            time.sleep(PHASE_S)
+            load.phase = "before"
+            time.sleep(PHASE_S)
+            load.phase = "leaving"
+            out_s = change_zone(cluster, False)
+            time.sleep(PHASE_S - out_s)
+            load.phase = "out"
+            time.sleep(PHASE_S)
+            load.phase = "returning"
+            back_s = change_zone(cluster, True)
+            time.sleep(PHASE_S - back_s)
+            load.phase = "after"
+            time.sleep(PHASE_S)
         overloads = sum(
             cluster.counts(vm).get("overloads", 0) for vm in cluster.vm_by_name
         )
-        rows = [
-            {
-                "phase": phase,
-                **{
-                    f"{outcome}_per_s": round(counts[outcome] / PHASE_S, 1)
-                    for outcome in ("served", "refused", "late", "broken")
-                },
-                **percentiles_ms(phases.histogram_by_phase[phase]),
-            }
-            for phase, counts in phases.counts_by_phase.items()
-        ]
-        report("zones", rows)
+        phases = ("warm-up", "before", "leaving", "out", "returning", "after")
+        report("zones", [row(phase, load) for phase in phases])
         forces = {
             "out_in_force_s": round(out_s, 2),
             "back_in_force_s": round(back_s, 2),
--- a/poplarspar/cmdline.py
+++ b/poplarspar/cmdline.py
@@ -12,6 +12,12 @@
 from pydantic import BaseModel, TypeAdapter, ValidationError
 
 from poplarspar.daemon import run_daemon
+from poplarspar.display import (
+    audit_lines,
+    in_force_line,
+    outcome_lines,
+    status_lines,
+)
 from poplarspar.entry import Entry
 from poplarspar.events import find_event
 from poplarspar.exceptions import (
@@ -33,12 +39,6 @@
     read_entry_settings,
     read_steward_settings,
 )
-from poplarspar.reports import (
-    audit_lines,
-    in_force_line,
-    outcome_lines,
-    status_lines,
-)
 from poplarspar.state.status import ClusterStatus
 from poplarspar.steward import Steward
 from poplarspar.transport.operator_client import OperatorClient, RequestRefused
--- a/poplarspar/coordination/placement.py
+++ b/poplarspar/coordination/placement.py
@@ -159,3 +159,33 @@
     def _next_spare(self) -> Member:
         vm = self._spares.pop(0)
         return Member(vm.name, vm.address)
+
+
+def spread_replicas(
+    replicas: int,
+    members: int,
+    assignments: dict[str, DomainAssignment],
+    vms: dict[str, DomainVms],
+) -> dict[str, int]:
+    """Return how many groups each domain should hold, keeping existing ones."""
+    wanted = {}
+    left = replicas
+    for domain, assignment in assignments.items():
+        wanted[domain] = min(len(assignment.groups), left)
+        left -= wanted[domain]
+    spares = {}
+    for domain, assignment in assignments.items():
+        taken = {m.vm for group in assignment.groups for m in group.members}
+        spares[domain] = len(set(vms[domain].usable_by_name) - taken)
+    while left > 0:
+        domain = min(
+            (name for name in wanted if spares[name] >= members),
+            key=lambda name: wanted[name],
+            default=None,
+        )
+        if domain is None:
+            return wanted
+        wanted[domain] += 1
+        spares[domain] -= members
+        left -= 1
+    return wanted
--- a/poplarspar/coordination/planner.py
+++ b/poplarspar/coordination/planner.py
@@ -5,15 +5,15 @@
 
 import eventlet
 
-from poplarspar.coordination.barrier import WithdrawalBarrier
 from poplarspar.coordination.cluster import (
     DOMAIN_PREFIX,
     OWNERS_KEY,
     ClusterState,
 )
+from poplarspar.coordination.handover import Handovers
 from poplarspar.coordination.lease import ORDER_TIMEOUT_S, PlannerLease
 from poplarspar.coordination.owning import OwningInputs, plan_owners
-from poplarspar.coordination.placement import DomainVms, plan_domain
+from poplarspar.coordination.placement import DomainVms, plan_domain, spread_replicas
 from poplarspar.coordination.ports import Documents, Orders, Store, VmList
 from poplarspar.coordination.reporting import ReportReaders
 from poplarspar.coordination.swapping import Written, swap
@@ -286,65 +286,3 @@
             if any(found.name == group for found in groups):
                 return self._cluster.barrier.has_passed(value.revision)
         return False
-
-
-class Handovers:
-    """Since when the previous owners of backend servers send nothing new."""
-
-    def __init__(self, barrier: WithdrawalBarrier) -> None:
-        self._barrier = barrier
-        self._revision_by_line: dict[tuple[str, int], int] = {}
-        self._withdrawn_at_by_line: dict[tuple[str, int], float] = {}
-
-    def note(self, revision: int, by_backend: dict[str, Ownership]) -> None:
-        """Take in the owner table at a store revision."""
-        open_lines = {
-            (backend, line.generation)
-            for backend, line in by_backend.items()
-            if line.previous
-        }
-        self._revision_by_line = {
-            line: self._revision_by_line.get(line, revision) for line in open_lines
-        }
-        self._withdrawn_at_by_line = {
-            line: at
-            for line, at in self._withdrawn_at_by_line.items()
-            if line in open_lines
-        }
-        for line, seen_at in self._revision_by_line.items():
-            if self._barrier.has_passed(seen_at):
-                self._withdrawn_at_by_line.setdefault(line, time.monotonic())
-
-    def withdrawn_at(self, backend: str, line: Ownership) -> float | None:
-        """Return since when the previous owner sends nothing new, if it is known."""
-        return self._withdrawn_at_by_line.get((backend, line.generation))
-
-
-def spread_replicas(
-    replicas: int,
-    members: int,
-    assignments: dict[str, DomainAssignment],
-    vms: dict[str, DomainVms],
-) -> dict[str, int]:
-    """Return how many groups each domain should hold, keeping existing ones."""
-    wanted = {}
-    left = replicas
-    for domain, assignment in assignments.items():
-        wanted[domain] = min(len(assignment.groups), left)
-        left -= wanted[domain]
-    spares = {}
-    for domain, assignment in assignments.items():
-        taken = {m.vm for group in assignment.groups for m in group.members}
-        spares[domain] = len(set(vms[domain].usable_by_name) - taken)
-    while left > 0:
-        domain = min(
-            (name for name in wanted if spares[name] >= members),
-            key=lambda name: wanted[name],
-            default=None,
-        )
-        if domain is None:
-            return wanted
-        wanted[domain] += 1
-        spares[domain] -= members
-        left -= 1
-    return wanted
--- a/poplarspar/coordination/ports.py
+++ b/poplarspar/coordination/ports.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from poplarspar.state.objects import ObjectSet
 from poplarspar.state.ownership import OwnerTable
 from poplarspar.state.replicas import (
     DomainAssignment,
@@ -58,9 +57,6 @@
     def view(self, snapshot: Snapshot) -> View:
         """Return the view that a snapshot describes."""
 
-    def objects(self, text: str) -> ObjectSet:
-        """Return the objects of a configuration document."""
-
     def assignment(self, domain: str, text: str) -> DomainAssignment:
         """Return the assignment in `text`; an empty text holds no groups."""
 
--- a/poplarspar/transport/lending.py
+++ b/poplarspar/transport/lending.py
@@ -1,7 +1,6 @@
 """Lending of slots between entries: one link carries one loan at a time."""
 
 import time
-from collections.abc import Callable
 
 from expression import Error, Ok, Result
 
@@ -76,11 +75,8 @@
 class LenderLinks:
     """Borrows slots from other entries; see `coordination.capacity.Lenders`."""
 
-    def __init__(
-        self, identity: Identity, now: Callable[[], float] = time.monotonic
-    ) -> None:
+    def __init__(self, identity: Identity) -> None:
         self._identity = identity
-        self._now = now
         self._idle_by_address: dict[str, list[tuple[Link, float]]] = {}
         self._lent_by_slot: dict[Slot, tuple[str, Link]] = {}
 
@@ -89,7 +85,7 @@
     ) -> Result[Slot, Refusal]:
         """Ask one lender for a slot."""
         question = _question(demand, wait_s)
-        asked_at = self._now()
+        asked_at = time.monotonic()
         try:
             link = self._take_link(address)
         except TransportError:
@@ -133,13 +129,13 @@
         idle = self._idle_by_address.setdefault(address, [])
         while idle:
             link, since = idle.pop()
-            if self._now() - since < IDLE_LINK_S:
+            if time.monotonic() - since < IDLE_LINK_S:
                 return link
             link.close()
         return connect(address, self._identity)
 
     def _keep(self, address: str, link: Link) -> None:
-        self._idle_by_address.setdefault(address, []).append((link, self._now()))
+        self._idle_by_address.setdefault(address, []).append((link, time.monotonic()))
 
 
 def _question(demand: Demand, wait_s: float) -> Borrow:
--- a/poplarspar/transport/server.py
+++ b/poplarspar/transport/server.py
@@ -32,7 +32,7 @@
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
-TEXT_BY_OUTER_STATUS = "Backend Server Status"
+OTHER_STATUS_TEXT = "Backend Server Status"
 
 
 class BodyTooLarge(InvalidRequest):
@@ -133,7 +133,7 @@
 
     def _application(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         response = self._respond(environ)
-        status_text = STATUS_TEXT.get(response.status, TEXT_BY_OUTER_STATUS)
+        status_text = STATUS_TEXT.get(response.status, OTHER_STATUS_TEXT)
         headers = [("Content-Type", response.content_type), *response.headers.items()]
         whole = isinstance(response.body, bytes)
         if whole:
--- a/tests/base.py
+++ b/tests/base.py
@@ -1,17 +1,21 @@
 """Shared base classes and helpers of the tests."""
 
-import json
-import re
-import threading
-import time
 import unittest
-from collections import Counter
 from pathlib import Path
 
-import urllib3
-
+from standins.callers import Load, expected_text, streamed_text
 from standins.cluster import LocalCluster, VmSpec, wait_for
-from standins.tokens import token_text
+
+__all__ = [
+    "EXAMPLES",
+    "TIDEWATER",
+    "ClusterTestCase",
+    "GoldTestCase",
+    "engine_vms",
+    "expected_text",
+    "service_vms",
+    "streamed_text",
+]
 
 GOLD = Path(__file__).resolve().parent / "gold"
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
@@ -38,20 +42,6 @@
     ]
 
 
-def expected_text(prompt: str, max_tokens: int) -> str:
-    """Return the whole answer to a prompt."""
-    return "".join(token_text(prompt, offset) for offset in range(max_tokens))
-
-
-def streamed_text(body: bytes) -> str:
-    """Return the text of a whole streamed answer; fails if it is not whole."""
-    events = body.decode().split("\n\n")
-    if events[-2:] != ["data: [DONE]", ""]:
-        raise AssertionError(f"the stream did not end well: {events[-3:]}")
-    texts = [json.loads(event.removeprefix("data: "))["text"] for event in events[:-2]]
-    return "".join(texts)
-
-
 class GoldTestCase(unittest.TestCase):
     """Compares texts with gold files."""
 
@@ -107,6 +97,10 @@
         path = f"/v1/{workspace}/{route}"
         return self.cluster.http.send("POST", address, path, document, headers, timeout)
 
+    def load(self, route: str, callers: int = 6, **options) -> Load:
+        """Return callers of a route, to be used in a ``with`` statement."""
+        return Load(self.cluster, route, callers, **options)
+
     def groups_in_zone(self, zone: str) -> list[dict]:
         groups = self.cluster.status()["groups_by_name"].values()
         return [group for group in groups if group["zone"] == zone]
@@ -118,78 +112,3 @@
             for vm in self.cluster.vm_by_name
             if self.cluster.by_name[vm].popen.poll() is None
         )
-
-
-class Load:
-    """Callers in threads that send one kind of request after the other.
-
-    Parameters
-    ----------
-    test : ClusterTestCase
-        Test whose cluster is called.
-    route : str
-        Route to call; ``draft`` is streamed.
-    """
-
-    def __init__(self, test, route, callers=6, max_tokens=20, entries=None):
-        self.test = test
-        self.route = route
-        self.max_tokens = max_tokens
-        self.entries = entries or test.cluster.entry_names
-        self.outcomes: Counter[str] = Counter()
-        self.problems: list[str] = []
-        self.refusals_by_key: dict[str, str] = {}
-        self.stop = threading.Event()
-        self.threads = [
-            threading.Thread(target=self._run, args=(i,)) for i in range(callers)
-        ]
-
-    def __enter__(self) -> "Load":
-        for thread in self.threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *details) -> None:
-        self.stop.set()
-        for thread in self.threads:
-            thread.join()
-
-    def wait_served(self, more: int, timeout_s: float = 60.0) -> None:
-        """Wait until so many more requests were served."""
-        goal = self.outcomes["served"] + more
-        wait_for(lambda: self.outcomes["served"] >= goal, f"{goal} served", timeout_s)
-
-    def _run(self, caller: int) -> None:
-        number = 0
-        while not self.stop.is_set():
-            number += 1
-            entry = self.entries[(caller + number) % len(self.entries)]
-            try:
-                self.outcomes[self._send(entry, f"{self.route}-{caller}-{number}")] += 1
-            except (urllib3.exceptions.HTTPError, OSError, AssertionError) as error:
-                self.outcomes["broken"] += 1
-                self.problems.append(
-                    f"{entry} {self.route}-{caller}-{number}: {error!r}"
-                )
-
-    def _send(self, entry: str, name: str) -> str:
-        if self.route != "draft":
-            answer = self.test.call(entry, self.route, {"pay": name}, key=name)
-            return self._note(name, answer, answer.status == 200)
-        document = {"prompt": f"draft {name}", "max_tokens": self.max_tokens}
-        answer = self.test.call(entry, self.route, document)
-        if answer.status != 200:
-            return self._note(name, answer, False)
-        text = streamed_text(answer.data)
-        whole = text == expected_text(document["prompt"], self.max_tokens)
-        return self._note(name, answer, whole)
-
-    def _note(self, name: str, answer, served: bool) -> str:
-        if served:
-            return "served"
-        problem = f"{name}: {answer.status} {answer.data[-300:]!r}"
-        self.problems.append(problem)
-        ran = re.search(rb'"ran": "(\w+)"', answer.data)
-        self.refusals_by_key[name] = ran.group(1).decode() if ran else "?"
-        time.sleep(0.02)
-        return f"refused_{self.refusals_by_key[name]}"
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,7 +3,7 @@
 import signal
 
 from standins.cluster import wait_for
-from tests.base import TIDEWATER, ClusterTestCase, Load, engine_vms, service_vms
+from tests.base import TIDEWATER, ClusterTestCase, engine_vms, service_vms
 
 ONE_COLD = TIDEWATER.replace("cold_requests = 2", "cold_requests = 1")
 
@@ -24,7 +24,7 @@
         return [g["members"][0] for g in groups if len(g["members"]) > 1]
 
     def test_cold_start_under_full_load(self):
-        with Load(self, "draft", callers=self.callers) as load:
+        with self.load("draft", callers=self.callers) as load:
             load.wait_served(150)
         self.assert_no_overload()
         self.assertEqual([], load.problems)
@@ -34,7 +34,7 @@
         )
 
     def test_silent_restart_under_full_load(self):
-        with Load(self, "draft", callers=self.callers) as load:
+        with self.load("draft", callers=self.callers) as load:
             load.wait_served(100)
             for leader in self.leaders():
                 self.cluster.http.post(self.cluster.address(leader), "/restart")
@@ -43,17 +43,17 @@
         self.assertEqual([], load.problems)
 
     def test_silent_restart_while_idle(self):
-        with Load(self, "draft", callers=self.callers) as load:
+        with self.load("draft", callers=self.callers) as load:
             load.wait_served(100)
         for leader in self.leaders():
             self.cluster.http.post(self.cluster.address(leader), "/restart")
-        with Load(self, "draft", callers=self.callers) as load:
+        with self.load("draft", callers=self.callers) as load:
             load.wait_served(60)
         self.assert_no_overload()
         self.assertEqual([], load.problems)
 
     def test_entries_die_and_return(self):
-        with Load(self, "draft", callers=self.callers) as load:
+        with self.load("draft", callers=self.callers) as load:
             load.wait_served(80)
             for name in ("entry-1", "entry-2"):
                 self.cluster.by_name[name].stop()
@@ -64,7 +64,7 @@
         self.assert_no_overload()
 
     def test_entry_paused_past_its_handover(self):
-        with Load(self, "draft", callers=self.callers) as load:
+        with self.load("draft", callers=self.callers) as load:
             load.wait_served(60)
             self.cluster.by_name["entry-1"].signal(signal.SIGSTOP)
             owned = "entry-1."
@@ -77,14 +77,14 @@
                 ),
                 "handover of what entry-1 owned",
             )
-            with Load(self, "draft", 12, entries=["entry-2", "entry-3"]) as others:
+            with self.load("draft", 12, entries=["entry-2", "entry-3"]) as others:
                 others.wait_served(40)
             self.cluster.by_name["entry-1"].signal(signal.SIGCONT)
             load.wait_served(60)
         self.assert_no_overload()
 
     def test_stewards_die_and_entry_is_cut_off(self):
-        with Load(self, "draft", callers=self.callers) as load:
+        with self.load("draft", callers=self.callers) as load:
             load.wait_served(60)
             self.cluster.by_name["steward-1"].stop()
             load.wait_served(40)
@@ -96,7 +96,7 @@
         self.assert_no_overload()
 
     def test_loans_over_frozen_links(self):
-        with Load(self, "draft", callers=self.callers) as load:
+        with self.load("draft", callers=self.callers) as load:
             load.wait_served(60)
             for name in self.cluster.entry_names:
                 self.cluster.fault("any", name, "freeze")
@@ -114,10 +114,10 @@
     groups = 3
 
     def test_new_owner_waits_for_requests_of_a_paused_one(self):
-        with Load(self, "draft", 3, max_tokens=200) as load:
+        with self.load("draft", 3, max_tokens=200) as load:
             wait_for(lambda: self.running() == 3, "a request at every group")
             self.cluster.by_name["entry-1"].signal(signal.SIGSTOP)
-            with Load(self, "draft", 6, entries=["entry-2", "entry-3"]) as others:
+            with self.load("draft", 6, entries=["entry-2", "entry-3"]) as others:
                 others.wait_served(20)
             self.cluster.by_name["entry-1"].signal(signal.SIGCONT)
             load.wait_served(3)
@@ -138,7 +138,7 @@
     groups = 3
 
     def test_tokens_stay_within_memory(self):
-        with Load(self, "draft", callers=24, max_tokens=95) as load:
+        with self.load("draft", callers=24, max_tokens=95) as load:
             load.wait_served(60)
         self.assertEqual(0, self.total("overloads"))
         self.assertEqual([], load.problems)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -3,7 +3,7 @@
 import threading
 
 from standins.cluster import wait_for
-from tests.base import TIDEWATER, ClusterTestCase, Load, service_vms
+from tests.base import TIDEWATER, ClusterTestCase, service_vms
 
 
 class ConfigurationTest(ClusterTestCase):
@@ -89,7 +89,7 @@
         )
         document = self.cluster.operate("GET", "/v1/objects", steward="steward-3")[1]
         self.assertEqual(revision, document["revision"])
-        with Load(self, "balance") as load:
+        with self.load("balance") as load:
             load.wait_served(60)
         self.assertEqual([], load.problems)
 
@@ -102,7 +102,7 @@
         )
         refused = self.call("entry-3", "balance", {})
         self.assertEqual((503, "no"), (refused.status, refused.json()["error"]["ran"]))
-        with Load(self, "balance", entries=["entry-1", "entry-2"]) as load:
+        with self.load("balance", entries=["entry-1", "entry-2"]) as load:
             load.wait_served(60)
         self.assertEqual([], load.problems)
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from standins.cluster import wait_for
-from tests.base import ClusterTestCase, Load, service_vms
+from tests.base import ClusterTestCase, service_vms
 
 
 class AtMostOnceTest(ClusterTestCase):
@@ -20,7 +20,7 @@
         # Calls of the repeatable route carry keys too, and may run again.
         return Counter({k: n for k, n in runs.items() if not k.startswith("balance")})
 
-    def assert_at_most_once(self, load: Load) -> None:
+    def assert_at_most_once(self, load) -> None:
         """Check every key's runs, and every "not run" against them."""
         runs = self.runs_by_key()
         self.assertEqual([], [key for key, count in runs.items() if count > 1])
@@ -61,7 +61,7 @@
         self.assertEqual({"raced": 1}, self.runs_by_key())
 
     def test_store_outage(self):
-        with Load(self, "payment") as load:
+        with self.load("payment") as load:
             load.wait_served(30)
             self.control_store(outage=True)
             wait_for(lambda: load.outcomes["refused_unknown"] > 20, "refusals")
@@ -79,14 +79,14 @@
         self.assertEqual(1, self.runs_by_key()[refused])
 
     def test_lost_store_answers(self):
-        with Load(self, "payment", callers=4) as load:
+        with self.load("payment", callers=4) as load:
             load.wait_served(10)
             self.control_store(lose_answers=8)
             load.wait_served(60)
         self.assert_at_most_once(load)
 
     def test_entry_killed(self):
-        with Load(self, "payment") as load:
+        with self.load("payment") as load:
             load.wait_served(30)
             self.cluster.by_name["entry-2"].stop()
             load.wait_served(20)
@@ -99,18 +99,18 @@
         self.assertEqual([], [k for k, n in self.runs_by_key().items() if n > 1])
 
     def test_entry_paused(self):
-        with Load(self, "payment") as load:
+        with self.load("payment") as load:
             load.wait_served(30)
             self.cluster.by_name["entry-1"].signal(signal.SIGSTOP)
             entries = ["entry-2", "entry-3"]
-            with Load(self, "balance", entries=entries) as others:
+            with self.load("balance", entries=entries) as others:
                 others.wait_served(60)
             self.cluster.by_name["entry-1"].signal(signal.SIGCONT)
             load.wait_served(30)
         self.assert_at_most_once(load)
 
     def test_service_answers_lost(self):
-        with Load(self, "payment") as load:
+        with self.load("payment") as load:
             load.wait_served(20)
             for mode in ("cut", "pass", "drop_down", "pass"):
                 self.fault_services(mode)
@@ -122,7 +122,7 @@
         self.assert_at_most_once(load)
 
     def test_service_paused(self):
-        with Load(self, "payment") as load:
+        with self.load("payment") as load:
             load.wait_served(20)
             self.cluster.by_name["svc-a"].signal(signal.SIGSTOP)
             wait_for(lambda: load.outcomes["refused_unknown"] > 0, "unknown outcomes")
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -3,7 +3,7 @@
 import signal
 
 from standins.cluster import wait_for
-from tests.base import TIDEWATER, ClusterTestCase, Load, engine_vms
+from tests.base import TIDEWATER, ClusterTestCase, engine_vms
 
 
 class ReplicasTest(ClusterTestCase):
@@ -36,7 +36,7 @@
         return next((n for n in names if self.cluster.status(n)["planner"]), "")
 
     def test_member_killed(self):
-        with Load(self, "draft") as load:
+        with self.load("draft") as load:
             load.wait_served(20)
             lost = self.group_in("a")["members"][1]
             self.cluster.by_name[lost].stop()
@@ -50,7 +50,7 @@
         leader, member = self.group_in("a")["members"]
         spare = ({"vm-a0", "vm-a1", "vm-a2"} - {leader, member}).pop()
         self.cluster.by_name[spare].stop()
-        with Load(self, "draft") as load:
+        with self.load("draft") as load:
             load.wait_served(20)
             self.cluster.by_name[member].signal(signal.SIGSTOP)
             load.wait_served(40)
@@ -63,7 +63,7 @@
 
     def test_fewer_replicas_are_published(self):
         self.publish(TIDEWATER.replace("replicas = 3", "replicas = 2"))
-        with Load(self, "draft") as load:
+        with self.load("draft") as load:
             wait_for(
                 lambda: len(self.cluster.status()["groups_by_name"]) == 2, "two groups"
             )
@@ -81,13 +81,13 @@
         self.wait_repaired("b", lost)
         self.cluster.steward_names.append(planner)
         self.cluster.by_name[planner].signal(signal.SIGCONT)
-        with Load(self, "draft") as load:
+        with self.load("draft") as load:
             load.wait_served(40)
         self.assert_no_vm_in_two_groups()
         self.assertEqual([], load.problems)
 
     def test_fabric_domain_dark_and_back(self):
-        with Load(self, "draft") as load:
+        with self.load("draft") as load:
             load.wait_served(20)
             for vm in ("vm-a0", "vm-a1", "vm-a2"):
                 self.cluster.fault("any", vm, "freeze")
@@ -104,7 +104,7 @@
 
     def test_store_outage_during_member_loss(self):
         store = self.cluster.address("store")
-        with Load(self, "draft") as load:
+        with self.load("draft") as load:
             load.wait_served(20)
             self.cluster.http.post(store, "/control", {"outage": True})
             lost = self.group_in("c")["members"][1]
@@ -117,7 +117,7 @@
 
     def test_leaving_vm_is_replaced_without_a_cut(self):
         leaving = self.group_in("b")["members"][1]
-        with Load(self, "draft", max_tokens=60) as load:
+        with self.load("draft", max_tokens=60) as load:
             load.wait_served(10)
             self.cluster.leaving.add(leaving)
             self.cluster.publish_vms()
@@ -144,7 +144,7 @@
             "a planner",
         )
         others = [name for name in names if name != planner]
-        with Load(self, "draft") as load:
+        with self.load("draft") as load:
             load.wait_served(20)
             for other in others:
                 self.cluster.fault(planner, other, "freeze")
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -4,7 +4,7 @@
 import threading
 
 from standins.cluster import wait_for
-from tests.base import ClusterTestCase, Load, expected_text, streamed_text
+from tests.base import ClusterTestCase, expected_text, streamed_text
 
 TOKENS = 300
 
@@ -55,7 +55,7 @@
             "the ready check fails",
         )
         entries = ["entry-2", "entry-3"]
-        with Load(self, "draft", entries=entries) as load:
+        with self.load("draft", entries=entries) as load:
             self.wait_gone("entry-1")
             load.wait_served(30)
         check()
@@ -63,7 +63,7 @@
         self.assertEqual(0, self.total("overloads"))
 
     def test_steward_leaves(self):
-        with Load(self, "draft") as load:
+        with self.load("draft") as load:
             load.wait_served(20)
             self.terminate("steward-1")
             self.wait_gone("steward-1")
@@ -75,7 +75,7 @@
         check = self.start_streams("entry-2")
         self.terminate("entry-2")
         self.terminate("steward-2")
-        with Load(self, "draft", entries=["entry-1", "entry-3"]) as load:
+        with self.load("draft", entries=["entry-1", "entry-3"]) as load:
             self.wait_gone("entry-2")
             load.wait_served(30)
         check()
@@ -86,14 +86,17 @@
         leaving = self.groups_in_zone("a")[0]["members"][1]
         self.leave(leaving)
         self.terminate("entry-3")
-        with Load(self, "draft", entries=["entry-1", "entry-2"]) as load:
+        with self.load("draft", entries=["entry-1", "entry-2"]) as load:
             self.wait_gone("entry-3")
             load.wait_served(30)
         check()
         self.assertEqual([], load.problems)
 
     def test_steward_and_backend_server_leave(self):
-        with Load(self, "draft") as drafts, Load(self, "payment") as payments:
+        with (
+            self.load("draft") as drafts,
+            self.load("payment") as payments,
+        ):
             drafts.wait_served(20)
             self.leave("svc-a")
             self.terminate("steward-3")
@@ -107,7 +110,7 @@
         self.start_streams("entry-1")
         self.terminate("entry-1")
         self.cluster.by_name["entry-1"].stop()
-        with Load(self, "draft", entries=["entry-2", "entry-3"]) as load:
+        with self.load("draft", entries=["entry-2", "entry-3"]) as load:
             load.wait_served(60)
         check()
         self.assertEqual([], load.problems)
--- a/tests/test_unfenced.py
+++ b/tests/test_unfenced.py
@@ -4,7 +4,7 @@
 
 from standins.cluster import wait_for
 from tests import test_replicas
-from tests.base import TIDEWATER, Load, engine_vms
+from tests.base import TIDEWATER, engine_vms
 
 
 class UnfencedReplicasTest(test_replicas.ReplicasTest):
@@ -22,7 +22,7 @@
             "index": 0,
             "members": [self.cluster.address(member)],
         }
-        with Load(self, "draft") as load:
+        with self.load("draft") as load:
             load.wait_served(20)
             address = self.cluster.address(member)
             answer = self.cluster.http.send("POST", address, "/v1/orders", stray)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -3,7 +3,7 @@
 import signal
 
 from standins.cluster import wait_for
-from tests.base import ClusterTestCase, Load
+from tests.base import ClusterTestCase
 
 WITHDRAWN_S = 5.0
 
@@ -30,14 +30,17 @@
         )
         return self.started_in(zone)
 
-    def assert_idle(self, zone: str, load: Load) -> None:
+    def assert_idle(self, zone: str, load) -> None:
         """Check that the zone gets no new work while the load goes on."""
         before = self.settled_in(zone)
         load.wait_served(30)
         self.assertEqual(before, self.started_in(zone))
 
     def test_zone_leaves_and_returns_under_load(self):
-        with Load(self, "draft") as drafts, Load(self, "payment") as payments:
+        with (
+            self.load("draft") as drafts,
+            self.load("payment") as payments,
+        ):
             drafts.wait_served(20)
             revision = self.cluster.set_serving("zone", "a", False)
             self.wait_in_force(revision, WITHDRAWN_S)
@@ -51,7 +54,7 @@
         self.assertEqual(0, self.total("overloads"))
 
     def test_cold_zone_returns_under_load(self):
-        with Load(self, "draft", callers=12) as drafts:
+        with self.load("draft", callers=12) as drafts:
             drafts.wait_served(20)
             revision = self.cluster.set_serving("zone", "c", False)
             self.wait_in_force(revision, WITHDRAWN_S)
@@ -66,7 +69,7 @@
         self.assertEqual(0, self.total("overloads"))
 
     def test_backend_server_taken_out(self):
-        with Load(self, "draft") as drafts:
+        with self.load("draft") as drafts:
             drafts.wait_served(10)
             revision = self.cluster.set_serving("server", "vm-b0", False)
             self.wait_in_force(revision, WITHDRAWN_S)
@@ -109,7 +112,7 @@
         refused = self.call("entry-3", "draft", {"prompt": "x", "max_tokens": 3})
         self.assertEqual(503, refused.status)
         self.assertEqual("no", refused.json()["error"]["ran"])
-        with Load(self, "draft", entries=["entry-1", "entry-2"]) as drafts:
+        with self.load("draft", entries=["entry-1", "entry-2"]) as drafts:
             drafts.wait_served(30)
         self.assertEqual(before, self.started_in("a"))
 
@@ -118,7 +121,7 @@
         store = self.cluster.address("store")
         self.cluster.http.post(store, "/control", {"outage": True})
         self.wait_in_force(revision, WITHDRAWN_S)
-        with Load(self, "draft") as drafts:
+        with self.load("draft") as drafts:
             drafts.wait_served(20)
             self.assert_idle("a", drafts)
         self.assertEqual([], drafts.problems)
@@ -130,7 +133,7 @@
                 self.cluster.fault(source, target, "forget")
         revision = self.cluster.set_serving("zone", "b", False)
         self.wait_in_force(revision, 10.0)
-        with Load(self, "draft") as drafts:
+        with self.load("draft") as drafts:
             self.assert_idle("b", drafts)
         self.assertEqual([], drafts.problems)
 
@@ -147,11 +150,11 @@
             ),
             "the change at the other entries",
         )
-        with Load(self, "draft", entries=others) as drafts:
+        with self.load("draft", entries=others) as drafts:
             drafts.wait_served(40)
         before = self.settled_in("a")
         # Requests wait at the entry when it wakes up, and its steward sleeps on.
-        with Load(self, "draft", callers=12, entries=["entry-2"]) as resumed:
+        with self.load("draft", callers=12, entries=["entry-2"]) as resumed:
             self.cluster.by_name["entry-2"].signal(signal.SIGCONT)
             resumed.wait_served(20)
         self.cluster.by_name["steward-2"].signal(signal.SIGCONT)
