Record answers before they are given; keep timers and idle links in bounds

Found by reading: - The answer of an unrepeatable call was recorded after the caller had it, so a quick repeat could hear unknown, and a shutdown could lose the record. It is written first now; a store that is out makes it later, as before. The test asks at once now; it passed before the change too (the race was not brought about). - An answer over the store's bound was retried for ever. It is not recorded. - A fault in one timer's callback ended all timers (test_a_failing_callback_stops_no_other failed first: 5 s time-out). - A lender kept idle links without a bound; 30 s now.

--- a/poplarspar/coordination/idempotency.py
+++ b/poplarspar/coordination/idempotency.py
@@ -23,6 +23,7 @@
 CLEANUP_RETRY_S = 1.0
 RETENTION_S = 7 * 24 * 3600.0
 LEASE_SHARING_S = 3600.0
+MAX_RECORDED_BYTES = 500_000
 
 
 class Progress(StrEnum):
@@ -122,9 +123,17 @@
             self._clean_up_later(claim.key, claim.record)
 
     def finish(self, claim: Claim, answer: Answer) -> None:
-        """Record the answer, so that later requests with the key get it."""
+        """Record the answer, so that later requests with the key get it.
+
+        An answer that is too large for the store is not recorded; later requests
+        with its key are told that the outcome is unknown.
+        """
+        if len(answer.body) > MAX_RECORDED_BYTES:
+            return
         record = replace(claim.record, progress=Progress.DONE, answer=answer)
-        eventlet.spawn(self._finish, claim, self._encode(record))
+        text = self._encode(record)
+        if not self._write_answer(claim, text):
+            eventlet.spawn(self._write_answer_later, claim, text)
 
     def _create(self, key: str, record: RequestRecord, lease: str) -> int:
         """Return the revision of the new record, 0 if the key has one already."""
@@ -161,17 +170,22 @@
             return Error(Refusal(Reason.IN_PROGRESS, message, Ran.UNKNOWN))
         return Ok(record.answer)
 
-    def _finish(self, claim: Claim, text: str) -> None:
+    def _write_answer(self, claim: Claim, text: str) -> bool:
+        """Try once to write an answer and return whether that is settled."""
+        try:
+            self._store.swap(claim.key, claim.revision, text)
+        except RevisionConflict:
+            # An earlier try took effect and its answer was lost.
+            pass
+        except StoreUnavailable:
+            return False
+        return True
+
+    def _write_answer_later(self, claim: Claim, text: str) -> None:
         # The store may be out for long; without this write, later requests
         # with the key are told "unknown", which is safe.
-        while True:
-            try:
-                self._store.swap(claim.key, claim.revision, text)
-                return
-            except RevisionConflict:
-                return
-            except StoreUnavailable:
-                eventlet.sleep(CLEANUP_RETRY_S)
+        while not self._write_answer(claim, text):
+            eventlet.sleep(CLEANUP_RETRY_S)
 
     def _clean_up_later(self, key: str, record: RequestRecord) -> None:
         eventlet.spawn(self._clean_up, key, record)
--- a/poplarspar/coordination/timers.py
+++ b/poplarspar/coordination/timers.py
@@ -7,7 +7,9 @@
 from dataclasses import dataclass, field
 
 import eventlet
-from eventlet.event import Event
+from eventlet.event import Event as Signal
+
+from poplarspar.events import Event, log_event
 
 
 @dataclass(order=True)
@@ -34,7 +36,7 @@
     def __init__(self) -> None:
         self._heap: list[Subscription] = []
         self._serials = itertools.count()
-        self._wake = Event()
+        self._wake = Signal()
         self._task = eventlet.spawn(self._run)
 
     @staticmethod
@@ -76,12 +78,17 @@
         if delay_s is None or delay_s > 0:
             self._wake.wait(timeout=delay_s)
         if self._wake.ready():
-            self._wake = Event()
+            self._wake = Signal()
 
     def _fire(self, entry: Subscription) -> None:
         if entry.closed:
             return
-        entry.callback()
+        try:
+            entry.callback()
+        except Exception as error:
+            # One part's fault must not stop the time of all others.
+            cause = f"{type(error).__name__}: {error}"
+            log_event(Event.TASK_FAILED, task="timer", cause=cause)
         if entry.period_s is not None:
             entry.due = self.now() + entry.period_s
             heapq.heappush(self._heap, entry)
--- a/poplarspar/transport/lending.py
+++ b/poplarspar/transport/lending.py
@@ -19,6 +19,7 @@
 
 ANSWER_MARGIN_S = 0.4
 IDLE_LINK_S = 5.0
+LENDER_IDLE_S = 30.0
 NO_DECISION = Refusal(Reason.NO_BACKEND, "the lender does not answer")
 
 
@@ -32,7 +33,7 @@
     def serve(self, link: Link, name: str) -> None:
         """Serve one borrower's link until it ends."""
         while True:
-            match link.receive():
+            match link.receive(LENDER_IDLE_S):
                 case Borrow() as question:
                     self._lend(link, question)
                 case other:
