Let the HTTP server's limits change while it runs; keep requests as sent

Cause: a front end that forwards requests needs the path, query and headers as they came, and limits that an operator may change at any time. Idle connections get a time-out of their own, apart from that for headers.

--- a/poplarspar/entry.py
+++ b/poplarspar/entry.py
@@ -31,7 +31,7 @@
 from poplarspar.transport.lending import LenderLinks, LoanDesk
 from poplarspar.transport.links import Identity, LinkServer
 from poplarspar.transport.platform import HttpStore
-from poplarspar.transport.server import SEND_BUFFER_BYTES, HttpServer
+from poplarspar.transport.server import SEND_BUFFER_BYTES, HttpServer, ServerLimits
 
 HANDOVER_TIMEOUT_S = 10.0
 
@@ -118,12 +118,13 @@
         )
         api = CallerApi(service, self.drain, self.metrics, self.is_ready, self.describe)
         self._http_listener = listen(settings.http_listen, SEND_BUFFER_BYTES)
+        timeout_s = settings.header_timeout_s
+        limits = ServerLimits(settings.body_limit_bytes, timeout_s, timeout_s)
         self._server = HttpServer(
             self._http_listener,
             api.handle,
             connection_limit=settings.connection_limit,
-            header_timeout_s=settings.header_timeout_s,
-            body_limit_bytes=settings.body_limit_bytes,
+            limits=lambda: limits,
         )
         self._stack.callback(self._server.close)
 
--- a/poplarspar/steward.py
+++ b/poplarspar/steward.py
@@ -20,12 +20,11 @@
 from poplarspar.transport.links import Identity, LinkServer
 from poplarspar.transport.operators import OperatorApi
 from poplarspar.transport.platform import HttpStore, HttpVmList
-from poplarspar.transport.server import HttpServer
+from poplarspar.transport.server import HttpServer, ServerLimits
 from poplarspar.transport.steward_links import StewardLinks
 
 CONNECTION_LIMIT = 256
-HEADER_TIMEOUT_S = 10.0
-BODY_LIMIT_BYTES = 2_000_000
+LIMITS = ServerLimits(2_000_000, header_timeout_s=10.0, idle_timeout_s=10.0)
 
 
 class Steward:
@@ -129,8 +128,7 @@
             self._http_listener,
             api.handle,
             connection_limit=CONNECTION_LIMIT,
-            header_timeout_s=HEADER_TIMEOUT_S,
-            body_limit_bytes=BODY_LIMIT_BYTES,
+            limits=lambda: LIMITS,
         )
         self._stack.callback(server.close)
 
--- a/poplarspar/transport/server.py
+++ b/poplarspar/transport/server.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import socket
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -15,7 +16,10 @@
 SEND_BUFFER_BYTES = 8_192
 WRITE_TIMEOUT_S = 300.0
 URL_LIMIT_BYTES = 4_096
-CONNECTION_KEY = "poplarspar.connection"
+PROTOCOL_KEY = "poplarspar.protocol"
+# A caller may reuse a connection until the idle time-out is nearly over, so the
+# server waits a little longer before it closes one.
+IDLE_GRACE = 1.25
 STATUS_TEXT = {
     200: "OK",
     202: "Accepted",
@@ -23,10 +27,12 @@
     401: "Unauthorized",
     404: "Not Found",
     405: "Method Not Allowed",
+    408: "Request Timeout",
     409: "Conflict",
     413: "Content Too Large",
     422: "Unprocessable Content",
     429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
     500: "Internal Server Error",
     502: "Bad Gateway",
     503: "Service Unavailable",
@@ -39,15 +45,45 @@
     """A request's body is larger than the bound."""
 
 
+class HeadersTooLarge(InvalidRequest):
+    """A request's headers are larger than the bound."""
+
+
+@dataclass(frozen=True)
+class ServerLimits:
+    """What a client may send, and how long it may take."""
+
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+    header_bytes: int = 65_536
+
+
 @dataclass(frozen=True)
 class Request:
-    """One HTTP request with its whole body."""
+    """One HTTP request with its whole body.
+
+    Attributes
+    ----------
+    target : str
+        Path and query as they were sent.
+    header_items : tuple of (str, str)
+        Headers as they were sent.
+    connection : socket or None
+        The client's connection, to notice that the client has left.
+    arrived_at : float
+        Monotonic time in seconds at which the headers were complete.
+    """
 
     method: str
     path: str
     body: bytes
     headers: dict[str, str]
     query: str = ""
+    target: str = ""
+    header_items: tuple[tuple[str, str], ...] = ()
+    connection: socket.socket | None = None
+    arrived_at: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -58,11 +94,13 @@
     ----------
     body : bytes or iterable of bytes
         The whole body, or its pieces, each of which is sent at once.
+    content_type : str or None
+        None if `headers` already has it.
     """
 
     status: int
     body: bytes | Iterable[bytes]
-    content_type: str = "application/json"
+    content_type: str | None = "application/json"
     headers: dict[str, str] = field(default_factory=dict)
 
 
@@ -79,10 +117,8 @@
 
     Parameters
     ----------
-    header_timeout_s : float
-        Longest time in seconds for a request's headers to arrive.
-    body_limit_bytes : int
-        Largest body that is read.
+    limits : callable
+        Returns the `ServerLimits` that hold now.
     """
 
     def __init__(
@@ -91,13 +127,13 @@
         handler: Handler,
         *,
         connection_limit: int,
-        header_timeout_s: float,
-        body_limit_bytes: int,
+        limits: Callable[[], ServerLimits],
+        write_timeout_s: float = WRITE_TIMEOUT_S,
     ) -> None:
         self._listener = listener
         self._handler = handler
-        self._header_timeout_s = header_timeout_s
-        self._body_limit_bytes = body_limit_bytes
+        self._limits = limits
+        self._write_timeout_s = write_timeout_s
         self._pool = eventlet.GreenPool(connection_limit)
         self._task = eventlet.spawn(self._serve)
 
@@ -116,7 +152,7 @@
         protocol = type(
             "Protocol",
             (_BoundedProtocol,),
-            {"header_timeout_s": self._header_timeout_s},
+            {"limits": staticmethod(self._limits)},
         )
         wsgi.server(
             self._listener,
@@ -126,7 +162,7 @@
             log=logging.getLogger("poplarspar.wsgi"),
             log_output=False,
             minimum_chunk_size=1,
-            socket_timeout=WRITE_TIMEOUT_S,
+            socket_timeout=self._write_timeout_s,
             url_length_limit=URL_LIMIT_BYTES,
             debug=False,
         )
@@ -134,7 +170,11 @@
     def _application(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         response = self._respond(environ)
         status_text = STATUS_TEXT.get(response.status, OTHER_STATUS_TEXT)
-        headers = [("Content-Type", response.content_type), *response.headers.items()]
+        headers = list(response.headers.items())
+        if response.content_type is not None:
+            headers.insert(0, ("Content-Type", response.content_type))
+        if response.headers.get("Connection") == "close":
+            environ[PROTOCOL_KEY].close_connection = 1
         whole = isinstance(response.body, bytes)
         if whole:
             headers.append(("Content-Length", str(len(response.body))))
@@ -146,8 +186,8 @@
             request = self._read(environ)
         except InvalidRequest as error:
             # Nobody waits for the rest of a body that is not wanted.
-            environ[CONNECTION_KEY].shutdown(socket.SHUT_RD)
-            return self._problem(413 if isinstance(error, BodyTooLarge) else 400, error)
+            environ[PROTOCOL_KEY].connection.shutdown(socket.SHUT_RD)
+            return self._problem(_status_of(error), error)
         try:
             return self._handler(request)
         except InvalidRequest as error:
@@ -166,6 +206,14 @@
         return Response(status, body, headers=close)
 
     def _read(self, environ: dict) -> Request:
+        arrived_at = time.monotonic()
+        protocol = environ[PROTOCOL_KEY]
+        items = environ["headers_raw"]
+        limits = self._limits()
+        if sum(len(name) + len(value) + 4 for name, value in items) > (
+            limits.header_bytes
+        ):
+            raise HeadersTooLarge(f"headers: the bound is {limits.header_bytes} bytes")
         headers = {
             name.removeprefix("HTTP_").replace("_", "-").title(): value
             for name, value in environ.items()
@@ -174,13 +222,18 @@
         return Request(
             environ["REQUEST_METHOD"],
             environ["PATH_INFO"],
-            self._read_body(environ),
+            self._read_body(environ, limits),
             headers,
             environ.get("QUERY_STRING", ""),
+            protocol.path,
+            items,
+            protocol.connection,
+            arrived_at,
         )
 
-    def _read_body(self, environ: dict) -> bytes:
-        limit = self._body_limit_bytes
+    @staticmethod
+    def _read_body(environ: dict, limits: ServerLimits) -> bytes:
+        limit = limits.body_bytes
         length = environ.get("CONTENT_LENGTH") or "0"
         if not length.isdigit():
             raise InvalidRequest("header Content-Length: must be a whole number")
@@ -190,7 +243,7 @@
         if not chunked and int(length) == 0:
             return b""
         late = InvalidRequest("body: did not arrive in time")
-        with eventlet.Timeout(self._header_timeout_s, late):
+        with eventlet.Timeout(limits.header_timeout_s, late):
             try:
                 body = environ["wsgi.input"].read(limit + 1 if chunked else int(length))
             except (OSError, ValueError) as error:
@@ -202,28 +255,46 @@
         return body
 
 
+def _status_of(error: InvalidRequest) -> int:
+    match error:
+        case BodyTooLarge():
+            return 413
+        case HeadersTooLarge():
+            return 431
+        case _:
+            return 400
+
+
 class _BoundedProtocol(wsgi.HttpProtocol):
-    """Closes connections whose request headers take too long."""
+    """Closes connections that are idle or whose headers take too long."""
 
-    header_timeout_s = 10.0
+    limits: Callable[[], ServerLimits]
 
     def handle_one_request(self, *args, **kwargs):
         """Read one request and answer it."""
-        self._header_timer = eventlet.Timeout(self.header_timeout_s)
+        limits = self.limits()
+        patience_s = max(limits.idle_timeout_s * IDLE_GRACE, limits.header_timeout_s)
+        self._timer = eventlet.Timeout(patience_s)
         try:
             return super().handle_one_request(*args, **kwargs)
         except eventlet.Timeout as timeout:
-            if timeout is not self._header_timer:
+            if timeout is not self._timer:
                 raise
             self.close_connection = True
         finally:
-            self._header_timer.cancel()
+            self._timer.cancel()
+
+    def parse_request(self):
+        """Read the headers, which have a time-out of their own."""
+        self._timer.cancel()
+        self._timer = eventlet.Timeout(self.limits().header_timeout_s)
+        return super().parse_request()
 
     def get_environ(self):
-        """Return the request's environment with its connection."""
-        return {**super().get_environ(), CONNECTION_KEY: self.connection}
+        """Return the request's environment with this protocol."""
+        return {**super().get_environ(), PROTOCOL_KEY: self}
 
     def handle_one_response(self):
         """Answer a request whose headers are complete."""
-        self._header_timer.cancel()
+        self._timer.cancel()
         return super().handle_one_response()
--- a/standins/common.py
+++ b/standins/common.py
@@ -12,9 +12,9 @@
 from eventlet.event import Event
 
 from poplarspar.transport.addresses import bound_address, listen
-from poplarspar.transport.server import HttpServer
+from poplarspar.transport.server import HttpServer, ServerLimits
 
-BODY_LIMIT_BYTES = 4_000_000
+LIMITS = ServerLimits(4_000_000, header_timeout_s=60.0, idle_timeout_s=60.0)
 
 
 def serve(handler) -> None:
@@ -26,8 +26,7 @@
         listener,
         handler,
         connection_limit=4096,
-        header_timeout_s=60.0,
-        body_limit_bytes=BODY_LIMIT_BYTES,
+        limits=lambda: LIMITS,
     )
     print(json.dumps({"http": bound_address(listener)}), flush=True)
     stop.wait()
