--- a/poplarspar/cmdline.py
+++ b/poplarspar/cmdline.py
@@ -94,6 +94,21 @@
         checked = read_steward_settings(settings)
         run_daemon(checked.name, lambda: Steward(checked))
 
+    @SetParseFn(str)
+    def node(self, settings: str = "", check: bool = False) -> None:
+        """Run a node on the platform, with the settings file that it names.
+
+        With --check the settings are only checked.
+        """
+        # Only this command needs the platform's adapter.
+        from poplarspar.platform import build_node, read_node_settings
+
+        checked = read_node_settings(settings)
+        if check:
+            print(f"{checked.name}: correct")
+            return
+        run_daemon(checked.name, lambda: build_node(checked))
+
     @SetParseFn(str)
     def check(self, kind: str, path: str) -> None:
         """Check the file PATH offline; KIND is entry, steward or objects."""
--- /dev/null
+++ b/poplarspar/coordination/following.py
@@ -0,0 +1,104 @@
+"""Following the values under a prefix of the store, through its outages."""
+
+import random
+import time
+from collections.abc import Callable
+
+import eventlet
+
+from poplarspar.coordination.ports import Change, WatchedStore
+from poplarspar.events import Event, log_event
+from poplarspar.exceptions import HistoryLost, StoreUnavailable
+
+FIRST_BACKOFF_S = 0.1
+LAST_BACKOFF_S = 1.0
+
+
+class StoreHealth:
+    """Since when the store has answered this node without a fault."""
+
+    def __init__(self) -> None:
+        self._steady_since: float | None = None
+        self._lost = False
+
+    def succeeded(self) -> None:
+        """Note an answer."""
+        if self._steady_since is None:
+            self._steady_since = time.monotonic()
+        if self._lost:
+            self._lost = False
+            log_event(Event.STORE_BACK)
+
+    def failed(self, cause: str) -> None:
+        """Note a call without an answer, or a lapse in what the store told."""
+        self._steady_since = None
+        if not self._lost:
+            self._lost = True
+            log_event(Event.STORE_LOST, cause=cause)
+
+    def steady_s(self) -> float:
+        """Return for how many seconds the store has answered without a fault."""
+        if self._steady_since is None:
+            return 0.0
+        return time.monotonic() - self._steady_since
+
+
+class PrefixFollower:
+    """Tells of all values under a prefix, and then of each change.
+
+    Parameters
+    ----------
+    wait_s : float
+        Longest time that one question waits at the store for a change.
+    pause_s : float
+        Time between two questions, which bounds the calls where changes are many.
+    replace, apply : callable
+        Take all values, and later changes in order.
+    """
+
+    def __init__(
+        self,
+        store: WatchedStore,
+        prefix: str,
+        health: StoreHealth,
+        *,
+        wait_s: float,
+        pause_s: float,
+        replace: Callable[[tuple[Change, ...]], None],
+        apply: Callable[[tuple[Change, ...]], None],
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._health = health
+        self._wait_s = wait_s
+        self._pause_s = pause_s
+        self._replace = replace
+        self._apply = apply
+        self._as_of: int | None = None
+        self._backoff_s = FIRST_BACKOFF_S
+
+    def follow(self) -> None:
+        """Follow for as long as the process lives."""
+        while True:
+            try:
+                self._step()
+            except HistoryLost:
+                log_event(Event.HISTORY_LOST, prefix=self._prefix)
+                self._as_of = None
+            except StoreUnavailable as error:
+                self._health.failed(str(error))
+                eventlet.sleep(self._backoff_s * random.uniform(0.5, 1.0))
+                self._backoff_s = min(2 * self._backoff_s, LAST_BACKOFF_S)
+
+    def _step(self) -> None:
+        if self._as_of is None:
+            found = self._store.read_all(self._prefix)
+            self._replace(found.items)
+        else:
+            found = self._store.changes(self._prefix, self._as_of, self._wait_s)
+            self._apply(found.items)
+        self._as_of = found.as_of
+        self._health.succeeded()
+        self._backoff_s = FIRST_BACKOFF_S
+        if self._pause_s:
+            eventlet.sleep(self._pause_s)
--- /dev/null
+++ b/poplarspar/coordination/forwarding/attempts.py
@@ -0,0 +1,113 @@
+"""Sending one request to one place, and what may come of it."""
+
+import time
+from dataclasses import dataclass
+
+from poplarspar.coordination.forwarding.lookup import RoutedRequest
+from poplarspar.coordination.forwarding.ports import Attempt, Exchange, Upstream
+from poplarspar.coordination.forwarding.targets import Target, Targets
+from poplarspar.exceptions import BackendFailed
+
+# A connection within a region takes under 3 ms; a lost packet is sent again only
+# after a second, so another backend server is the better choice before that.
+CONNECT_TIMEOUT_S = 0.12
+
+
+@dataclass(frozen=True)
+class Began:
+    """The headers of a genuine answer have come; the receiver closes it."""
+
+    exchange: Exchange
+    target: Target
+
+
+@dataclass(frozen=True)
+class NotReached:
+    """No connection could be made, so nothing was sent."""
+
+    target: Target
+
+
+@dataclass(frozen=True)
+class Rejected:
+    """The backend server says that it has not run the request and never will."""
+
+    target: Target
+
+
+@dataclass(frozen=True)
+class Broke:
+    """The request was sent and may have run, but no sound answer came."""
+
+    target: Target
+    cause: str
+
+
+AttemptResult = Began | NotReached | Rejected | Broke
+
+
+class Sender:
+    """Sends requests and keeps the accounts of the places they go to."""
+
+    def __init__(self, targets: Targets, upstream: Upstream) -> None:
+        self._targets = targets
+        self._upstream = upstream
+
+    def send(
+        self,
+        routed: RoutedRequest,
+        target: Target,
+        *,
+        silence_s: float,
+        last_event: int | None = None,
+    ) -> AttemptResult:
+        """Send a request; `finish` follows a `Began`."""
+        request = routed.request
+        left_s = routed.ends_at - time.monotonic()
+        attempt = Attempt(
+            request=request,
+            workspace=routed.workspace,
+            backend_id=target.backend.id,
+            address=target.backend.address,
+            left_s=left_s,
+            silence_s=min(silence_s, left_s),
+            connect_s=min(CONNECT_TIMEOUT_S, left_s),
+            last_event=request.last_event if last_event is None else last_event,
+            urgency=routed.urgency if routed.service.engine else None,
+        )
+        self._targets.start(target, request.prompt_tokens)
+        began = False
+        try:
+            result = self._classify(target, attempt)
+            began = isinstance(result, Began)
+            return result
+        finally:
+            self._targets.begin_answer(target, request.prompt_tokens)
+            if not began:
+                self._targets.finish(target)
+
+    def finish(self, began: Began) -> None:
+        """Close an answer and free its place."""
+        began.target.exchanges.discard(began.exchange)
+        began.exchange.close()
+        self._targets.finish(began.target)
+
+    def _classify(self, target: Target, attempt: Attempt) -> AttemptResult:
+        try:
+            exchange = self._upstream.send(attempt)
+        except BackendFailed as failure:
+            target.note_failure()
+            if failure.sent:
+                return Broke(target, str(failure))
+            return NotReached(target)
+        target.note_load(exchange.load)
+        target.note_progress()
+        if exchange.not_run:
+            exchange.close()
+            return Rejected(target)
+        if not exchange.genuine:
+            exchange.close()
+            target.note_failure()
+            return Broke(target, f"status {exchange.status} without a signature")
+        target.exchanges.add(exchange)
+        return Began(exchange, target)
--- /dev/null
+++ b/poplarspar/coordination/forwarding/repeats.py
@@ -0,0 +1,61 @@
+"""The budget for sending requests once more."""
+
+import time
+from collections import deque
+
+# Part of the budget that is used: windows slide, and requests near the edge of one
+# are counted by others at slightly different times.
+SAFETY = 0.8
+
+
+class RepeatBudget:
+    """Bounds repeats to a share of recent requests, plus a fixed part.
+
+    Nodes share the fixed part evenly, so no message is needed to keep the sum.
+
+    Parameters
+    ----------
+    share : float
+        Repeats for each request in the window.
+    slack : float
+        Repeats in the window beyond that, over all nodes.
+    window_s : float
+        Length of the sliding window in seconds.
+    """
+
+    def __init__(self, share: float, slack: float, window_s: float) -> None:
+        self._share = share
+        self._slack = slack
+        self._window_s = window_s
+        self._nodes = 1
+        self._requests: dict[str, deque[float]] = {}
+        self._repeats: dict[str, deque[float]] = {}
+
+    def share_among(self, nodes: int) -> None:
+        """Divide the fixed part by the number of nodes."""
+        self._nodes = max(1, nodes)
+
+    def note_request(self, service: str) -> None:
+        """Count a caller's request for a service."""
+        self._requests.setdefault(service, deque()).append(time.monotonic())
+
+    def left(self, service: str) -> int:
+        """Return how many repeats the window still allows."""
+        since = time.monotonic() - self._window_s
+        requests = _recent(self._requests.setdefault(service, deque()), since)
+        repeats = _recent(self._repeats.setdefault(service, deque()), since)
+        allowed = self._share * requests + self._slack / self._nodes
+        return int(allowed * SAFETY) - repeats
+
+    def take(self, service: str) -> bool:
+        """Use one repeat and return whether the budget had it."""
+        if self.left(service) <= 0:
+            return False
+        self._repeats[service].append(time.monotonic())
+        return True
+
+
+def _recent(moments: deque[float], since: float) -> int:
+    while moments and moments[0] < since:
+        moments.popleft()
+    return len(moments)
--- /dev/null
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -0,0 +1,154 @@
+"""Streamed answers that go on at another replica group when one fails."""
+
+import time
+from collections.abc import Callable, Iterator
+
+from expression import Error, Ok, Result
+
+from poplarspar.coordination.forwarding.attempts import (
+    Began,
+    Broke,
+    NotReached,
+    Rejected,
+    Sender,
+)
+from poplarspar.coordination.forwarding.lookup import RoutedRequest
+from poplarspar.coordination.forwarding.ports import StreamEvent
+from poplarspar.coordination.forwarding.repeats import RepeatBudget
+from poplarspar.coordination.forwarding.targets import Target, Targets
+from poplarspar.exceptions import BackendFailed
+from poplarspar.state.callers import StreamedAnswer, WholeAnswer
+from poplarspar.state.refusals import Ran, Reason, Refusal
+
+MAX_DECLINED = 4
+WAIT_PART = 0.5
+# A replica group that works writes an event of each stream every 30 to 150 ms,
+# longer only while it reads many prompts.
+EVENT_SILENCE_S = 0.6
+# Callers leave a stream after two seconds without an event.
+FIRST_EVENT_SILENCE_S = 1.2
+RESUME_WAIT_S = 1.0
+FindPlace = Callable[[RoutedRequest, set[Target], float], Result[Target, Refusal]]
+
+
+class ResumableAnswer:
+    """One streamed answer, produced by as many backend servers as it takes."""
+
+    def __init__(
+        self,
+        routed: RoutedRequest,
+        targets: Targets,
+        sender: Sender,
+        budget: RepeatBudget,
+        find_place: FindPlace,
+    ) -> None:
+        self._routed = routed
+        self._targets = targets
+        self._sender = sender
+        self._budget = budget
+        self._find_place = find_place
+        self._began: Began | None = None
+        self._events: Iterator[StreamEvent] = iter(())
+        self._last_event = routed.request.last_event
+        self._tried: set[Target] = set()
+        self._declined = 0
+        self._sent = 0
+
+    def open(self) -> Result[StreamedAnswer | WholeAnswer, Refusal]:
+        """Start the answer at a place that has room."""
+        match self._start(self._routed.route.aim_s * WAIT_PART):
+            case Result(tag="error", error=refusal):
+                return Error(refusal)
+            case Result(ok=began):
+                exchange = began.exchange
+        if exchange.is_stream:
+            return Ok(StreamedAnswer(exchange.status, exchange.headers, self))
+        try:
+            body = exchange.read_whole()
+        except BackendFailed as failure:
+            return Error(Refusal(Reason.BACKEND, str(failure), Ran.UNKNOWN))
+        finally:
+            self.close()
+        return Ok(WholeAnswer(exchange.status, exchange.headers, body))
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the events; raises `BackendFailed` if they can't go on."""
+        while True:
+            try:
+                event = next(self._events, None)
+            except BackendFailed as failure:
+                self._resume(failure)
+                continue
+            if event is None:
+                self._began.target.note_success()
+                return
+            self._began.target.note_progress()
+            if event.number is not None:
+                if self._last_event is not None and event.number <= self._last_event:
+                    continue
+                self._last_event = event.number
+            yield event.data
+
+    def close(self) -> None:
+        """End the answer, whatever is left of it."""
+        began, self._began = self._began, None
+        if began is not None:
+            self._sender.finish(began)
+
+    def _start(self, wait_s: float) -> Result[Began, Refusal]:
+        while True:
+            match self._find(wait_s):
+                case Result(tag="error", error=refusal):
+                    return Error(refusal)
+                case Result(ok=target):
+                    pass
+            self._tried.add(target)
+            match self._send(target):
+                case Began() as began:
+                    self._sent += 1
+                    self._began = began
+                    self._events = began.exchange.events()
+                    began.exchange.limit_silence(EVENT_SILENCE_S)
+                    return Ok(began)
+                case NotReached() | Rejected():
+                    self._declined += 1
+                case Broke():
+                    self._sent += 1
+
+    def _find(self, wait_s: float) -> Result[Target, Refusal]:
+        if self._tried and not self._may_send_again():
+            ran = Ran.UNKNOWN if self._sent else Ran.NO
+            reason = Reason.BACKEND if self._sent else Reason.NO_BACKEND
+            return Error(Refusal(reason, "no replica group could answer", ran, 0.1))
+        left_s = self._routed.ends_at - time.monotonic()
+        if left_s <= 0:
+            ran = Ran.UNKNOWN if self._sent else Ran.NO
+            return Error(Refusal(Reason.TIMEOUT, "no answer in time", ran))
+        match self._find_place(self._routed, self._tried, min(wait_s, left_s)):
+            case Result(tag="error", error=refusal) if self._sent:
+                return Error(Refusal(Reason.BACKEND, refusal.message, Ran.UNKNOWN))
+            case found:
+                return found
+
+    def _may_send_again(self) -> bool:
+        route = self._routed.route
+        if self._sent and (not route.repeatable or self._sent >= route.max_attempts):
+            return False
+        if self._declined >= MAX_DECLINED:
+            return False
+        return self._budget.take(self._routed.service.name)
+
+    def _send(self, target: Target):
+        left_s = self._routed.ends_at - time.monotonic()
+        again = self._sent + 1 < self._routed.route.max_attempts
+        silence_s = FIRST_EVENT_SILENCE_S if again else left_s
+        return self._sender.send(
+            self._routed, target, silence_s=silence_s, last_event=self._last_event
+        )
+
+    def _resume(self, failure: BackendFailed) -> None:
+        self._began.target.note_failure()
+        self.close()
+        match self._start(RESUME_WAIT_S):
+            case Result(tag="error", error=refusal):
+                raise BackendFailed(refusal.message, sent=True) from failure
--- /dev/null
+++ b/poplarspar/coordination/pools/picture.py
@@ -0,0 +1,112 @@
+"""Replica groups as the reports of their members show them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from poplarspar.coordination.pools.survey import Heard
+from poplarspar.state.backends import MemberPhase, Membership
+from poplarspar.state.serving import Engine, EngineModel
+
+GroupKey = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class Worker:
+    """A backend server as the planner sees it in one round.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether it is about to stop.
+    out : bool
+        Whether its zone is evacuated.
+    """
+
+    heard: Heard
+    silent: bool
+    leaving: bool
+    out: bool
+
+    @property
+    def id(self) -> str:
+        """Its identifier."""
+        return self.heard.backend.id
+
+    @property
+    def domain(self) -> str:
+        """Its fabric domain."""
+        return self.heard.report.hosting.domain
+
+    @property
+    def membership(self) -> Membership | None:
+        """Its place in a replica group."""
+        report = self.heard.report
+        return report.hosting.membership if report else None
+
+    def load_s(self, model: EngineModel) -> float:
+        """Return how long it needs to get a model ready."""
+        hosting = self.heard.report.hosting
+        if hosting.model == model.name:
+            return 0.0
+        if model.name in hosting.staged:
+            return model.staged_load_s
+        return model.load_s
+
+
+@dataclass
+class Group:
+    """A replica group, known from what its members report."""
+
+    key: GroupKey
+    members_by_rank: dict[int, Worker] = field(default_factory=dict)
+
+    @property
+    def head(self) -> Worker | None:
+        """The member that takes requests, None if nobody says it is it."""
+        return self.members_by_rank.get(0)
+
+    @property
+    def phase(self) -> MemberPhase | None:
+        """How far the head is."""
+        return self.head.membership.phase if self.head else None
+
+    @property
+    def model(self) -> str:
+        """The model that the members were told to serve."""
+        names = {
+            w.heard.report.hosting.model for w in self.members_by_rank.values()
+        } - {""}
+        return next(iter(names)) if len(names) == 1 else ""
+
+    def is_whole(self, engine: Engine) -> bool:
+        """Return whether each member is ready and well."""
+        model = engine.models_by_name.get(self.model)
+        if model is None or set(self.members_by_rank) != set(range(model.members)):
+            return False
+        return all(
+            not worker.silent
+            and not worker.leaving
+            and worker.membership.phase is not MemberPhase.JOINING
+            and worker.membership.phase is not MemberPhase.BROKEN
+            for worker in self.members_by_rank.values()
+        )
+
+    @property
+    def is_out(self) -> bool:
+        """Whether nothing is to be sent to the head's zone."""
+        return self.head is not None and self.head.out
+
+    def silent_members(self) -> list[Worker]:
+        """Return the members that do not answer."""
+        return [worker for worker in self.members_by_rank.values() if worker.silent]
+
+
+def build_groups(workers: Iterable[Worker]) -> dict[GroupKey, Group]:
+    """Return the replica groups that reports name, by name and epoch."""
+    groups: dict[GroupKey, Group] = {}
+    for worker in workers:
+        membership = worker.membership
+        if membership is not None:
+            group = groups.setdefault(membership.key, Group(membership.key))
+            group.members_by_rank[membership.rank] = worker
+    return groups
--- /dev/null
+++ b/poplarspar/coordination/pools/survey.py
@@ -0,0 +1,154 @@
+"""What the planner has heard from the backend servers of model services."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import eventlet
+from eventlet.event import Event as Signal
+from eventlet.greenthread import GreenThread
+
+from poplarspar.exceptions import BackendFailed
+from poplarspar.state.backends import BackendServer, HostReport
+
+REPORT_TIMEOUT_S = 0.3
+# Members of replica groups are asked this often; a lost one stops its group.
+MEMBER_PERIOD_S = 0.3
+SPARE_PERIOD_S = 0.8
+# A backend server that is no longer listed may still serve its replica group; it is
+# forgotten when it has been silent for longer than any group outlives its loss.
+FORGET_S = 8.0
+# Two answers lost in a row, each with a time-out, are no accident of one packet.
+SILENT_S = 0.75
+
+
+class ReportPort(Protocol):
+    """Questions to backend servers about their state."""
+
+    def read(self, backend: BackendServer, timeout_s: float) -> HostReport:
+        """Return a report; raises `BackendFailed`."""
+
+    def forget(self, backend: BackendServer) -> None:
+        """Close the connection to a backend server."""
+
+
+@dataclass
+class Heard:
+    """The last report of a backend server.
+
+    Attributes
+    ----------
+    heard_at : float
+        Monotonic time at which the question was sent that it answered.
+    listed : bool
+        Whether it still has an entry in the platform's list.
+    """
+
+    backend: BackendServer
+    report: HostReport | None = None
+    heard_at: float = float("-inf")
+    listed: bool = True
+
+    def silent(self, now: float) -> bool:
+        """Return whether the backend server has stopped to answer."""
+        return now - self.heard_at > SILENT_S
+
+
+class Survey:
+    """Asks each backend server of model services for reports, one task for each.
+
+    Parameters
+    ----------
+    changed : callable
+        Called when a report says something new.
+    """
+
+    def __init__(self, reports: ReportPort, changed: Callable[[], None]) -> None:
+        self._reports = reports
+        self._changed = changed
+        self._task_by_id: dict[str, GreenThread] = {}
+        self._hurry_by_id: dict[str, Signal] = {}
+        self.by_id: dict[str, Heard] = {}
+        # Replica groups whose head was seen to leave them or to start anew.
+        self.ended_groups: set[tuple[str, int]] = set()
+
+    def follow(self, backends: dict[str, BackendServer]) -> None:
+        """Ask these backend servers from now on, and others while they answer."""
+        now = time.monotonic()
+        for id, heard in list(self.by_id.items()):
+            heard.listed = id in backends
+            if not heard.listed and now - heard.heard_at > FORGET_S:
+                self._drop(id)
+        for id, backend in backends.items():
+            heard = self.by_id.get(id)
+            if heard is not None and heard.backend.address != backend.address:
+                self._drop(id)
+                heard = None
+            if heard is not None:
+                heard.backend = backend
+                continue
+            self.by_id[id] = Heard(backend)
+            self._hurry_by_id[id] = Signal()
+            self._task_by_id[id] = eventlet.spawn(self._ask_forever, id)
+
+    def hurry(self, id: str) -> None:
+        """Ask a backend server at once."""
+        signal = self._hurry_by_id.get(id)
+        if signal is not None and not signal.ready():
+            signal.send()
+
+    def close(self) -> None:
+        """Stop asking."""
+        for id in list(self.by_id):
+            self._drop(id)
+        self.ended_groups.clear()
+
+    def _drop(self, id: str) -> None:
+        heard = self.by_id.pop(id)
+        self._hurry_by_id.pop(id)
+        self._task_by_id.pop(id).kill()
+        self._reports.forget(heard.backend)
+
+    def _ask_forever(self, id: str) -> None:
+        while True:
+            heard = self.by_id[id]
+            if self._ask(heard):
+                self._rest(id, self._period_s(heard))
+            else:
+                self._rest(id, 0.05)
+
+    def _ask(self, heard: Heard) -> bool:
+        asked_at = time.monotonic()
+        try:
+            report = self._reports.read(heard.backend, REPORT_TIMEOUT_S)
+        except BackendFailed:
+            # Silence is judged by the time since the last answer.
+            return False
+        known, heard.report, heard.heard_at = heard.report, report, asked_at
+        if known is None or known.hosting != report.hosting:
+            self._note_end(known, report)
+            self._changed()
+        return True
+
+    def _note_end(self, known: HostReport | None, report: HostReport) -> None:
+        membership = known.hosting.membership if known else None
+        if membership is None or membership.rank != 0:
+            return
+        present = report.hosting.membership
+        if present is None or present.key != membership.key:
+            self.ended_groups.add(membership.key)
+
+    def _rest(self, id: str, period_s: float) -> None:
+        signal = self._hurry_by_id[id]
+        with eventlet.Timeout(period_s, False):
+            signal.wait()
+        if signal.ready():
+            self._hurry_by_id[id] = Signal()
+
+    @staticmethod
+    def _period_s(heard: Heard) -> float:
+        report = heard.report
+        if report is not None and report.hosting.membership is not None:
+            return MEMBER_PERIOD_S
+        return SPARE_PERIOD_S
--- a/poplarspar/coordination/ports.py
+++ b/poplarspar/coordination/ports.py
@@ -51,6 +51,42 @@
         """Prolong a lease and return whether it still existed."""
 
 
+@dataclass(frozen=True)
+class Change:
+    """A value as it was written; the text is None if it was deleted."""
+
+    key: str
+    revision: int
+    text: str | None
+
+
+@dataclass(frozen=True)
+class Changes:
+    """Changes in order, and the revision up to which they are known."""
+
+    items: tuple[Change, ...]
+    as_of: int
+
+
+class WatchedStore(Store, Protocol):
+    """A store that also tells of deletions."""
+
+    def read_all(self, prefix: str) -> Changes:
+        """Return all values under a prefix."""
+
+    def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return changes after a revision, waiting up to `wait_s` for the first.
+
+        Raises
+        ------
+        HistoryLost
+            If the store no longer has that part of its history.
+        """
+
+    def end_lease(self, lease: str) -> None:
+        """End a lease, which deletes its keys."""
+
+
 class Documents(Protocol):
     """Encoding of the values that the cluster keeps in the store."""
 
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -58,6 +58,96 @@
         "Another steward ended or was cut off.",
         "Nothing if it passes; look at that VM and the network if it stays.",
     )
+    PLANNER_CHANGED = (
+        210,
+        "another planner, or none",
+        "The node that orders replica groups ended or lost its lease.",
+        "Nothing; a new one is named within three seconds.",
+    )
+    PLANNER_STARTED = (
+        211,
+        "this node is the planner",
+        "It took the lease that was free.",
+        "Nothing.",
+    )
+    PLANNER_STOPPED = (
+        212,
+        "this node is the planner no more",
+        "It lost its lease, is stopping, or a newer planner has given orders.",
+        "Nothing.",
+    )
+    CONFIGURATION_IN_FORCE = (
+        220,
+        "configuration in force here",
+        "The operator wrote a newer version.",
+        "Nothing.",
+    )
+    ZONES_EVACUATED = (
+        221,
+        "evacuated zones changed",
+        "The operator emptied a zone or took it back.",
+        "Nothing.",
+    )
+    BACKEND_LISTED = (
+        230,
+        "backend server listed",
+        "A backend server came, or says that it is about to leave.",
+        "Nothing.",
+    )
+    BACKEND_GONE = (
+        231,
+        "backend server no longer listed",
+        "Its entry ended; nothing is sent to it any more.",
+        "Nothing if it was stopped; look at its VM otherwise.",
+    )
+    DOCUMENT_MALFORMED = (
+        232,
+        "entry can't be decoded",
+        "Another writer put something else at the key.",
+        "Look for who writes there.",
+    )
+    GROUP_FORMING = (
+        240,
+        "replica group is being formed",
+        "The planner ordered its members to join.",
+        "Nothing.",
+    )
+    GROUP_OPENED = (
+        241,
+        "replica group serves",
+        "All members are ready and the head was opened.",
+        "Nothing.",
+    )
+    GROUP_BROKEN = (
+        242,
+        "replica group lost a member",
+        "A member fell silent or is leaving; the group is closed.",
+        "Nothing; look at the silent VMs.",
+    )
+    GROUP_ABANDONED = (
+        243,
+        "replica group could not be formed",
+        "A member was lost, or did not get ready in time.",
+        "Nothing; its other members are used again.",
+    )
+    HEAD_SILENT = (
+        244,
+        "head of a replica group is silent",
+        "It was lost, or only this node can't reach it.",
+        "Nothing; the other members are used again when it must have given up.",
+    )
+    ORDER_REFUSED = (
+        250,
+        "order refused",
+        "The backend server's state had changed, or a newer planner gave orders.",
+        "Nothing.",
+    )
+    ORDER_UNANSWERED = (
+        251,
+        "order without an answer",
+        "The order or its answer was lost; it may be carried out later.",
+        "Nothing; the next round looks at what it did.",
+    )
     STORE_LOST = (
         300,
         "store does not answer",
@@ -71,6 +161,18 @@
         "An outage of the store ended for this steward.",
         "Nothing.",
     )
+    HISTORY_LOST = (
+        302,
+        "store forgot its history",
+        "It dropped changes that this node had not read.",
+        "Nothing; everything is read anew.",
+    )
+    LEASE_NOT_ENDED = (
+        303,
+        "lease could not be given up",
+        "The store did not answer while the process stopped.",
+        "Nothing; the lease ends by itself.",
+    )
     PUBLISHED = (
         400,
         "objects published",
@@ -101,6 +203,24 @@
         "The store could not be read, so a change of one object was not tried.",
         "Try again when the store is back (event 301).",
     )
+    REQUEST_REFUSED = (
+        410,
+        "request refused",
+        "The line's `reason` and `cause` say why; `ran` whether it may have run.",
+        "See docs/OPERATIONS.md.",
+    )
+    STREAM_BROKEN = (
+        411,
+        "stream cut in mid-answer",
+        "No replica group could go on with it in time.",
+        "See docs/OPERATIONS.md.",
+    )
+    CALLER_GONE = (
+        412,
+        "caller left before its answer",
+        "It closed the connection; the work for it was cancelled.",
+        "Nothing.",
+    )
     REQUEST_FAILED = (
         500,
         "request failed inside the daemon",
--- a/poplarspar/exceptions.py
+++ b/poplarspar/exceptions.py
@@ -35,6 +35,14 @@
     """A compare-and-swap named a revision that is no longer current."""
 
 
+class HistoryLost(CoordinationError):
+    """The store no longer has the changes after a revision; read all anew."""
+
+
+class LeaseEnded(CoordinationError):
+    """A write named a lease that the store no longer has."""
+
+
 class BackendFailed(CoordinationError):
     """A backend server broke off an answer or refused to give one.
 
@@ -83,5 +91,9 @@
     """An open connection broke or went silent."""
 
 
+class CallerGone(TransportError):
+    """A caller closed its connection before it had its answer."""
+
+
 class FrameTooLong(TransportError):
     """A peer announced a frame above the size bound."""
--- /dev/null
+++ b/poplarspar/node.py
@@ -0,0 +1,261 @@
+"""The node daemon: serves callers, and plans replica groups when it is its turn."""
+
+import time
+import uuid
+from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import dataclass
+
+import eventlet
+
+from poplarspar.coordination.drain import Drain
+from poplarspar.coordination.fleet import FleetDocuments, FleetKeeper
+from poplarspar.coordination.following import PrefixFollower, StoreHealth
+from poplarspar.coordination.forwarding import (
+    Forwarder,
+    RepeatBudget,
+    Sender,
+    Targets,
+    Upstream,
+)
+from poplarspar.coordination.pools import (
+    Fences,
+    OrderPort,
+    PoolPlanner,
+    ReportPort,
+    Survey,
+)
+from poplarspar.coordination.ports import WatchedStore
+from poplarspar.coordination.session import LEASE_TTL_S, NODE_PREFIX, Session
+from poplarspar.daemon import keep_running
+from poplarspar.events import Event, log_event
+from poplarspar.state.metrics import Metrics
+from poplarspar.state.node import NodeSettings
+from poplarspar.state.serving import ServiceSpec
+from poplarspar.transport.addresses import bound_address, listen
+from poplarspar.transport.server import (
+    Handler,
+    HttpServer,
+    Request,
+    Response,
+    ServerLimits,
+    json_response,
+)
+
+# The store answers a question at once when something changes, so waiting long costs
+# few calls; its connections are probed for silence meanwhile.
+WATCH_WAIT_S = 20.0
+# Entries of backend servers change all the time; they are read about once a second.
+BACKEND_PAUSE_S = 0.9
+BACKEND_WAIT_S = 1.0
+# The balancer asks once a second and needs two refusals to send nobody any more.
+LEAVE_NOTICE_S = 2.2
+# Left of the time until SIGKILL to close what still runs.
+STOP_MARGIN_S = 0.7
+# Before a configuration is known, only readiness is asked for.
+FIRST_LIMITS = ServerLimits(65_536, header_timeout_s=3.0, idle_timeout_s=15.0)
+READY_LIMITS = ServerLimits(4_096, header_timeout_s=3.0, idle_timeout_s=30.0)
+PLANNER_POLL_S = 0.2
+# Callers that read nothing for this long hold a connection for nobody.
+WRITE_TIMEOUT_S = 15.0
+
+
+@dataclass(frozen=True)
+class Outside:
+    """All that connects a node with the world outside."""
+
+    store: WatchedStore
+    documents: FleetDocuments
+    operator_prefix: str
+    backend_prefix: str
+    upstream: Upstream
+    reports: ReportPort
+    orders: OrderPort
+    caller_handler: Callable[[Forwarder, Drain, Metrics], Handler]
+    close: Callable[[], None]
+
+
+class Node:
+    """One node process; `close` ends everything it started."""
+
+    def __init__(self, settings: NodeSettings, outside: Outside) -> None:
+        self._settings = settings
+        self._outside = outside
+        self._stack = ExitStack()
+        self._stack.callback(outside.close)
+        self.name = f"{settings.name}.{uuid.uuid4().hex[:8]}"
+        self.metrics = Metrics()
+        self.drain = Drain()
+        self._health = StoreHealth()
+        self._keeper = FleetKeeper(outside.documents, self._health, self._fleet_changed)
+        self._targets = Targets(settings.zone, self._cold_limit)
+        self._budget = RepeatBudget(
+            settings.retry_share, settings.retry_slack, settings.retry_window_s
+        )
+        self._fences = Fences()
+        self._start()
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Addresses by what is served there."""
+        return {
+            "http": bound_address(self._caller_listener),
+            "ready": bound_address(self._ready_listener),
+        }
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        return self._keeper.ready and not self.drain.draining
+
+    def shut_down(self) -> None:
+        """Leave gracefully: let the balancer notice, then let requests finish."""
+        began_at = time.monotonic()
+        log_event(Event.DRAINING, running=self.drain.running)
+        self.drain.begin()
+        self._session.end()
+        eventlet.sleep(LEAVE_NOTICE_S)
+        left_s = began_at + self._settings.stop_s - STOP_MARGIN_S - time.monotonic()
+        finished = self.drain.wait_idle(max(0.0, left_s))
+        self._server.stop_accepting()
+        log_event(Event.STOPPED, finished=finished, running=self.drain.running)
+
+    def close(self) -> None:
+        """Close all that the node holds."""
+        self._stack.close()
+
+    def _start(self) -> None:
+        self._start_serving()
+        self._start_following()
+        self._start_planning()
+
+    def _start_serving(self) -> None:
+        settings = self._settings
+        sender = Sender(self._targets, self._outside.upstream)
+        forwarder = Forwarder(
+            lambda: self._keeper.fleet.configuration,
+            self._targets,
+            sender,
+            self._budget,
+        )
+        handler = self._outside.caller_handler(forwarder, self.drain, self.metrics)
+        self._caller_listener = listen(settings.caller_listen)
+        self._server = HttpServer(
+            self._caller_listener,
+            handler,
+            connection_limit=settings.connection_limit,
+            limits=self._limits,
+            write_timeout_s=WRITE_TIMEOUT_S,
+        )
+        self._stack.callback(self._server.close)
+        self._ready_listener = listen(settings.ready_listen)
+        ready = HttpServer(
+            self._ready_listener,
+            self._answer_ready,
+            connection_limit=64,
+            limits=lambda: READY_LIMITS,
+        )
+        self._stack.callback(ready.close)
+
+    def _start_following(self) -> None:
+        outside = self._outside
+        keeper = self._keeper
+        self._follow(
+            outside.operator_prefix,
+            WATCH_WAIT_S,
+            0.0,
+            keeper.replace_operator,
+            keeper.apply_operator,
+        )
+        self._follow(
+            outside.backend_prefix,
+            BACKEND_WAIT_S,
+            BACKEND_PAUSE_S,
+            keeper.replace_backends,
+            keeper.apply_backends,
+        )
+        self._session = Session(
+            outside.store,
+            self.name,
+            self._settings.peer_listen,
+            max(LEASE_TTL_S, self._settings.lease_min_s),
+            self._nodes_changed,
+        )
+        self._follow(
+            NODE_PREFIX, WATCH_WAIT_S, 0.0, self._session.replace, self._session.apply
+        )
+        self._stack.callback(keep_running(self._session.run).kill)
+
+    def _follow(self, prefix, wait_s, pause_s, replace, apply) -> None:
+        follower = PrefixFollower(
+            self._outside.store,
+            prefix,
+            self._health,
+            wait_s=wait_s,
+            pause_s=pause_s,
+            replace=replace,
+            apply=apply,
+        )
+        self._stack.callback(keep_running(follower.follow).kill)
+
+    def _start_planning(self) -> None:
+        settings = self._settings
+        survey = Survey(self._outside.reports, lambda: self._planner.wake())
+        self._planner = PoolPlanner(
+            survey,
+            self._outside.orders,
+            self._fences,
+            lambda: self._keeper.fleet,
+            settings.stall_s,
+            settings.load_factor,
+        )
+        self._stack.callback(self._planner.stop)
+        self._stack.callback(keep_running(self._plan).kill)
+
+    def _plan(self) -> None:
+        while True:
+            if self._may_plan():
+                self._fences.start_term(self._session.planner_revision)
+                self._planner.plan_while(self._may_plan)
+            eventlet.sleep(PLANNER_POLL_S)
+
+    def _may_plan(self) -> bool:
+        if not self._session.is_planner or self._fences.overtaken:
+            return False
+        if self.drain.draining:
+            return False
+        # Where old orders are refused, a planner that the store does not reach
+        # does no harm; elsewhere only its lease keeps two from giving orders.
+        return self._settings.orders_fenced or self._session.lease_runs()
+
+    def _fleet_changed(self) -> None:
+        fleet = self._keeper.fleet
+        opened = {
+            backend.id: (backend.opened.key, backend.hosting.model)
+            for backend in fleet.backends_by_id.values()
+            if backend.opened is not None
+        }
+        self._targets.update(fleet, opened)
+
+    def _nodes_changed(self) -> None:
+        self._budget.share_among(len(self._session.address_by_node))
+
+    def _cold_limit(self, service: ServiceSpec) -> float:
+        settings = self._settings
+        bound = service.cold_requests_per_s * settings.cold_factor + settings.cold_slack
+        return bound / max(1, len(self._session.address_by_node))
+
+    def _limits(self) -> ServerLimits:
+        configuration = self._keeper.fleet.configuration
+        if configuration is None:
+            return FIRST_LIMITS
+        limits = configuration.limits
+        return ServerLimits(
+            limits.body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+            limits.header_bytes,
+        )
+
+    def _answer_ready(self, request: Request) -> Response:
+        ready = self.is_ready()
+        return json_response(200 if ready else 503, {"ready": ready})
--- /dev/null
+++ b/poplarspar/platform/documents.py
@@ -0,0 +1,275 @@
+"""Documents of the operator and of backend servers, as the platform spells them."""
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, StrictInt, ValidationError
+
+from poplarspar.exceptions import MalformedDocument
+from poplarspar.state.backends import (
+    BackendServer,
+    Hosting,
+    HostReport,
+    MemberPhase,
+    Membership,
+)
+from poplarspar.state.serving import (
+    CallerLimits,
+    Engine,
+    EngineModel,
+    KeyHolder,
+    RouteKind,
+    ServiceRoute,
+    ServiceSpec,
+    ServingConfiguration,
+    WeightedService,
+)
+
+Milliseconds = Annotated[float, Field(ge=0)]
+
+
+class _Document(BaseModel):
+    # Fields that are not known here belong to newer versions.
+    model_config = ConfigDict(extra="ignore")
+
+
+class _Split(_Document):
+    service: str
+    weight: float
+
+
+class _Route(_Document):
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_ms: Milliseconds
+    # The time within which an answer earns its full credit, not a mean.
+    target_latency_ms: Milliseconds
+    priority: int = 0
+    # A route names one service or splits its requests between several.
+    service: str = ""
+    split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: Milliseconds = 0
+
+    def to_state(self) -> ServiceRoute:
+        services = [WeightedService(s.service, s.weight) for s in self.split]
+        return ServiceRoute(
+            name=self.name,
+            host=self.host.lower(),
+            path_prefix=self.path_prefix,
+            kind=self.kind,
+            services=tuple(services or [WeightedService(self.service, 1)]),
+            timeout_s=self.timeout_ms / 1000,
+            aim_s=self.target_latency_ms / 1000,
+            pause_aim_s=self.gap_aim_ms / 1000,
+            urgency=self.priority,
+            max_attempts=self.max_attempts,
+            public=self.public,
+            resumable=self.resumable,
+        )
+
+
+class _Model(_Document):
+    name: str
+    # Backend servers in one replica group.
+    size: int = Field(ge=1)
+    pace: float = 1.0
+    share: float = 0.0
+    load_s: float = 0.0
+    # Time to load from the host, where the weights are staged.
+    warm_s: float = 0.0
+
+    def to_state(self) -> EngineModel:
+        return EngineModel(
+            self.name, self.size, self.pace, self.share, self.load_s, self.warm_s
+        )
+
+
+class _Engine(_Document):
+    slots: int = Field(ge=1)
+    models: list[_Model] = []
+    step_ms: float = 0.0
+    # Added to a step for each request that is writing.
+    per_seq_ms: float = 0.0
+    read_per_s: float = 0.0
+    # Token steps in one pass, each pass an event of each stream.
+    stride: int = 1
+    loads_per_s: float = 0.0
+    loads_at_once: int = 1
+    form_ms: float = 0.0
+
+    def to_state(self) -> Engine:
+        return Engine(
+            slots=self.slots,
+            models_by_name={model.name: model.to_state() for model in self.models},
+            step_s=self.step_ms / 1000,
+            step_per_request_s=self.per_seq_ms / 1000,
+            tokens_read_per_s=self.read_per_s,
+            tokens_per_event=self.stride,
+            loads_per_s=self.loads_per_s,
+            loads_at_once=self.loads_at_once,
+            open_s=self.form_ms / 1000,
+        )
+
+
+class _Service(_Document):
+    name: str
+    max_connections: int = 0
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+    def to_state(self) -> ServiceSpec:
+        engine = self.engine.to_state() if self.engine else None
+        if engine and not engine.models_by_name:
+            engine = None
+        return ServiceSpec(self.name, self.max_connections, self.cold_per_s, engine)
+
+
+class _Tenant(_Document):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(_Document):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: Milliseconds = 3000
+    idle_timeout_ms: Milliseconds = 15_000
+
+    def to_state(self) -> CallerLimits:
+        return CallerLimits(
+            self.max_header_bytes,
+            self.max_body_bytes,
+            self.header_timeout_ms / 1000,
+            self.idle_timeout_ms / 1000,
+        )
+
+
+class _Configuration(_Document):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    tenants: list[_Tenant] | None = None
+    limits: _Limits = _Limits()
+
+
+class _Member(_Document):
+    name: str
+    epoch: StrictInt
+    rank: StrictInt
+    state: MemberPhase
+
+
+class _HostedModel(_Document):
+    name: str
+
+
+class _Hosting(_Document):
+    # The start of this life of the backend server, Unix milliseconds.
+    born: StrictInt
+    # Orders accepted in this life, not a position in a sequence of entries.
+    seq: StrictInt = 0
+    models: list[_HostedModel] | None = None
+    staged: list[str] = []
+    domain: str = ""
+    group: _Member | None = None
+
+    def hosting(self) -> Hosting:
+        group = self.group
+        return Hosting(
+            model=self.models[0].name if self.models else "",
+            staged=tuple(self.staged),
+            domain=self.domain,
+            membership=group
+            and Membership(group.name, group.epoch, group.rank, group.state),
+            orders=self.seq,
+        )
+
+
+class _Entry(_Hosting):
+    service: Annotated[str, Field(strict=True, min_length=1)]
+    address: Annotated[str, Field(strict=True, pattern=r"^[0-9.]+:[0-9]+$")]
+    zone: Annotated[str, Field(strict=True, min_length=1)]
+    slots: StrictInt = Field(ge=0)
+    state: Literal["ready", "draining"]
+    cold_ms: Annotated[float, Field(ge=0, strict=True)] = 0
+
+
+class _Report(_Hosting):
+    busy: bool = False
+    waiting: int = 0
+    running: int = 0
+    # Over 1 when the backend server is slower than its engine's figures.
+    pace: float = 1.0
+
+
+def parse_configuration(text: str) -> ServingConfiguration:
+    """Decode the operator's configuration; raises `MalformedDocument`."""
+    document = _parse(_Configuration, text)
+    routes_by_host: dict[str, list[ServiceRoute]] = {}
+    for route in document.routes:
+        state = route.to_state()
+        routes_by_host.setdefault(state.host, []).append(state)
+    for routes in routes_by_host.values():
+        routes.sort(key=lambda route: -len(route.path_prefix))
+    return ServingConfiguration(
+        version=document.version,
+        routes_by_host={host: tuple(rows) for host, rows in routes_by_host.items()},
+        services_by_name={s.name: s.to_state() for s in document.services},
+        holder_by_key={
+            key: KeyHolder(tenant.name, tenant.priority)
+            for tenant in document.tenants or ()
+            for key in tenant.api_keys
+        },
+        keys_required=document.tenants is not None,
+        limits=document.limits.to_state(),
+    )
+
+
+def parse_backend(id: str, text: str) -> BackendServer:
+    """Decode an entry of the list of backend servers.
+
+    Raises
+    ------
+    MalformedDocument
+        If another writer put something else there.
+    """
+    entry = _parse(_Entry, text)
+    return BackendServer(
+        id=id,
+        started_ms=entry.born,
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        draining=entry.state == "draining",
+        slots=entry.slots,
+        cold_s=entry.cold_ms / 1000,
+        hosting=entry.hosting() if entry.models is not None else None,
+    )
+
+
+def parse_report(id: str, text: str) -> HostReport:
+    """Decode a backend server's report; raises `MalformedDocument`."""
+    report = _parse(_Report, text)
+    return HostReport(
+        id=id,
+        started_ms=report.born,
+        hosting=report.hosting(),
+        running=report.running,
+        waiting=report.waiting,
+        busy=report.busy,
+        pace=report.pace,
+    )
+
+
+def _parse(model: type, text: str):
+    try:
+        return model.model_validate_json(text)
+    except ValidationError as error:
+        first = error.errors()[0]
+        place = ".".join(str(part) for part in first["loc"])
+        raise MalformedDocument(f"{place or 'document'}: {first['msg']}") from error
--- /dev/null
+++ b/poplarspar/platform/settings.py
@@ -0,0 +1,105 @@
+"""The settings that the platform gives a process, a TOML file."""
+
+import os
+import tomllib
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from poplarspar.exceptions import InvalidSettings
+from poplarspar.state.node import NodeSettings
+
+SETTINGS_VARIABLE = "POPLARSPAR_SETTINGS"
+ADDRESS = r"^[^:]+:[0-9]+$"
+
+
+class _Table(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+
+class _Listen(_Table):
+    frontend: str = Field(pattern=ADDRESS)
+    ready: str = Field(pattern=ADDRESS)
+
+
+class _Bounds(_Table):
+    stall_ms: float = 5000
+    grace_s: float = 8
+    require_fencing: bool = False
+    retry_budget: float = 0.2
+    budget_window_s: float = 10
+    budget_slack: float = 0
+    cold_over: float = 1.0
+    cold_slack: float = 0
+    ceiling_window_s: float = 5
+    load_burst_factor: float = 1.0
+
+
+class _Platform(_Table):
+    address: str = Field(pattern=ADDRESS)
+    ttl_min_ms: float = 1000
+
+
+class _Limits(_Table):
+    max_fds: int = 1024
+
+
+class _Settings(_Table):
+    node_name: str
+    ip: str
+    zone: str
+    port_range: list[int] = Field(min_length=2, max_length=2)
+    listen: _Listen
+    platform: _Platform
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+
+
+def read_node_settings(path: str = "") -> NodeSettings:
+    """Read the settings file at `path`, or where the environment says.
+
+    Raises
+    ------
+    InvalidSettings
+        If there is no such file, or a field is missing or wrong.
+    """
+    path = path or os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        raise InvalidSettings(f"{SETTINGS_VARIABLE} is not set")
+    try:
+        found = _Settings.model_validate(tomllib.loads(Path(path).read_text()))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise InvalidSettings(f"{path}: {error}") from error
+    except ValidationError as error:
+        lines = [
+            f"{path}: {'.'.join(str(part) for part in problem['loc'])}: "
+            f"{problem['msg']}"
+            for problem in error.errors()
+        ]
+        raise InvalidSettings("\n".join(lines)) from error
+    return _to_state(found)
+
+
+def _to_state(found: _Settings) -> NodeSettings:
+    bounds = found.bounds
+    first_port = found.port_range[0]
+    return NodeSettings(
+        name=found.node_name,
+        zone=found.zone,
+        caller_listen=found.listen.frontend,
+        ready_listen=found.listen.ready,
+        peer_listen=f"{found.ip}:{first_port}",
+        metrics_listen=f"{found.ip}:{first_port + 1}",
+        store=found.platform.address,
+        connection_limit=found.limits.max_fds,
+        stall_s=bounds.stall_ms / 1000,
+        stop_s=bounds.grace_s,
+        orders_fenced=bounds.require_fencing,
+        retry_share=bounds.retry_budget,
+        retry_slack=bounds.budget_slack,
+        retry_window_s=bounds.budget_window_s,
+        cold_factor=bounds.cold_over,
+        cold_slack=bounds.cold_slack,
+        load_factor=bounds.load_burst_factor,
+        lease_min_s=found.platform.ttl_min_ms / 1000,
+    )
--- /dev/null
+++ b/poplarspar/platform/store.py
@@ -0,0 +1,212 @@
+"""The platform's key-value store; see `coordination.ports.WatchedStore`."""
+
+import base64
+import binascii
+import json
+from urllib.parse import urlencode
+
+from pydantic import BaseModel, Field, ValidationError
+
+from poplarspar.coordination.ports import Change, Changes
+from poplarspar.exceptions import (
+    HistoryLost,
+    LeaseEnded,
+    RevisionConflict,
+    StoreUnavailable,
+    TransportError,
+)
+from poplarspar.state.snapshot import StoredValue
+from poplarspar.transport.http import HttpAnswer, HttpClient
+
+# The store answers in milliseconds; a slow one takes up to a quarter of a second.
+ANSWER_TIMEOUT_S = 1.5
+# Revisions of the first page only: later pages may be newer, so changes between
+# them are seen again by the watch that starts at the first page's revision.
+OK = 200
+NOT_FOUND = 404
+GONE = 410
+CONFLICT = 412
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class _Item(BaseModel):
+    key: str
+    revision: int
+    value: str = ""
+    lease: int = 0
+    deleted: bool = False
+
+
+class _ItemPage(BaseModel):
+    items: list[_Item]
+    # Whether another page follows, which begins after the last key of this one.
+    more_pages: bool = False
+    as_of: int
+
+
+class _Events(BaseModel):
+    events: list[_Item]
+    as_of: int
+
+
+class _Committed(BaseModel):
+    revision: int
+
+
+class _Lease(BaseModel):
+    lease: int = 0
+    ttl_ms: int = Field(gt=0)
+
+
+class PlatformStore:
+    """One connection pool to the store; calls that wait have one each."""
+
+    def __init__(self, address: str) -> None:
+        self._client = HttpClient(address, probe_silence=True)
+
+    def read(self, key: str) -> StoredValue:
+        """Return the value at `key`, at revision 0 when absent."""
+        answer = self._get("kv-key", {"key": key})
+        if answer.status == NOT_FOUND:
+            return StoredValue(key, 0, "")
+        item = self._parse(_Item, answer)
+        return StoredValue(item.key, item.revision, _text(item.value))
+
+    def read_all(self, prefix: str) -> Changes:
+        """Return all values under a prefix."""
+        items: list[Change] = []
+        as_of = None
+        after = ""
+        while True:
+            query = {"path_prefix": prefix}
+            if after:
+                # The name says revision, but a range continues after a key.
+                query["since_rev"] = after
+            page = self._parse(_ItemPage, self._get("kv-range", query))
+            as_of = page.as_of if as_of is None else as_of
+            items += [_change(item) for item in page.items]
+            if not page.more_pages or not page.items:
+                return Changes(tuple(items), as_of)
+            after = page.items[-1].key
+
+    def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return changes after a revision, waiting up to `wait_s` for the first.
+
+        Raises
+        ------
+        HistoryLost
+            If the store no longer has that part of its history.
+        """
+        query = {
+            "path_prefix": prefix,
+            "since_rev": after,
+            "wait_ms": int(wait_s * 1000),
+        }
+        answer = self._get("kv-watch", query, wait_s)
+        if answer.status == GONE:
+            raise HistoryLost(f"history of {prefix!r} after {after} is gone")
+        found = self._parse(_Events, answer)
+        return Changes(tuple(_change(item) for item in found.events), found.as_of)
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> list[StoredValue]:
+        """Return values newer than revision `after`, waiting up to `wait_s`."""
+        found = self.changes(prefix, after, wait_s)
+        return [
+            StoredValue(change.key, change.revision, change.text)
+            for change in found.items
+            if change.text is not None
+        ]
+
+    def swap(self, key: str, expected: int, text: str, lease: str = "") -> int:
+        """Write if the key is at revision `expected` and return the new revision."""
+        put = {"key": key, "value": base64.b64encode(text.encode()).decode()}
+        if lease:
+            put["lease"] = int(lease)
+        answer = self._commit(key, expected, puts=[put])
+        return self._parse(_Committed, answer).revision
+
+    def delete(self, key: str, expected: int) -> None:
+        """Delete the key if it is at revision `expected`."""
+        self._parse(_Committed, self._commit(key, expected, remove=[key]))
+
+    def grant_lease(self, ttl_s: float) -> str:
+        """Return the identifier of a new lease."""
+        answer = self._post("kv-lease", {"ttl_ms": int(ttl_s * 1000)})
+        return str(self._parse(_Lease, answer).lease)
+
+    def renew_lease(self, lease: str) -> bool:
+        """Prolong a lease and return whether it still existed."""
+        answer = self._post(f"kv-keep/{lease}", None)
+        if answer.status == NOT_FOUND:
+            return False
+        self._parse(_Lease, answer)
+        return True
+
+    def end_lease(self, lease: str) -> None:
+        """End a lease, which deletes its keys."""
+        answer = self._send("DELETE", f"kv-lease-end/{lease}")
+        if answer.status not in (OK, NOT_FOUND):
+            raise StoreUnavailable(f"store answered with status {answer.status}")
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    def _commit(
+        self, key: str, expected: int, puts: list = (), remove: list = ()
+    ) -> HttpAnswer:
+        body = {
+            "expected": [{"key": key, "revision": expected}],
+            "puts": list(puts),
+            "remove": list(remove),
+        }
+        answer = self._post("kv-txn", body)
+        if answer.status == CONFLICT:
+            raise RevisionConflict(f"{key!r} is not at revision {expected}")
+        if answer.status == NOT_FOUND:
+            raise LeaseEnded(f"the lease for {key!r} has ended")
+        return answer
+
+    def _get(self, call: str, query: dict, wait_s: float = 0.0) -> HttpAnswer:
+        return self._send("GET", f"{call}?{urlencode(query)}", wait_s=wait_s)
+
+    def _post(self, call: str, body: dict | None) -> HttpAnswer:
+        data = b"" if body is None else json.dumps(body).encode()
+        return self._send("POST", call, data)
+
+    def _send(
+        self, method: str, call: str, data: bytes = b"", wait_s: float = 0.0
+    ) -> HttpAnswer:
+        try:
+            return self._client.send(
+                method,
+                f"/poplarspar/{call}",
+                data,
+                read_timeout_s=ANSWER_TIMEOUT_S + wait_s,
+                headers=JSON_HEADERS if data else None,
+            )
+        except TransportError as error:
+            raise StoreUnavailable(f"store: {error}") from error
+
+    @staticmethod
+    def _parse(model: type, answer: HttpAnswer):
+        if answer.status != OK:
+            raise StoreUnavailable(f"store answered with status {answer.status}")
+        try:
+            return model.model_validate_json(answer.body)
+        except ValidationError as error:
+            raise StoreUnavailable("store: an answer can't be decoded") from error
+
+
+def _change(item: _Item) -> Change:
+    text = None if item.deleted else _text(item.value)
+    return Change(item.key, item.revision, text)
+
+
+def _text(value: str) -> str:
+    """Return a value's text; bytes that are none make it undecodable JSON."""
+    try:
+        data = base64.b64decode(value, validate=True)
+    except binascii.Error:
+        return ""
+    return data.decode("utf-8", errors="replace")
--- /dev/null
+++ b/poplarspar/platform/workers.py
@@ -0,0 +1,120 @@
+"""Reports of backend servers and orders to them, as the platform spells them."""
+
+import json
+
+from poplarspar.exceptions import BackendFailed, MalformedDocument, TransportError
+from poplarspar.platform.documents import parse_report
+from poplarspar.platform.headers import BACKEND
+from poplarspar.state.backends import BackendServer, HostReport
+from poplarspar.state.orders import (
+    Accepted,
+    Close,
+    Join,
+    Leave,
+    Open,
+    Order,
+    OrderResult,
+    Refused,
+    Stage,
+    Unanswered,
+)
+from poplarspar.transport.http import HttpClient, send_request
+
+REPORT_PATH = "/poplarspar/report"
+ORDER_PATH = "/poplarspar/order"
+DONE = (200, 202)
+FENCED = 412
+
+
+class PlatformReports:
+    """Asks backend servers for their state, each on a connection that is kept."""
+
+    def __init__(self) -> None:
+        self._client_by_address: dict[str, HttpClient] = {}
+
+    def read(self, backend: BackendServer, timeout_s: float) -> HostReport:
+        """Return a backend server's report; raises `BackendFailed`."""
+        client = self._client_by_address.get(backend.address)
+        if client is None:
+            client = HttpClient(backend.address)
+            self._client_by_address[backend.address] = client
+        try:
+            answer = client.send(
+                "GET",
+                REPORT_PATH,
+                read_timeout_s=timeout_s,
+                headers={BACKEND: backend.id},
+            )
+            if answer.status != DONE[0]:
+                raise BackendFailed(f"report: status {answer.status}", sent=True)
+            return parse_report(backend.id, answer.body.decode())
+        except (TransportError, MalformedDocument, UnicodeDecodeError) as error:
+            self.forget(backend)
+            raise BackendFailed(f"report: {error}", sent=True) from error
+
+    def forget(self, backend: BackendServer) -> None:
+        """Close the connection to a backend server."""
+        client = self._client_by_address.pop(backend.address, None)
+        if client is not None:
+            client.close()
+
+
+class PlatformOrders:
+    """Gives orders to backend servers."""
+
+    def give(
+        self,
+        backend: BackendServer,
+        order: Order,
+        *,
+        fence: int,
+        accepted_before: int,
+        timeout_s: float,
+    ) -> OrderResult:
+        """Give an order that holds only in the state that was last reported.
+
+        Parameters
+        ----------
+        fence : int
+            Orders with a lower number are refused from now on.
+        accepted_before : int
+            Orders that the backend server is expected to have accepted.
+        """
+        body = _body(order)
+        body["fencing_token"] = fence
+        body["expected"] = accepted_before
+        try:
+            answer = send_request(
+                backend.address,
+                "POST",
+                ORDER_PATH,
+                json.dumps(body).encode(),
+                read_timeout_s=timeout_s,
+                headers={"Content-Type": "application/json", BACKEND: backend.id},
+            )
+        except TransportError:
+            return Unanswered()
+        if answer.status in DONE:
+            return Accepted()
+        return Refused(answer.status, fenced=answer.status == FENCED)
+
+
+def _body(order: Order) -> dict:
+    match order:
+        case Join(group, epoch, model, members):
+            return {
+                "op": "join",
+                "group": group,
+                "epoch": epoch,
+                "model": model,
+                "members": list(members),
+            }
+        case Open(group, epoch):
+            return {"op": "open", "group": group, "epoch": epoch}
+        case Close(group, epoch, evict):
+            mode = "evict" if evict else "queue"
+            return {"op": "close", "group": group, "epoch": epoch, "close_mode": mode}
+        case Leave(group, epoch):
+            return {"op": "leave", "group": group, "epoch": epoch}
+        case Stage(model):
+            return {"op": "stage", "model": model}
--- a/poplarspar/protocol/callers.py
+++ b/poplarspar/protocol/callers.py
@@ -15,6 +15,7 @@
 
 STATUS_BY_REASON = {
     Reason.INVALID: 400,
+    Reason.UNAUTHORIZED: 401,
     Reason.NOT_FOUND: 404,
     Reason.IN_PROGRESS: 409,
     Reason.KEY_REUSED: 422,
--- /dev/null
+++ b/poplarspar/state/callers.py
@@ -0,0 +1,66 @@
+"""Callers' requests that are passed on as they came, and what callers get."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """One attempt of a caller.
+
+    Attributes
+    ----------
+    id : str
+        The caller's name for this attempt.
+    target : str
+        Path and query as they came.
+    headers : tuple of (str, str)
+        Headers to pass on.
+    key : str
+        What the caller shows to be let in, empty for nothing.
+    patience_s : float or None
+        How long the caller waits, from `arrived_at` on.
+    last_event : int or None
+        Last event that the caller has of a stream that broke.
+    model : str
+        Model that the request is for, empty at plain services.
+    prompt_tokens, answer_tokens : int
+        Tokens to read, and tokens to write at most.
+    arrived_at : float
+        Monotonic time in seconds.
+    """
+
+    id: str
+    method: str
+    target: str
+    host: str
+    path: str
+    headers: Headers
+    body: bytes
+    key: str
+    patience_s: float | None
+    last_event: int | None
+    model: str
+    prompt_tokens: int
+    answer_tokens: int
+    arrived_at: float
+
+
+@dataclass(frozen=True)
+class WholeAnswer:
+    """A backend server's complete answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True)
+class StreamedAnswer:
+    """An answer that is passed on event by event; the receiver closes `events`."""
+
+    status: int
+    headers: Headers
+    events: Iterable[bytes]
--- /dev/null
+++ b/poplarspar/state/node.py
@@ -0,0 +1,45 @@
+"""What a node is told at its start."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """Addresses of a node, and the bounds that all nodes keep together.
+
+    Attributes
+    ----------
+    stall_s : float
+        Time after which a replica group that lost a member ends its work.
+    stop_s : float
+        Time from SIGTERM until the process is killed.
+    orders_fenced : bool
+        Whether backend servers refuse orders with an old number.
+    retry_share, retry_slack, retry_window_s : float
+        Repeats allowed in a window: a share of its requests, and some more, over
+        all nodes.
+    cold_factor, cold_slack : float
+        Requests to a cold backend server allowed in a second: a factor on what it
+        says that it bears, and some more, over all nodes.
+    load_factor : float
+        Factor on the rate at which loads from the weight store may begin.
+    """
+
+    name: str
+    zone: str
+    caller_listen: str
+    ready_listen: str
+    peer_listen: str
+    metrics_listen: str
+    store: str
+    connection_limit: int
+    stall_s: float
+    stop_s: float
+    orders_fenced: bool
+    retry_share: float
+    retry_slack: float
+    retry_window_s: float
+    cold_factor: float
+    cold_slack: float
+    load_factor: float
+    lease_min_s: float
--- a/poplarspar/state/refusals.py
+++ b/poplarspar/state/refusals.py
@@ -16,6 +16,7 @@
 
     INVALID = "invalid_request"
     NOT_FOUND = "not_found"
+    UNAUTHORIZED = "unauthorized"
     STALE = "view_not_fresh"
     NO_BACKEND = "no_backend_server"
     QUEUE_FULL = "queue_full"
@@ -29,8 +30,15 @@
 
 @dataclass(frozen=True)
 class Refusal:
-    """A refusal with its reason, in words for the caller."""
+    """A refusal with its reason, in words for the caller.
+
+    Attributes
+    ----------
+    retry_after_s : float or None
+        When the caller should come back, None if nothing is known.
+    """
 
     reason: Reason
     message: str
     ran: Ran = Ran.NO
+    retry_after_s: float | None = None
--- a/poplarspar/state/serving.py
+++ b/poplarspar/state/serving.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from poplarspar.state.backends import BackendServer
+
 
 class RouteKind(Enum):
     """What may be repeated on a route."""
@@ -183,8 +185,15 @@
 
 @dataclass
 class Fleet:
-    """What one node knows of the configuration, zones and backend servers."""
+    """What one node knows of the configuration, zones and backend servers.
+
+    Attributes
+    ----------
+    cold_until_by_id : dict of str to float
+        Monotonic times until which backend servers said that they are cold.
+    """
 
     configuration: ServingConfiguration | None = None
     evacuated_zones: frozenset[str] = frozenset()
-    backends_by_id: dict = field(default_factory=dict)
+    backends_by_id: dict[str, BackendServer] = field(default_factory=dict)
+    cold_until_by_id: dict[str, float] = field(default_factory=dict)
--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -2,11 +2,13 @@
 
 import json
 import socket
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from http.client import HTTPException
 from typing import Any
 
 import urllib3
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -20,6 +22,18 @@
 RECEIVE_BUFFER_BYTES = 16_384
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 READ_BYTES = 65_536
+KEPT_CONNECTIONS = 8
+SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+]
+# A silent connection is found after about three seconds, in seconds and counts.
+PROBE_OPTIONS = [
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+]
 
 
 @dataclass(frozen=True)
@@ -42,24 +56,44 @@
     """An HTTP answer whose body is read piece by piece on its own connection."""
 
     def __init__(
-        self, pool: urllib3.HTTPConnectionPool, answer: urllib3.HTTPResponse
+        self,
+        connection: HTTPConnection,
+        sock: socket.socket,
+        answer: urllib3.HTTPResponse,
     ) -> None:
-        self._pool = pool
+        self._connection = connection
+        self._sock = sock
         self._answer = answer
         self.status = answer.status
         self.headers = answer.headers
 
     def chunks(self) -> Iterator[bytes]:
         """Yield pieces of the body as they come; raises `ConnectionLost`."""
+        while True:
+            try:
+                data = self._answer.read1(READ_BYTES)
+            except (HTTPError, HTTPException, OSError) as error:
+                raise ConnectionLost(f"the answer broke off: {error}") from error
+            if not data:
+                return
+            yield data
+
+    def limit_silence(self, timeout_s: float) -> None:
+        """Bound the time that each further read may wait."""
+        self._sock.settimeout(timeout_s)
+
+    def abort(self) -> None:
+        """End the connection under a task that reads from it."""
         try:
-            yield from self._answer.stream(READ_BYTES)
-        except (HTTPError, OSError) as error:
-            raise ConnectionLost(f"the answer broke off: {error}") from error
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The other end has closed it already, which serves as well.
+            pass
 
     def close(self) -> None:
         """Close the connection, whatever is left to read."""
         self._answer.close()
-        self._pool.close()
+        self._connection.close()
 
 
 def open_stream(
@@ -69,7 +103,8 @@
     body: bytes = b"",
     *,
     read_timeout_s: float,
-    headers: dict[str, str] | None = None,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    headers: Mapping[str, str] | None = None,
 ) -> HttpStream:
     """Send a request on a fresh connection and return the answer's stream.
 
@@ -82,13 +117,58 @@
     ConnectionLost
         If the request may have arrived.
     """
-    pool = _pool(address, read_timeout_s)
+    host, port = split_address(address)
+    connection = HTTPConnection(
+        host, port, timeout=connect_timeout_s, socket_options=SOCKET_OPTIONS
+    )
     try:
-        answer = _send(pool, method, path, body, headers, preload=False)
-    except TransportError:
-        pool.close()
+        connection.connect()
+    except (HTTPError, OSError) as error:
+        raise ConnectFailed(f"no connection to {address}") from error
+    try:
+        return _exchange(connection, method, path, body, headers, read_timeout_s)
+    except (HTTPError, HTTPException, OSError, ValueError) as error:
+        connection.close()
+        message = f"no answer from {address}: {type(error).__name__}"
+        raise ConnectionLost(message) from error
+    except BaseException:
+        # The task was ended while it waited; the other end has to notice.
+        connection.close()
         raise
-    return HttpStream(pool, answer)
+
+
+def _exchange(
+    connection: HTTPConnection,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: Mapping[str, str] | None,
+    read_timeout_s: float,
+) -> HttpStream:
+    sock = connection.sock
+    sock.settimeout(read_timeout_s)
+    connection.request(
+        method,
+        path,
+        body=body or None,
+        headers=headers or {},
+        preload_content=False,
+        decode_content=False,
+    )
+    connection.timeout = read_timeout_s
+    return HttpStream(connection, sock, connection.getresponse())
+
+
+def read_whole(stream: HttpStream, limit_bytes: int = MAX_ANSWER_BYTES) -> bytes:
+    """Return the whole body of an answer; raises `ConnectionLost`."""
+    parts = []
+    size = 0
+    for chunk in stream.chunks():
+        size += len(chunk)
+        if size > limit_bytes:
+            raise ConnectionLost(f"answer larger than {limit_bytes} bytes")
+        parts.append(chunk)
+    return b"".join(parts)
 
 
 def send_request(
@@ -98,7 +178,7 @@
     body: bytes = b"",
     *,
     read_timeout_s: float,
-    headers: dict[str, str] | None = None,
+    headers: Mapping[str, str] | None = None,
 ) -> HttpAnswer:
     """Send a request on a fresh connection and return the whole answer."""
     stream = open_stream(
@@ -110,74 +190,55 @@
         headers=headers,
     )
     try:
-        parts = []
-        size = 0
-        for chunk in stream.chunks():
-            size += len(chunk)
-            if size > MAX_ANSWER_BYTES:
-                raise ConnectionLost(f"answer larger than {MAX_ANSWER_BYTES} bytes")
-            parts.append(chunk)
-        return HttpAnswer(stream.status, b"".join(parts), stream.headers)
+        return HttpAnswer(stream.status, read_whole(stream), stream.headers)
     finally:
         stream.close()
 
 
 class HttpClient:
-    """Requests to one address over connections that are kept open."""
+    """Requests to one address over connections that are kept open.
 
-    def __init__(self, address: str) -> None:
-        self._pool = _pool(address, None, connections=8)
+    Parameters
+    ----------
+    probe_silence : bool
+        Whether connections that fell silent are found within seconds while an
+        answer is awaited.
+    """
+
+    def __init__(self, address: str, probe_silence: bool = False) -> None:
+        host, port = split_address(address)
+        options = SOCKET_OPTIONS + (PROBE_OPTIONS if probe_silence else [])
+        self._pool = urllib3.HTTPConnectionPool(
+            host, port, maxsize=KEPT_CONNECTIONS, retries=False, socket_options=options
+        )
 
     def send(
-        self, method: str, path: str, body: bytes = b"", *, read_timeout_s: float
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        read_timeout_s: float,
+        headers: Mapping[str, str] | None = None,
     ) -> HttpAnswer:
         """Send a request and return the whole answer."""
-        answer = _send(
-            self._pool,
-            method,
-            path,
-            body,
-            None,
-            preload=True,
-            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
-        )
+        pool = self._pool
+        try:
+            answer = pool.urlopen(
+                method,
+                path,
+                body=body or None,
+                headers=headers,
+                redirect=False,
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            raise ConnectFailed(f"no connection to {pool.host}:{pool.port}") from error
+        except (HTTPError, OSError) as error:
+            message = f"no answer from {pool.host}:{pool.port}: {type(error).__name__}"
+            raise ConnectionLost(message) from error
         return HttpAnswer(answer.status, answer.data, answer.headers)
 
     def close(self) -> None:
         """Close the connections."""
         self._pool.close()
-
-
-def _pool(
-    address: str, read_timeout_s: float | None, connections: int = 1
-) -> urllib3.HTTPConnectionPool:
-    host, port = split_address(address)
-    return urllib3.HTTPConnectionPool(
-        host,
-        port,
-        timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
-        maxsize=connections,
-        retries=False,
-        socket_options=[
-            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-            (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
-        ],
-    )
-
-
-def _send(pool, method, path, body, headers, *, preload, **options):
-    try:
-        return pool.urlopen(
-            method,
-            path,
-            body=body or None,
-            headers=headers,
-            redirect=False,
-            preload_content=preload,
-            **options,
-        )
-    except (NewConnectionError, ConnectTimeoutError) as error:
-        raise ConnectFailed(f"no connection to {pool.host}:{pool.port}") from error
-    except (HTTPError, OSError) as error:
-        message = f"no answer from {pool.host}:{pool.port}: {type(error).__name__}"
-        raise ConnectionLost(message) from error
