--- a/poplarspar/coordination/fleet.py
+++ b/poplarspar/coordination/fleet.py
@@ -7,8 +7,9 @@
 
 from poplarspar.coordination.following import StoreHealth
 from poplarspar.coordination.ports import Change
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
 from poplarspar.exceptions import MalformedDocument
+from poplarspar.logs import log_event
 from poplarspar.state.backends import BackendServer
 from poplarspar.state.serving import Fleet, ServingConfiguration
 
--- a/poplarspar/coordination/following.py
+++ b/poplarspar/coordination/following.py
@@ -7,8 +7,9 @@
 import eventlet
 
 from poplarspar.coordination.ports import Change, WatchedStore
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
 from poplarspar.exceptions import HistoryLost, StoreUnavailable
+from poplarspar.logs import log_event
 
 FIRST_BACKOFF_S = 0.1
 LAST_BACKOFF_S = 1.0
--- a/poplarspar/coordination/forwarding/__init__.py
+++ b/poplarspar/coordination/forwarding/__init__.py
@@ -1,6 +1,7 @@
 """Passing callers' requests on to backend servers."""
 
 from poplarspar.coordination.forwarding.attempts import Sender
+from poplarspar.coordination.forwarding.demand import DemandMeter
 from poplarspar.coordination.forwarding.forwarder import Answer, Forwarder
 from poplarspar.coordination.forwarding.lookup import RoutedRequest, route_request
 from poplarspar.coordination.forwarding.ports import (
@@ -15,6 +16,7 @@
 __all__ = [
     "Answer",
     "Attempt",
+    "DemandMeter",
     "Exchange",
     "Forwarder",
     "RepeatBudget",
--- /dev/null
+++ b/poplarspar/coordination/forwarding/demand.py
@@ -0,0 +1,67 @@
+"""How many replica groups a node's callers would keep busy."""
+
+import math
+import time
+from dataclasses import dataclass
+
+from poplarspar.coordination.forwarding.lookup import RoutedRequest
+from poplarspar.state.plan import ModelDemand
+from poplarspar.state.serving import Engine
+
+# Long enough to smooth single requests, short enough to follow a change of the mix.
+WINDOW_S = 6.0
+
+
+@dataclass
+class _Rate:
+    """An exponentially fading sum."""
+
+    value: float = 0.0
+    at: float = 0.0
+
+    def add(self, amount: float, now: float) -> None:
+        self.value = self.read(now) + amount / WINDOW_S
+        self.at = now
+
+    def read(self, now: float) -> float:
+        return self.value * math.exp((self.at - now) / WINDOW_S)
+
+
+class DemandMeter:
+    """Turns requests into the work that they bring, served or not."""
+
+    def __init__(self) -> None:
+        self._rate_by_model: dict[tuple[str, str], _Rate] = {}
+
+    def note(self, routed: RoutedRequest) -> None:
+        """Count a request of a caller."""
+        engine = routed.service.engine
+        request = routed.request
+        if engine is None or request.model not in engine.models_by_name:
+            return
+        work_s = group_seconds(
+            engine, request.model, request.prompt_tokens, request.answer_tokens
+        )
+        key = (routed.service.name, request.model)
+        self._rate_by_model.setdefault(key, _Rate()).add(work_s, time.monotonic())
+
+    def demands(self) -> tuple[ModelDemand, ...]:
+        """Return the work of recent requests in replica groups."""
+        now = time.monotonic()
+        return tuple(
+            ModelDemand(service, model, rate.read(now))
+            for (service, model), rate in self._rate_by_model.items()
+        )
+
+
+def group_seconds(
+    engine: Engine, model: str, prompt_tokens: int, answer_tokens: int
+) -> float:
+    """Return for how long a request would occupy a whole replica group.
+
+    Reading occupies all of it; writing one of its slots.
+    """
+    pace = engine.models_by_name[model].pace
+    step_s = engine.step_s + engine.step_per_request_s * engine.slots
+    reading_s = prompt_tokens / engine.tokens_read_per_s if prompt_tokens else 0.0
+    return pace * (reading_s + answer_tokens * step_s / engine.slots)
--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -13,6 +13,7 @@
     Rejected,
     Sender,
 )
+from poplarspar.coordination.forwarding.demand import DemandMeter
 from poplarspar.coordination.forwarding.lookup import RoutedRequest, route_request
 from poplarspar.coordination.forwarding.repeats import RepeatBudget
 from poplarspar.coordination.forwarding.resuming import ResumableAnswer
@@ -50,8 +51,10 @@
         targets: Targets,
         sender: Sender,
         budget: RepeatBudget,
+        demand: DemandMeter,
     ) -> None:
         self._configuration = configuration
+        self._demand = demand
         self._targets = targets
         self._sender = sender
         self._budget = budget
@@ -64,6 +67,7 @@
             case Result(ok=routed):
                 pass
         self._budget.note_request(routed.service.name)
+        self._demand.note(routed)
         if routed.route.kind is RouteKind.STREAM:
             return self._open_stream(routed)
         return self._call(routed)
--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -11,6 +11,7 @@
 
 from poplarspar.coordination.forwarding.lookup import RoutedRequest
 from poplarspar.state.backends import BackendServer, Load
+from poplarspar.state.plan import FleetPlan, GroupLoad
 from poplarspar.state.serving import Fleet, ServiceSpec
 
 # A load that a backend server told is a guide for about this long: with ten
@@ -29,6 +30,10 @@
 # Expected work beyond the slots, in requests, that still starts soon enough.
 QUEUE_ALLOWANCE = 1
 REMOTE_DELAY_S = 0.002
+# A replica group that works shows it at least this often, unless it reads several
+# long prompts; beyond, each moment makes its loss more likely.
+WORKING_PAUSE_S = 0.1
+STALLED_DELAY_S = 0.3
 
 
 @dataclass(eq=False)
@@ -41,8 +46,12 @@
         Own requests there, and prompt tokens of those without a first event.
     others, others_reading : int
         The same of all other nodes, as far as they have told.
+    stalled_elsewhere : bool
+        Whether another node sees no sign of work there.
     trouble : float
         Recent share of failures, from 0 to 1, as of `trouble_at`.
+    progress_at : float
+        Time of the last sign of work, or of the first request since it was idle.
     """
 
     backend: BackendServer
@@ -53,6 +62,7 @@
     reading_tokens: int = 0
     others: int = 0
     others_reading: int = 0
+    stalled_elsewhere: bool = False
     told: Load | None = None
     told_at: float = float("-inf")
     in_flight_when_told: int = 0
@@ -102,6 +112,12 @@
         """Keep the time of the last sign of work."""
         self.progress_at = time.monotonic()
 
+    def stalled_s(self, now: float) -> float:
+        """Return for how long own requests have seen no sign of work."""
+        if self.group is None or not self.in_flight:
+            return 0.0
+        return max(0.0, now - self.progress_at)
+
 
 class Targets:
     """The places that a node may send requests to.
@@ -243,10 +259,15 @@
         reading_s = reading / engine.tokens_read_per_s * pace
         step_s = (engine.step_s + engine.step_per_request_s * expected) * pace
         crowd_s = 0.1 * expected / target.slots
-        return reading_s + step_s + crowd_s + penalty_s + remote_s
+        stalled_s = max(0.0, target.stalled_s(now) - WORKING_PAUSE_S)
+        if target.stalled_elsewhere:
+            stalled_s = max(stalled_s, STALLED_DELAY_S)
+        return reading_s + step_s + crowd_s + stalled_s + penalty_s + remote_s
 
     def start(self, target: Target, tokens: int) -> None:
         """Count a request that is sent."""
+        if not target.in_flight:
+            target.note_progress()
         target.in_flight += 1
         target.reading_tokens += tokens
         target.starts.append(time.monotonic())
@@ -262,6 +283,34 @@
         target.in_flight -= 1
         self.wake()
 
+    def note_plan(self, plan: FleetPlan) -> None:
+        """Keep what other nodes have at the replica groups."""
+        planned = {(group.head, group.epoch): group for group in plan.groups}
+        for target in self.by_key.values():
+            if target.group is None:
+                continue
+            group = planned.get((target.backend.id, target.group[1]))
+            if group is not None:
+                target.others = group.in_flight
+                target.others_reading = group.reading_tokens
+                target.stalled_elsewhere = group.stalled
+        self.wake()
+
+    def loads(self) -> tuple[GroupLoad, ...]:
+        """Return this node's own work at replica groups."""
+        now = time.monotonic()
+        return tuple(
+            GroupLoad(
+                target.backend.id,
+                target.group[1],
+                target.in_flight,
+                max(0, target.reading_tokens),
+                int(target.stalled_s(now) * 1000),
+            )
+            for target in self.by_key.values()
+            if target.group is not None and target.in_flight
+        )
+
     def wake(self) -> None:
         """Let waiting requests look for a place again."""
         changed, self._changed = self._changed, Signal()
--- a/poplarspar/coordination/pools/__init__.py
+++ b/poplarspar/coordination/pools/__init__.py
@@ -1,7 +1,8 @@
 """Replica groups of several models, formed from a pool of backend servers."""
 
+from poplarspar.coordination.pools.desk import PlanDesk
 from poplarspar.coordination.pools.fences import Fences
 from poplarspar.coordination.pools.planner import OrderPort, PoolPlanner
 from poplarspar.coordination.pools.survey import ReportPort, Survey
 
-__all__ = ["Fences", "OrderPort", "PoolPlanner", "ReportPort", "Survey"]
+__all__ = ["Fences", "OrderPort", "PlanDesk", "PoolPlanner", "ReportPort", "Survey"]
--- a/poplarspar/coordination/pools/planner.py
+++ b/poplarspar/coordination/pools/planner.py
@@ -9,6 +9,7 @@
 import eventlet
 from eventlet.event import Event as Signal
 
+from poplarspar.coordination.pools.desk import PlanDesk
 from poplarspar.coordination.pools.fences import Fences
 from poplarspar.coordination.pools.forming import (
     NewGroup,
@@ -23,7 +24,8 @@
     build_groups,
 )
 from poplarspar.coordination.pools.survey import Survey
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
+from poplarspar.logs import log_event
 from poplarspar.state.backends import BackendServer, MemberPhase
 from poplarspar.state.orders import (
     Accepted,
@@ -37,16 +39,24 @@
     Stage,
     Unanswered,
 )
+from poplarspar.state.plan import PlannedGroup
 from poplarspar.state.serving import Engine, Fleet, ServiceSpec
 
 ROUND_S = 0.25
 ORDER_TIMEOUT_S = 0.5
 # A report that was asked for before an order shows the state before it.
 JOIN_MARGIN_S = 2.0
+# A backend server that served the model last joins again within this time.
+REJOIN_S = 0.2
+LOOK_MARGIN_S = 0.005
 # A new planner first hears from everyone, since silence means a loss.
 START_UP_S = 1.0
 # The head ends its work this much after the rules say, at the latest.
 STALL_MARGIN_S = 0.3
+# Demand in replica groups from which on it is measured well enough to plan by.
+MEASURED_GROUPS = 1.0
+# No model is left with less than this part of the most wanted one's groups.
+MOST_UNEVEN = 8.0
 
 
 class OrderPort(Protocol):
@@ -91,6 +101,7 @@
         survey: Survey,
         orders: OrderPort,
         fences: Fences,
+        desk: PlanDesk,
         fleet: Callable[[], Fleet],
         stall_s: float,
         load_factor: float,
@@ -98,6 +109,7 @@
         self._survey = survey
         self._orders = orders
         self._fences = fences
+        self._desk = desk
         self._fleet = fleet
         self._stall_s = stall_s + STALL_MARGIN_S
         self._loads = LoadBudget(load_factor)
@@ -130,6 +142,7 @@
 
     def stop(self) -> None:
         """Forget all, since another node plans now."""
+        self._desk.withdraw()
         self._survey.close()
         self._ordered_at.clear()
         self._held_until.clear()
@@ -155,8 +168,35 @@
         )
         if time.monotonic() < self._began_at + START_UP_S and not self._all_heard():
             return
+        opened: list[PlannedGroup] = []
         for service in services:
-            _Round(self, service, fleet).run()
+            opened += _Round(self, service, fleet).run()
+        self._desk.publish(tuple(opened))
+
+    def suspect(self, head: str) -> None:
+        """Look at a replica group on which a node sees no work."""
+        heard = self._survey.by_id.get(head)
+        membership = heard and heard.report and heard.report.hosting.membership
+        if not membership:
+            return
+        for id, other in self._survey.by_id.items():
+            place = other.report.hosting.membership if other.report else None
+            if place is not None and place.key == membership.key:
+                self._survey.suspect(id)
+
+    def _look_again(self, backend: BackendServer, order: Order) -> None:
+        """Ask for a report at the moment when an order should be done."""
+        service = self._fleet().configuration.services_by_name.get(backend.service)
+        if service is None or service.engine is None:
+            return
+        match order:
+            case Open():
+                due_s = service.engine.open_s
+            case Join(_, _, name, _) if name in service.engine.models_by_name:
+                due_s = REJOIN_S
+            case _:
+                return
+        eventlet.spawn_after(due_s + LOOK_MARGIN_S, self._survey.hurry, backend.id)
 
     def _all_heard(self) -> bool:
         return bool(self._survey.by_id) and all(
@@ -171,6 +211,7 @@
         self, planner: PoolPlanner, service: ServiceSpec, fleet: Fleet
     ) -> None:
         self._planner = planner
+        self._service = service
         self._engine: Engine = service.engine
         self._now = time.monotonic()
         self._fleet = fleet
@@ -183,11 +224,17 @@
         self._count_by_model: Counter[str] = Counter()
         self._free: list[Worker] = []
 
-    def run(self) -> None:
+    def run(self) -> list[PlannedGroup]:
+        """Order what is due and return the groups that serve."""
         self._look_at_groups()
         self._collect_free()
         self._form()
         self._stage()
+        return [
+            PlannedGroup(group.head.id, *group.key, group.model)
+            for group in self._groups.values()
+            if group.phase is MemberPhase.OPEN and group.is_whole(self._engine)
+        ]
 
     def _see(self, heard) -> Worker:
         backend = heard.backend
@@ -308,10 +355,7 @@
         self._free = [worker for worker in self._free if worker.id not in forming]
 
     def _form(self) -> None:
-        models = self._engine.models_by_name.values()
-        weights = {m.name: (m.share or 1.0) / m.members for m in models}
-        least = min(weights.values())
-        weights = {name: weight / least for name, weight in weights.items()}
+        weights = self._weights()
         while True:
             longest_s = self._longest_load_s()
             new = choose_group(
@@ -321,6 +365,17 @@
                 return
             self._join(new)
 
+    def _weights(self) -> dict[str, float]:
+        """Return how many replica groups each model needs, the least being 1."""
+        demand = self._planner._desk.demand(self._service.name)
+        models = self._engine.models_by_name.values()
+        if sum(demand.values()) < MEASURED_GROUPS:
+            demand = {model.name: model.share / model.members for model in models}
+        floor = max([*demand.values(), 1e-6]) / MOST_UNEVEN
+        weights = {m.name: max(floor, demand.get(m.name, 0.0)) for m in models}
+        least = min(weights.values())
+        return {name: weight / least for name, weight in weights.items()}
+
     def _longest_load_s(self) -> float:
         """Return how long members of a new group may load.
 
@@ -394,7 +449,7 @@
         planner._ordered_at[worker.id] = time.monotonic()
     match result:
         case Accepted():
-            pass
+            planner._look_again(backend, order)
         case Refused(status, fenced):
             log_event(
                 Event.ORDER_REFUSED,
--- a/poplarspar/coordination/pools/survey.py
+++ b/poplarspar/coordination/pools/survey.py
@@ -21,6 +21,10 @@
 FORGET_S = 8.0
 # Two answers lost in a row, each with a time-out, are no accident of one packet.
 SILENT_S = 0.75
+# With a node's suspicion, shorter time-outs decide.
+SUSPECT_TIMEOUT_S = 0.1
+SUSPECT_FAILURES = 2
+SUSPICION_S = 1.0
 
 
 class ReportPort(Protocol):
@@ -43,15 +47,23 @@
         Monotonic time at which the question was sent that it answered.
     listed : bool
         Whether it still has an entry in the platform's list.
+    suspected_at : float
+        Time since when a node misses signs of its work.
+    failed_since_suspected : int
+        Questions without an answer since then.
     """
 
     backend: BackendServer
     report: HostReport | None = None
     heard_at: float = float("-inf")
     listed: bool = True
+    suspected_at: float = float("-inf")
+    failed_since_suspected: int = 0
 
     def silent(self, now: float) -> bool:
         """Return whether the backend server has stopped to answer."""
+        if self.failed_since_suspected >= SUSPECT_FAILURES:
+            return True
         return now - self.heard_at > SILENT_S
 
 
@@ -98,6 +110,15 @@
         if signal is not None and not signal.ready():
             signal.send()
 
+    def suspect(self, id: str) -> None:
+        """Ask at once and take silence for a loss sooner than otherwise."""
+        heard = self.by_id[id]
+        now = time.monotonic()
+        if now - heard.suspected_at > SUSPICION_S:
+            heard.suspected_at = now
+            heard.failed_since_suspected = 0
+            self.hurry(id)
+
     def close(self) -> None:
         """Stop asking."""
         for id in list(self.by_id):
@@ -120,11 +141,17 @@
 
     def _ask(self, heard: Heard) -> bool:
         asked_at = time.monotonic()
+        suspected = asked_at - heard.suspected_at < SUSPICION_S
+        timeout_s = SUSPECT_TIMEOUT_S if suspected else REPORT_TIMEOUT_S
         try:
-            report = self._reports.read(heard.backend, REPORT_TIMEOUT_S)
+            report = self._reports.read(heard.backend, timeout_s)
         except BackendFailed:
             # Silence is judged by the time since the last answer.
+            heard.failed_since_suspected += suspected
+            if heard.silent(time.monotonic()):
+                self._changed()
             return False
+        heard.failed_since_suspected = 0
         known, heard.report, heard.heard_at = heard.report, report, asked_at
         if known is None or known.hosting != report.hosting:
             self._note_end(known, report)
--- a/poplarspar/coordination/session.py
+++ b/poplarspar/coordination/session.py
@@ -6,8 +6,9 @@
 import eventlet
 
 from poplarspar.coordination.ports import Change, WatchedStore
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
 from poplarspar.exceptions import LeaseEnded, RevisionConflict, StoreUnavailable
+from poplarspar.logs import log_event
 
 NODE_PREFIX = "poplarspar/"
 PLANNER_KEY = NODE_PREFIX + "planner"
@@ -31,6 +32,8 @@
         Identifier of this process, new with each start.
     address : str
         Where other nodes reach it.
+    secret : str
+        What other nodes show there; the store keeps it from everybody else.
     ttl_s : float
         Time after which the lease of a silent node ends.
     """
@@ -40,12 +43,14 @@
         store: WatchedStore,
         name: str,
         address: str,
+        secret: str,
         ttl_s: float,
         changed: Callable[[], None],
     ) -> None:
         self._store = store
         self._name = name
         self._address = address
+        self._secret = secret
         self._ttl_s = ttl_s
         self._changed = changed
         self._lease = ""
@@ -58,10 +63,10 @@
         """Whether this node was the planner when the store was last heard."""
         return self._planner.text == self._own_text()
 
-    @property
-    def planner_address(self) -> str:
-        """Where the planner is reached, empty if there is none."""
-        return (self._planner.text or "").partition(" ")[2]
+    def planner(self) -> tuple[str, str]:
+        """Return the planner's address and secret, empty texts if there is none."""
+        parts = (self._planner.text or "").split(" ")
+        return (parts[1], parts[2]) if len(parts) == 3 else ("", "")
 
     @property
     def planner_revision(self) -> int:
@@ -114,7 +119,7 @@
             log_event(Event.LEASE_NOT_ENDED, cause=str(error))
 
     def _own_text(self) -> str:
-        return f"{self._name} {self._address}"
+        return f"{self._name} {self._address} {self._secret}"
 
     def _set_planner(self, item: Change) -> None:
         if item.revision < self._planner.revision:
--- a/poplarspar/coordination/timers.py
+++ b/poplarspar/coordination/timers.py
@@ -9,7 +9,8 @@
 import eventlet
 from eventlet.event import Event as Signal
 
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
+from poplarspar.logs import log_event
 
 
 @dataclass(order=True)
--- a/poplarspar/daemon.py
+++ b/poplarspar/daemon.py
@@ -10,7 +10,8 @@
 from eventlet.event import Event as Signal
 from eventlet.greenthread import GreenThread
 
-from poplarspar.events import Event, log_event, set_up_logging
+from poplarspar.events import Event
+from poplarspar.logs import log_event, set_up_logging
 
 RESTART_S = 1.0
 
--- a/poplarspar/entry.py
+++ b/poplarspar/entry.py
@@ -15,7 +15,8 @@
 from poplarspar.coordination.service import RequestService
 from poplarspar.coordination.timers import TimerService
 from poplarspar.daemon import keep_running
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
+from poplarspar.logs import log_event
 from poplarspar.protocol.documents import JsonDocuments
 from poplarspar.protocol.settings import EntrySettings
 from poplarspar.state.entries import EntryStatus
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -1,11 +1,7 @@
-"""Numbered log events and the JSON logger that writes them."""
+"""Numbered log events."""
 
-import logging
-import sys
 from enum import Enum
 
-from pythonjsonlogger.json import JsonFormatter
-
 
 class Event(Enum):
     """Every event: its number, message, cause, and what an operator does."""
@@ -34,6 +30,12 @@
         "A stop signal came again during a graceful shutdown.",
         "Wait, or end the process by SIGKILL and lose its running requests.",
     )
+    LINES_LEFT_OUT = (
+        105,
+        "log lines left out",
+        "More lines of these events came in a second than are written.",
+        "Nothing; `lines_by_event` counts them.",
+    )
     VIEW_CHANGED = (
         200,
         "new revision in force here",
@@ -76,6 +78,12 @@
         "It lost its lease, is stopping, or a newer planner has given orders.",
         "Nothing.",
     )
+    PLANNER_LOST = (
+        213,
+        "link to the planner lost",
+        "The planner ended or was cut off.",
+        "Nothing if it passes; the entries of backend servers serve meanwhile.",
+    )
     CONFIGURATION_IN_FORCE = (
         220,
         "configuration in force here",
@@ -259,31 +267,3 @@
 def find_event(number: int) -> Event | None:
     """Return the event with a number, None if there is no such event."""
     return next((event for event in Event if event.number == number), None)
-
-
-_LOGGER = logging.getLogger("poplarspar")
-
-
-def set_up_logging(daemon: str) -> None:
-    """Write events of this process to standard error, one JSON object a line.
-
-    Parameters
-    ----------
-    daemon : str
-        Name of the daemon, put into each line.
-    """
-    handler = logging.StreamHandler(sys.stderr)
-    formatter = JsonFormatter(
-        "%(asctime)s %(levelname)s %(message)s",
-        rename_fields={"asctime": "time", "levelname": "level"},
-        static_fields={"daemon": daemon},
-    )
-    handler.setFormatter(formatter)
-    _LOGGER.handlers = [handler]
-    _LOGGER.propagate = False
-    _LOGGER.setLevel(logging.INFO)
-
-
-def log_event(event: Event, **fields: object) -> None:
-    """Write one event with its fields; never pass secrets or callers' texts."""
-    _LOGGER.info(event.message, extra={"event": event.number, **fields})
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -12,6 +12,7 @@
 from poplarspar.coordination.fleet import FleetDocuments, FleetKeeper
 from poplarspar.coordination.following import PrefixFollower, StoreHealth
 from poplarspar.coordination.forwarding import (
+    DemandMeter,
     Forwarder,
     RepeatBudget,
     Sender,
@@ -21,6 +22,7 @@
 from poplarspar.coordination.pools import (
     Fences,
     OrderPort,
+    PlanDesk,
     PoolPlanner,
     ReportPort,
     Survey,
@@ -28,11 +30,15 @@
 from poplarspar.coordination.ports import WatchedStore
 from poplarspar.coordination.session import LEASE_TTL_S, NODE_PREFIX, Session
 from poplarspar.daemon import keep_running
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
+from poplarspar.logs import log_event
 from poplarspar.state.metrics import Metrics
 from poplarspar.state.node import NodeSettings
+from poplarspar.state.plan import FleetPlan, NodeLoad
 from poplarspar.state.serving import ServiceSpec
 from poplarspar.transport.addresses import bound_address, listen
+from poplarspar.transport.links import LinkServer
+from poplarspar.transport.plan_links import PlanLink, PlanServer
 from poplarspar.transport.server import (
     Handler,
     HttpServer,
@@ -56,6 +62,8 @@
 FIRST_LIMITS = ServerLimits(65_536, header_timeout_s=3.0, idle_timeout_s=15.0)
 READY_LIMITS = ServerLimits(4_096, header_timeout_s=3.0, idle_timeout_s=30.0)
 PLANNER_POLL_S = 0.2
+# The planner answers within a second; a plan that is older may be out of date.
+PLAN_AGE_S = 1.5
 # Callers that read nothing for this long hold a connection for nobody.
 WRITE_TIMEOUT_S = 15.0
 
@@ -92,7 +100,11 @@
         self._budget = RepeatBudget(
             settings.retry_share, settings.retry_slack, settings.retry_window_s
         )
+        self._demand = DemandMeter()
         self._fences = Fences()
+        self._plan = FleetPlan()
+        self._plan_at = float("-inf")
+        self._secret = uuid.uuid4().hex
         self._start()
 
     @property
@@ -136,6 +148,7 @@
             self._targets,
             sender,
             self._budget,
+            self._demand,
         )
         handler = self._outside.caller_handler(forwarder, self.drain, self.metrics)
         self._caller_listener = listen(settings.caller_listen)
@@ -177,6 +190,7 @@
             outside.store,
             self.name,
             self._settings.peer_listen,
+            self._secret,
             max(LEASE_TTL_S, self._settings.lease_min_s),
             self._nodes_changed,
         )
@@ -200,18 +214,25 @@
     def _start_planning(self) -> None:
         settings = self._settings
         survey = Survey(self._outside.reports, lambda: self._planner.wake())
+        desk = PlanDesk(lambda head: self._planner.suspect(head))
         self._planner = PoolPlanner(
             survey,
             self._outside.orders,
             self._fences,
+            desk,
             lambda: self._keeper.fleet,
             settings.stall_s,
             settings.load_factor,
         )
         self._stack.callback(self._planner.stop)
-        self._stack.callback(keep_running(self._plan).kill)
+        self._stack.callback(keep_running(self._plan_in_turn).kill)
+        server = PlanServer(desk.answer)
+        links = LinkServer(listen(settings.peer_listen), self._secret, server.serve)
+        self._stack.callback(links.close)
+        link = PlanLink(self.name, self._session.planner, self._load, self._apply_plan)
+        self._stack.callback(keep_running(link.follow).kill)
 
-    def _plan(self) -> None:
+    def _plan_in_turn(self) -> None:
         while True:
             if self._may_plan():
                 self._fences.start_term(self._session.planner_revision)
@@ -227,22 +248,45 @@
         # does no harm; elsewhere only its lease keeps two from giving orders.
         return self._settings.orders_fenced or self._session.lease_runs()
 
+    def _load(self) -> NodeLoad:
+        return NodeLoad(
+            self._plan.serial, self._targets.loads(), self._demand.demands()
+        )
+
+    def _apply_plan(self, plan: FleetPlan) -> None:
+        changed = plan.serial != self._plan.serial
+        self._plan = plan
+        self._plan_at = time.monotonic()
+        if plan.nodes:
+            self._budget.share_among(self._nodes())
+        if changed:
+            self._fleet_changed()
+        self._targets.note_plan(plan)
+
     def _fleet_changed(self) -> None:
         fleet = self._keeper.fleet
-        opened = {
-            backend.id: (backend.opened.key, backend.hosting.model)
-            for backend in fleet.backends_by_id.values()
-            if backend.opened is not None
-        }
+        if self._plan.serial and time.monotonic() - self._plan_at < PLAN_AGE_S:
+            opened = {g.head: ((g.name, g.epoch), g.model) for g in self._plan.groups}
+        else:
+            # Without the planner, the entries of the heads tell what is open.
+            opened = {
+                backend.id: (backend.opened.key, backend.hosting.model)
+                for backend in fleet.backends_by_id.values()
+                if backend.opened is not None
+            }
         self._targets.update(fleet, opened)
 
+    def _nodes(self) -> int:
+        """Return how many nodes share the bounds; too many rather than too few."""
+        return max(1, len(self._session.address_by_node), self._plan.nodes)
+
     def _nodes_changed(self) -> None:
-        self._budget.share_among(len(self._session.address_by_node))
+        self._budget.share_among(self._nodes())
 
     def _cold_limit(self, service: ServiceSpec) -> float:
         settings = self._settings
         bound = service.cold_requests_per_s * settings.cold_factor + settings.cold_slack
-        return bound / max(1, len(self._session.address_by_node))
+        return bound / self._nodes()
 
     def _limits(self) -> ServerLimits:
         configuration = self._keeper.fleet.configuration
--- a/poplarspar/platform/callers.py
+++ b/poplarspar/platform/callers.py
@@ -8,8 +8,9 @@
 
 from poplarspar.coordination.drain import Drain
 from poplarspar.coordination.forwarding import Answer, Forwarder
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
 from poplarspar.exceptions import BackendFailed, CallerGone, InvalidRequest
+from poplarspar.logs import log_event
 from poplarspar.platform.headers import (
     AUTHORIZATION,
     KEY_SCHEME,
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -72,6 +72,44 @@
   incarnation @1 :Text;
 }
 
+struct GroupLoad {
+  head @0 :Text;
+  epoch @1 :UInt64;
+  inFlight @2 :UInt32;
+  readingTokens @3 :UInt32;
+  stalledMs @4 :UInt32;
+}
+
+struct ModelDemand {
+  service @0 :Text;
+  model @1 :Text;
+  groups @2 :Float64;
+}
+
+# A node's question to the planner, with its own work.
+struct NodeLoad {
+  planSerial @0 :UInt64;
+  groups @1 :List(GroupLoad);
+  demands @2 :List(ModelDemand);
+}
+
+struct PlannedGroup {
+  head @0 :Text;
+  name @1 :Text;
+  epoch @2 :UInt64;
+  model @3 :Text;
+  inFlight @4 :UInt32;
+  readingTokens @5 :UInt32;
+  stalled @6 :Bool;
+}
+
+# The planner's answer.
+struct FleetPlan {
+  serial @0 :UInt64;
+  nodes @1 :UInt32;
+  groups @2 :List(PlannedGroup);
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -83,5 +121,7 @@
     lent @6 :Lent;
     declined @7 :Declined;
     returned @8 :Returned;
+    nodeLoad @9 :NodeLoad;
+    fleetPlan @10 :FleetPlan;
   }
 }
--- a/poplarspar/protocol/peers.py
+++ b/poplarspar/protocol/peers.py
@@ -7,7 +7,15 @@
 
 from poplarspar.coordination.admission import Broken, Completed, Outcome, Unused
 from poplarspar.exceptions import MalformedFrame
+from poplarspar.protocol.plans import (
+    read_node_load,
+    read_plan,
+    set_fields,
+    set_node_load,
+    set_plan,
+)
 from poplarspar.state.entries import EntryStatus
+from poplarspar.state.plan import FleetPlan, NodeLoad
 from poplarspar.state.refusals import Reason, Refusal
 from poplarspar.state.snapshot import StoredValue
 
@@ -108,6 +116,8 @@
     | Lent
     | Declined
     | Returned
+    | NodeLoad
+    | FleetPlan
 )
 
 
@@ -118,26 +128,30 @@
     frame = _SCHEMA.Message.new_message()
     match message:
         case Hello():
-            _set(frame.init("hello"), name=message.name)
+            set_fields(frame.init("hello"), name=message.name)
         case EntryPing():
             _set_entry(frame.init("entryPing").init("entry"), message.entry)
         case EntryPong():
-            pong = _set(frame.init("entryPong"), freshForS=message.fresh_for_s)
+            pong = set_fields(frame.init("entryPong"), freshForS=message.fresh_for_s)
             _set_values(pong, message.values)
         case PeerPing():
-            _set(frame.init("peerPing"), revision=message.revision)
+            set_fields(frame.init("peerPing"), revision=message.revision)
         case PeerPong():
             _set_peer_pong(frame.init("peerPong"), message)
         case Borrow():
             _set_borrow(frame.init("borrow"), message)
         case Lent():
             lent = frame.init("lent")
-            _set(lent, backend=message.backend, address=message.address)
+            set_fields(lent, backend=message.backend, address=message.address)
         case Declined(refusal):
             declined = frame.init("declined")
-            _set(declined, reason=refusal.reason.value, message=refusal.message)
+            set_fields(declined, reason=refusal.reason.value, message=refusal.message)
         case Returned():
             _set_outcome(frame.init("returned"), message.outcome)
+        case NodeLoad():
+            set_node_load(frame.init("nodeLoad"), message)
+        case FleetPlan():
+            set_plan(frame.init("fleetPlan"), message)
     return frame.to_bytes_packed()
 
 
@@ -171,18 +185,16 @@
             return Declined(Refusal(Reason(declined.reason), declined.message))
         case "returned":
             return Returned(_outcome(frame.returned))
+        case "nodeLoad":
+            return read_node_load(frame.nodeLoad)
+        case "fleetPlan":
+            return read_plan(frame.fleetPlan)
         case other:
             raise MalformedFrame(f"unknown message {other!r}")
 
 
-def _set(builder, **fields):
-    for name, value in fields.items():
-        setattr(builder, name, value)
-    return builder
-
-
 def _set_entry(builder, entry: EntryStatus) -> None:
-    _set(
+    set_fields(
         builder,
         name=entry.name,
         zone=entry.zone,
@@ -211,7 +223,7 @@
 def _set_values(builder, values: list[StoredValue]) -> None:
     items = builder.init("values", len(values))
     for item, value in zip(items, values, strict=True):
-        _set(item, key=value.key, revision=value.revision, text=value.text)
+        set_fields(item, key=value.key, revision=value.revision, text=value.text)
 
 
 def _value(fields) -> StoredValue:
@@ -219,7 +231,7 @@
 
 
 def _set_peer_pong(builder, message: PeerPong) -> None:
-    _set(
+    set_fields(
         builder,
         revision=message.revision,
         inForce=message.in_force,
@@ -242,7 +254,7 @@
 
 
 def _set_borrow(builder, message: Borrow) -> None:
-    _set(
+    set_fields(
         builder,
         workspace=message.workspace,
         weight=message.weight,
@@ -269,11 +281,11 @@
 def _set_outcome(builder, outcome: Outcome) -> None:
     match outcome:
         case Completed(incarnation):
-            _set(builder, outcome="completed", incarnation=incarnation)
+            set_fields(builder, outcome="completed", incarnation=incarnation)
         case Broken():
-            _set(builder, outcome="broken")
+            set_fields(builder, outcome="broken")
         case Unused():
-            _set(builder, outcome="unused")
+            set_fields(builder, outcome="unused")
 
 
 def _outcome(fields) -> Outcome:
--- /dev/null
+++ b/poplarspar/protocol/plans.py
@@ -0,0 +1,85 @@
+"""Nodes' loads and the planner's plan, in Cap'n Proto."""
+
+from poplarspar.state.plan import (
+    FleetPlan,
+    GroupLoad,
+    ModelDemand,
+    NodeLoad,
+    PlannedGroup,
+)
+
+
+def set_fields(builder, **fields):
+    """Set the named fields of a builder and return it."""
+    for name, value in fields.items():
+        setattr(builder, name, value)
+    return builder
+
+
+def set_node_load(builder, load: NodeLoad) -> None:
+    """Encode a node's load."""
+    builder.planSerial = load.plan_serial
+    groups = builder.init("groups", len(load.groups))
+    for item, group in zip(groups, load.groups, strict=True):
+        set_fields(
+            item,
+            head=group.head,
+            epoch=group.epoch,
+            inFlight=group.in_flight,
+            readingTokens=group.reading_tokens,
+            stalledMs=group.stalled_ms,
+        )
+    demands = builder.init("demands", len(load.demands))
+    for item, demand in zip(demands, load.demands, strict=True):
+        set_fields(
+            item, service=demand.service, model=demand.model, groups=demand.groups
+        )
+
+
+def read_node_load(fields) -> NodeLoad:
+    """Decode a node's load."""
+    return NodeLoad(
+        fields.planSerial,
+        tuple(
+            GroupLoad(g.head, g.epoch, g.inFlight, g.readingTokens, g.stalledMs)
+            for g in fields.groups
+        ),
+        tuple(ModelDemand(d.service, d.model, d.groups) for d in fields.demands),
+    )
+
+
+def set_plan(builder, plan: FleetPlan) -> None:
+    """Encode a plan."""
+    set_fields(builder, serial=plan.serial, nodes=plan.nodes)
+    groups = builder.init("groups", len(plan.groups))
+    for item, group in zip(groups, plan.groups, strict=True):
+        set_fields(
+            item,
+            head=group.head,
+            name=group.name,
+            epoch=group.epoch,
+            model=group.model,
+            inFlight=group.in_flight,
+            readingTokens=group.reading_tokens,
+            stalled=group.stalled,
+        )
+
+
+def read_plan(fields) -> FleetPlan:
+    """Decode a plan."""
+    return FleetPlan(
+        fields.serial,
+        fields.nodes,
+        tuple(
+            PlannedGroup(
+                g.head,
+                g.name,
+                g.epoch,
+                g.model,
+                g.inFlight,
+                g.readingTokens,
+                g.stalled,
+            )
+            for g in fields.groups
+        ),
+    )
--- /dev/null
+++ b/poplarspar/state/plan.py
@@ -0,0 +1,84 @@
+"""What nodes tell the planner, and the plan that it tells them."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class GroupLoad:
+    """A node's own work at a replica group.
+
+    Attributes
+    ----------
+    head : str
+        Backend server that takes the group's requests.
+    stalled_ms : int
+        Time since the last sign of work on the node's requests, 0 without any.
+    """
+
+    head: str
+    epoch: int
+    in_flight: int
+    reading_tokens: int
+    stalled_ms: int
+
+
+@dataclass(frozen=True)
+class ModelDemand:
+    """How many replica groups a node's callers would keep busy with a model."""
+
+    service: str
+    model: str
+    groups: float
+
+
+@dataclass(frozen=True)
+class NodeLoad:
+    """A node's work, for the planner.
+
+    Attributes
+    ----------
+    plan_serial : int
+        Serial of the plan that the node acts on.
+    """
+
+    plan_serial: int
+    groups: tuple[GroupLoad, ...] = ()
+    demands: tuple[ModelDemand, ...] = ()
+
+
+@dataclass(frozen=True)
+class PlannedGroup:
+    """A replica group that may be sent requests.
+
+    Attributes
+    ----------
+    in_flight, reading_tokens : int
+        Work there of all nodes but the receiver.
+    stalled : bool
+        Whether some node sees no sign of work there.
+    """
+
+    head: str
+    name: str
+    epoch: int
+    model: str
+    in_flight: int = 0
+    reading_tokens: int = 0
+    stalled: bool = False
+
+
+@dataclass(frozen=True)
+class FleetPlan:
+    """The replica groups that serve.
+
+    Attributes
+    ----------
+    serial : int
+        Rises whenever the groups change; 0 while the planner knows too little.
+    nodes : int
+        Nodes that have told their work lately.
+    """
+
+    serial: int = 0
+    nodes: int = 0
+    groups: tuple[PlannedGroup, ...] = ()
--- a/poplarspar/steward.py
+++ b/poplarspar/steward.py
@@ -8,7 +8,8 @@
 from poplarspar.coordination.publishing import Publisher
 from poplarspar.coordination.reporting import ReportReaders
 from poplarspar.daemon import keep_running
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
+from poplarspar.logs import log_event
 from poplarspar.protocol.documents import JsonDocuments
 from poplarspar.protocol.settings import StewardSettings
 from poplarspar.state.metrics import Metrics
--- a/poplarspar/transport/entry_links.py
+++ b/poplarspar/transport/entry_links.py
@@ -7,8 +7,9 @@
 import eventlet
 
 from poplarspar.coordination.freshness import GrantedFreshness
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
 from poplarspar.exceptions import ProtocolError, TransportError
+from poplarspar.logs import log_event
 from poplarspar.protocol.peers import EntryPing, EntryPong
 from poplarspar.state.entries import EntryStatus
 from poplarspar.state.snapshot import StoredValue
--- a/poplarspar/transport/links.py
+++ b/poplarspar/transport/links.py
@@ -13,7 +13,7 @@
 
 import eventlet
 
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
 from poplarspar.exceptions import (
     ConnectFailed,
     ConnectionLost,
@@ -22,6 +22,7 @@
     ProtocolError,
     TransportError,
 )
+from poplarspar.logs import log_event
 from poplarspar.protocol.peers import Hello, Message, decode, encode
 from poplarspar.transport.addresses import split_address
 
--- a/poplarspar/transport/operators.py
+++ b/poplarspar/transport/operators.py
@@ -7,8 +7,9 @@
 
 from poplarspar.coordination.cluster import ClusterState
 from poplarspar.coordination.publishing import Publisher
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
 from poplarspar.exceptions import InvalidObjects
+from poplarspar.logs import log_event
 from poplarspar.protocol.callers import parse_json
 from poplarspar.protocol.objects import canonical_text, parse_objects, set_serving
 from poplarspar.protocol.operators import (
--- a/poplarspar/transport/server.py
+++ b/poplarspar/transport/server.py
@@ -10,8 +10,9 @@
 import eventlet
 from eventlet import wsgi
 
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
 from poplarspar.exceptions import InvalidRequest, PoplarsparError
+from poplarspar.logs import log_event
 
 SEND_BUFFER_BYTES = 8_192
 WRITE_TIMEOUT_S = 300.0
--- a/poplarspar/transport/steward_links.py
+++ b/poplarspar/transport/steward_links.py
@@ -7,8 +7,9 @@
 
 from poplarspar.coordination.cluster import CLUSTER_PREFIX, ClusterState
 from poplarspar.coordination.ports import Store
-from poplarspar.events import Event, log_event
+from poplarspar.events import Event
 from poplarspar.exceptions import ProtocolError, StoreUnavailable, TransportError
+from poplarspar.logs import log_event
 from poplarspar.protocol.peers import (
     EntryPing,
     EntryPong,
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from collections.abc import Callable
 from contextlib import ExitStack
@@ -45,13 +46,25 @@
                 stderr=errors,
             )
         self.addresses: dict[str, str] = {}
+        self._reader = threading.Thread(target=self._read_log, daemon=True)
 
     def wait_started(self) -> "Process":
-        line = self.popen.stdout.readline()
-        if not line:
-            raise RuntimeError(f"{self.name} did not start: {self.log.read_text()}")
-        self.addresses = json.loads(line)
-        return self
+        while line := self.popen.stdout.readline():
+            document = json.loads(line)
+            if "event" not in document:
+                self.addresses = document
+                self._reader.start()
+                return self
+            self._keep(line)
+        raise RuntimeError(f"{self.name} did not start: {self.log.read_text()}")
+
+    def _keep(self, line: bytes) -> None:
+        with self.log.open("ab") as log:
+            log.write(line)
+
+    def _read_log(self) -> None:
+        for line in self.popen.stdout:
+            self._keep(line)
 
     def signal(self, number: int) -> None:
         self.popen.send_signal(number)
@@ -60,6 +73,8 @@
         if self.popen.poll() is None:
             self.popen.kill()
         self.popen.wait()
+        if self._reader.is_alive():
+            self._reader.join()
         self.popen.stdout.close()
 
 
