--- a/poplarspar/coordination/pools/__init__.py
+++ b/poplarspar/coordination/pools/__init__.py
@@ -2,7 +2,16 @@
 
 from poplarspar.coordination.pools.desk import PlanDesk
 from poplarspar.coordination.pools.fences import Fences
-from poplarspar.coordination.pools.planner import OrderPort, PoolPlanner
+from poplarspar.coordination.pools.giving import OrderGiver, OrderPort
+from poplarspar.coordination.pools.planner import PoolPlanner
 from poplarspar.coordination.pools.survey import ReportPort, Survey
 
-__all__ = ["Fences", "OrderPort", "PlanDesk", "PoolPlanner", "ReportPort", "Survey"]
+__all__ = [
+    "Fences",
+    "OrderGiver",
+    "OrderPort",
+    "PlanDesk",
+    "PoolPlanner",
+    "ReportPort",
+    "Survey",
+]
--- a/poplarspar/coordination/pools/forming.py
+++ b/poplarspar/coordination/pools/forming.py
@@ -76,25 +76,16 @@
 
 
 def choose_staging(
-    engine: Engine,
-    worker: Worker,
-    neighbours: Iterable[Worker],
-    spare_ids: frozenset[str],
+    engine: Engine, worker: Worker, weight_by_model: dict[str, float]
 ) -> EngineModel | None:
-    """Return the model that a spare should have on its host, None to leave it.
+    """Return the model that a host should have besides, None if it has all it can.
 
-    It is the model whose members in the domain have fewest spares for them.
+    A backend server is soon ready for the model that it served last and for those
+    on its host, so the host should have another one.
     """
     hosting = worker.heard.report.hosting
-    if hosting.staged or hosting.model:
+    others = [m for m in engine.models_by_name.values() if m.name != hosting.model]
+    if not others:
         return None
-    members: Counter[str] = Counter()
-    spares: Counter[str] = Counter()
-    for neighbour in neighbours:
-        found = neighbour.heard.report.hosting
-        if neighbour.id in spare_ids:
-            spares.update({found.model, *found.staged} - {""})
-        elif found.model:
-            members[found.model] += 1
-    models = engine.models_by_name.values()
-    return max(models, key=lambda m: (members[m.name] + 1) / (spares[m.name] + 1))
+    wanted = max(others, key=lambda model: weight_by_model[model.name] * model.members)
+    return None if wanted.name in hosting.staged else wanted
--- a/poplarspar/coordination/pools/loads.py
+++ b/poplarspar/coordination/pools/loads.py
@@ -4,31 +4,47 @@
 
 from poplarspar.state.serving import Engine, EngineModel
 
+# Before the first request loads are quick and bound by nothing but the store.
+EARLY_LOADS_AT_ONCE = 16
+EARLY_PART = 0.1
+# Part of the store's rate that is used; its windows count other nodes' loads too.
+RATE_PART = 0.8
 
-class LoadBudget:
-    """Bounds the loads that begin in a second and that run at once.
 
-    Parameters
-    ----------
-    factor : float
-        Factor on the engine's rate that is borne for a short while; it is kept
-        as a reserve for loads that this node does not know of.
-    """
+class LoadBudget:
+    """Bounds the loads that begin in a second and that run at once."""
 
-    def __init__(self, factor: float) -> None:
-        self._factor = factor
+    def __init__(self) -> None:
         self._begun: deque[float] = deque()
-        self._ends: list[float] = []
+        self._ends_by_id: dict[str, float] = {}
+
+    def is_loading(self, id: str, now: float) -> bool:
+        """Return whether a load that was begun at a backend server still runs."""
+        return now < self._ends_by_id.get(id, 0.0)
+
+    def may_begin(self, engine: Engine, now: float, early: bool) -> bool:
+        """Return whether one more load may begin now.
 
-    def take(self, engine: Engine, model: EngineModel, now: float) -> bool:
-        """Count a load that begins now; return False if it has to wait."""
+        Parameters
+        ----------
+        early : bool
+            Whether there has been no request yet.
+        """
         while self._begun and self._begun[0] < now - 1.0:
             self._begun.popleft()
-        self._ends = [end for end in self._ends if end > now]
-        if engine.loads_per_s and len(self._begun) >= int(engine.loads_per_s):
-            return False
-        if engine.loads_at_once and len(self._ends) >= engine.loads_at_once:
+        running = sum(end > now for end in self._ends_by_id.values())
+        if early:
+            return running < EARLY_LOADS_AT_ONCE
+        if len(self._begun) >= max(1, int(engine.loads_per_s * RATE_PART)):
             return False
+        return running < engine.loads_at_once
+
+    def begin(self, id: str, model: EngineModel, now: float, early: bool) -> None:
+        """Count a load that begins now."""
         self._begun.append(now)
-        self._ends.append(now + model.load_s)
-        return True
+        load_s = model.load_s * EARLY_PART if early else model.load_s
+        self._ends_by_id[id] = now + load_s
+
+    def end(self, id: str) -> None:
+        """Count a load less that a report shows as done."""
+        self._ends_by_id.pop(id, None)
--- a/poplarspar/coordination/pools/planner.py
+++ b/poplarspar/coordination/pools/planner.py
@@ -4,18 +4,17 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
 
 import eventlet
 from eventlet.event import Event as Signal
 
 from poplarspar.coordination.pools.desk import PlanDesk
-from poplarspar.coordination.pools.fences import Fences
 from poplarspar.coordination.pools.forming import (
     NewGroup,
     choose_group,
     choose_staging,
 )
+from poplarspar.coordination.pools.giving import OrderGiver
 from poplarspar.coordination.pools.loads import LoadBudget
 from poplarspar.coordination.pools.picture import (
     Group,
@@ -26,7 +25,7 @@
 from poplarspar.coordination.pools.survey import Survey
 from poplarspar.events import Event
 from poplarspar.logs import log_event
-from poplarspar.state.backends import BackendServer, MemberPhase
+from poplarspar.state.backends import MemberPhase
 from poplarspar.state.orders import (
     Accepted,
     Close,
@@ -37,18 +36,15 @@
     OrderResult,
     Refused,
     Stage,
-    Unanswered,
 )
 from poplarspar.state.plan import PlannedGroup
 from poplarspar.state.serving import Engine, Fleet, ServiceSpec
 
 ROUND_S = 0.25
-ORDER_TIMEOUT_S = 0.5
-# A report that was asked for before an order shows the state before it.
+# Reports of members that are ready lag, and orders may be lost and given again.
 JOIN_MARGIN_S = 2.0
-# A backend server that served the model last joins again within this time.
-REJOIN_S = 0.2
-LOOK_MARGIN_S = 0.005
+# Fresh backend servers are listed within a second or two after one another.
+LISTING_S = 1.2
 # A new planner first hears from everyone, since silence means a loss.
 START_UP_S = 1.0
 # The head ends its work this much after the rules say, at the latest.
@@ -59,21 +55,6 @@
 MOST_UNEVEN = 8.0
 
 
-class OrderPort(Protocol):
-    """Orders to backend servers."""
-
-    def give(
-        self,
-        backend: BackendServer,
-        order: Order,
-        *,
-        fence: int,
-        accepted_before: int,
-        timeout_s: float,
-    ) -> OrderResult:
-        """Give an order that holds only in the state that was last reported."""
-
-
 @dataclass
 class _Forming:
     """A replica group whose members have been ordered to join."""
@@ -90,8 +71,6 @@
 
     Parameters
     ----------
-    fences : Fences
-        Numbers of orders, which rise with each order and each planner.
     stall_s : float
         Time after which a replica group without one of its members gives up.
     """
@@ -99,27 +78,27 @@
     def __init__(
         self,
         survey: Survey,
-        orders: OrderPort,
-        fences: Fences,
+        orders: OrderGiver,
         desk: PlanDesk,
         fleet: Callable[[], Fleet],
         stall_s: float,
-        load_factor: float,
     ) -> None:
         self._survey = survey
         self._orders = orders
-        self._fences = fences
+        orders.on_result = self._take_result
         self._desk = desk
         self._fleet = fleet
         self._stall_s = stall_s + STALL_MARGIN_S
-        self._loads = LoadBudget(load_factor)
-        self._began_at: float | None = None
-        self._ordered_at: dict[str, float] = {}
-        self._in_flight: set[str] = set()
+        self._loads = LoadBudget()
+        self._began_at = float("-inf")
+        self._started = False
+        self._listed = 0
+        self._listed_at = float("-inf")
         self._held_until: dict[str, float] = {}
         self._forming: dict[GroupKey, _Forming] = {}
         self._left_from: set[GroupKey] = set()
-        self._work_seen = False
+        self._closed: set[GroupKey] = set()
+        self._before_traffic = False
         self._wake = Signal()
 
     def wake(self) -> None:
@@ -130,24 +109,26 @@
     def plan_while(self, may_plan: Callable[[], bool]) -> None:
         """Plan for as long as this node is the planner."""
         self._began_at = time.monotonic()
-        log_event(Event.PLANNER_STARTED, fence=self._fences.last)
+        self._started = False
+        self._listed = 0
+        log_event(Event.PLANNER_STARTED, fence=self._orders.fences.last)
         while may_plan():
             self._plan()
             with eventlet.Timeout(ROUND_S, False):
                 self._wake.wait()
             if self._wake.ready():
                 self._wake = Signal()
-        log_event(Event.PLANNER_STOPPED, fence=self._fences.last)
+        log_event(Event.PLANNER_STOPPED, fence=self._orders.fences.last)
         self.stop()
 
     def stop(self) -> None:
         """Forget all, since another node plans now."""
         self._desk.withdraw()
         self._survey.close()
-        self._ordered_at.clear()
         self._held_until.clear()
         self._forming.clear()
         self._left_from.clear()
+        self._closed.clear()
 
     def _plan(self) -> None:
         fleet = self._fleet()
@@ -166,7 +147,7 @@
                 if backend.service in names
             }
         )
-        if time.monotonic() < self._began_at + START_UP_S and not self._all_heard():
+        if not self._started and not self._may_start():
             return
         opened: list[PlannedGroup] = []
         for service in services:
@@ -184,24 +165,36 @@
             if place is not None and place.key == membership.key:
                 self._survey.suspect(id)
 
-    def _look_again(self, backend: BackendServer, order: Order) -> None:
-        """Ask for a report at the moment when an order should be done."""
-        service = self._fleet().configuration.services_by_name.get(backend.service)
-        if service is None or service.engine is None:
-            return
-        match order:
-            case Open():
-                due_s = service.engine.open_s
-            case Join(_, _, name, _) if name in service.engine.models_by_name:
-                due_s = REJOIN_S
-            case _:
-                return
-        eventlet.spawn_after(due_s + LOOK_MARGIN_S, self._survey.hurry, backend.id)
-
-    def _all_heard(self) -> bool:
-        return bool(self._survey.by_id) and all(
-            heard.report is not None for heard in self._survey.by_id.values()
+    def _take_result(self, order: Order, result: OrderResult) -> None:
+        match order, result:
+            case Join(group, epoch), Refused():
+                self._forming.pop((group, epoch), None)
+            case Close(group, epoch), Accepted():
+                # The number of this order keeps late ones from opening it again.
+                self._closed.add((group, epoch))
+        self.wake()
+
+    def _may_start(self) -> bool:
+        """Return whether enough has been heard to take silence for a loss."""
+        now = time.monotonic()
+        heard = self._survey.by_id
+        if len(heard) != self._listed:
+            self._listed = len(heard)
+            self._listed_at = now
+        reports = [found.report for found in heard.values()]
+        untouched = bool(reports) and all(
+            report is not None and not report.hosting.orders for report in reports
         )
+        # Backend servers that have all just started are still being listed, and
+        # groups are better chosen among all of them.
+        quiet_s = LISTING_S if untouched else 0.0
+        if now < self._listed_at + quiet_s or not reports:
+            return False
+        if None in reports and now < self._began_at + START_UP_S:
+            return False
+        self._started = True
+        self._before_traffic = untouched
+        return True
 
 
 class _Round:
@@ -241,7 +234,7 @@
         leaving = backend.draining or not heard.listed
         out = backend.zone in self._fleet.evacuated_zones
         if heard.report.running or heard.report.waiting:
-            self._planner._work_seen = True
+            self._planner._before_traffic = False
         return Worker(heard, heard.silent(self._now), leaving, out)
 
     def _look_at_groups(self) -> None:
@@ -290,7 +283,7 @@
             log_event(Event.GROUP_ABANDONED, group=name, epoch=epoch)
         head = group.head
         if head is None and group.key in self._planner._survey.ended_groups:
-            self._release_headless(group)
+            self._release(group)
         elif head is None or head.silent:
             self._leave_silent_head(group)
         elif group.phase in (MemberPhase.OPEN, MemberPhase.CLOSING):
@@ -302,8 +295,11 @@
                 silent=[worker.id for worker in group.silent_members()],
                 evict=evict,
             )
-            if group.phase is MemberPhase.OPEN or evict:
+            asked = group.key in self._planner._closed
+            if head.heard.is_settled() or not asked:
                 self._order(head, Close(name, epoch, evict))
+        elif group.key in self._planner._closed:
+            self._release(group)
         else:
             # Once it has left, no late order can open this group any more.
             self._order(head, Leave(name, epoch))
@@ -312,8 +308,8 @@
         model = self._engine.models_by_name.get(group.model)
         return model is not None and len(group.members_by_rank) == model.members
 
-    def _release_headless(self, group: Group) -> None:
-        """Free the members of a group whose head has left or started anew."""
+    def _release(self, group: Group) -> None:
+        """Free the members of a group that can serve no more."""
         for worker in group.members_by_rank.values():
             if not worker.silent:
                 self._free.append(worker)
@@ -345,7 +341,7 @@
             if not worker.leaving
             and not worker.out
             and self._now >= planner._held_until.get(worker.id, 0.0)
-            and self._may_order(worker)
+            and not planner._orders.is_busy(worker.id)
         ]
         forming = {
             member.id
@@ -382,12 +378,12 @@
         Before the first request there is time to load from the weight store.
         """
         models = self._engine.models_by_name.values()
-        if not self._planner._work_seen:
+        if self._planner._before_traffic:
             return max(model.load_s for model in models)
         return max(model.staged_load_s for model in models)
 
     def _join(self, new: NewGroup) -> None:
-        epoch = self._planner._fences.next()
+        epoch = self._planner._orders.fences.next()
         name = f"{new.model.name}-{epoch}"
         until = self._now + new.load_s + self._loads_margin_s(new) + JOIN_MARGIN_S
         self._planner._forming[(name, epoch)] = _Forming(new, until)
@@ -407,67 +403,37 @@
         return new.model.load_s * len(self._workers) / self._engine.loads_at_once
 
     def _stage(self) -> None:
-        """Load models onto the hosts of spares, for the next loss."""
-        spare_ids = frozenset(worker.id for worker in self._free)
-        for worker in self._free:
-            neighbours = [w for w in self._workers if w.domain == worker.domain]
-            model = choose_staging(self._engine, worker, neighbours, spare_ids)
-            if model is None:
-                continue
-            if not self._planner._loads.take(self._engine, model, self._now):
+        """Load models onto hosts, beside all other work, for the next loss."""
+        planner = self._planner
+        joining = any(_is_joining(worker) for worker in self._workers)
+        if planner._before_traffic and joining:
+            return
+        weights = self._weights()
+        spares = {worker.id for worker in self._free}
+        wanting = [
+            (worker.id not in spares, worker, model)
+            for worker in self._workers
+            if not (worker.silent or worker.leaving or worker.out)
+            and not _is_joining(worker)
+            and not planner._orders.is_busy(worker.id)
+            and not planner._loads.is_loading(worker.id, self._now)
+            and (model := choose_staging(self._engine, worker, weights)) is not None
+        ]
+        # Spares first: without a model on their host they are of no use.
+        wanting.sort(key=lambda item: item[0])
+        for _, worker, model in wanting:
+            if not planner._loads.may_begin(
+                self._engine, self._now, planner._before_traffic
+            ):
                 return
-            self._order(worker, Stage(model.name))
+            if self._order(worker, Stage(model.name)):
+                early = planner._before_traffic
+                planner._loads.begin(worker.id, model, self._now, early)
 
-    def _may_order(self, worker: Worker) -> bool:
-        """Return whether the last report shows the effect of the last order."""
-        planner = self._planner
-        if worker.id in planner._in_flight:
-            return False
-        return worker.heard.heard_at >= planner._ordered_at.get(worker.id, 0.0)
+    def _order(self, worker: Worker, order: Order) -> bool:
+        return self._planner._orders.give(worker.heard, order)
 
-    def _order(self, worker: Worker, order: Order) -> None:
-        planner = self._planner
-        if self._may_order(worker):
-            planner._in_flight.add(worker.id)
-            eventlet.spawn(_give, planner, worker, order)
-
-
-def _give(planner: PoolPlanner, worker: Worker, order: Order) -> None:
-    """Give one order and look at once at what it did."""
-    backend = worker.heard.backend
-    fence = planner._fences.next()
-    try:
-        result = planner._orders.give(
-            backend,
-            order,
-            fence=fence,
-            accepted_before=worker.heard.report.hosting.orders,
-            timeout_s=ORDER_TIMEOUT_S,
-        )
-    finally:
-        planner._in_flight.discard(worker.id)
-        planner._ordered_at[worker.id] = time.monotonic()
-    match result:
-        case Accepted():
-            planner._look_again(backend, order)
-        case Refused(status, fenced):
-            log_event(
-                Event.ORDER_REFUSED,
-                backend=backend.id,
-                order=type(order).__name__.lower(),
-                status=status,
-                fence=fence,
-            )
-            if fenced:
-                planner._fences.passed_by()
-            if isinstance(order, Join):
-                planner._forming.pop((order.group, order.epoch), None)
-        case Unanswered():
-            log_event(
-                Event.ORDER_UNANSWERED,
-                backend=backend.id,
-                order=type(order).__name__.lower(),
-                fence=fence,
-            )
-    planner._survey.hurry(worker.id)
-    planner.wake()
+
+def _is_joining(worker: Worker) -> bool:
+    place = worker.membership
+    return place is not None and place.phase is MemberPhase.JOINING
--- a/poplarspar/coordination/pools/survey.py
+++ b/poplarspar/coordination/pools/survey.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 import eventlet
@@ -10,12 +10,16 @@
 from eventlet.greenthread import GreenThread
 
 from poplarspar.exceptions import BackendFailed
-from poplarspar.state.backends import BackendServer, HostReport
+from poplarspar.state.backends import BackendServer, Hosting, HostReport
 
 REPORT_TIMEOUT_S = 0.3
+# Reports show the state of some hundred milliseconds ago.
+REPORT_LAG_S = 0.25
 # Members of replica groups are asked this often; a lost one stops its group.
 MEMBER_PERIOD_S = 0.3
 SPARE_PERIOD_S = 0.8
+# While a report may be older than the last order, the next one is due soon.
+UNSETTLED_PERIOD_S = 0.26
 # A backend server that is no longer listed may still serve its replica group; it is
 # forgotten when it has been silent for longer than any group outlives its loss.
 FORGET_S = 8.0
@@ -47,6 +51,8 @@
         Monotonic time at which the question was sent that it answered.
     listed : bool
         Whether it still has an entry in the platform's list.
+    ordered_at : float
+        Time of the last order; reports may show the state before it for a while.
     suspected_at : float
         Time since when a node misses signs of its work.
     failed_since_suspected : int
@@ -57,6 +63,7 @@
     report: HostReport | None = None
     heard_at: float = float("-inf")
     listed: bool = True
+    ordered_at: float = float("-inf")
     suspected_at: float = float("-inf")
     failed_since_suspected: int = 0
 
@@ -66,6 +73,22 @@
             return True
         return now - self.heard_at > SILENT_S
 
+    def note_order(self, hosting: Hosting | None) -> None:
+        """Keep the time of an order, and the state that it brought about.
+
+        Parameters
+        ----------
+        hosting : Hosting or None
+            None if nothing is known of the order's effect.
+        """
+        self.ordered_at = time.monotonic()
+        if hosting is not None and self.report is not None:
+            self.report = replace(self.report, hosting=hosting)
+
+    def is_settled(self) -> bool:
+        """Return whether the last report shows the effect of the last order."""
+        return self.heard_at >= self.ordered_at + REPORT_LAG_S
+
 
 class Survey:
     """Asks each backend server of model services for reports, one task for each.
@@ -152,11 +175,28 @@
                 self._changed()
             return False
         heard.failed_since_suspected = 0
-        known, heard.report, heard.heard_at = heard.report, report, asked_at
+        self._take(heard, report, asked_at)
+        return True
+
+    def _take(self, heard: Heard, report: HostReport, asked_at: float) -> None:
+        known = heard.report
+        was_settled = heard.is_settled()
+        heard.heard_at = asked_at
+        if known is not None and known.started_ms == report.started_ms:
+            hosting = report.hosting
+            if not heard.is_settled():
+                # The report may be older than the last order.
+                hosting = known.hosting
+            elif not hosting.model:
+                # What it served last it serves again soonest, also out of a group.
+                hosting = replace(hosting, model=known.hosting.model)
+            report = replace(report, hosting=hosting)
+        heard.report = report
         if known is None or known.hosting != report.hosting:
             self._note_end(known, report)
             self._changed()
-        return True
+        elif not was_settled and heard.is_settled():
+            self._changed()
 
     def _note_end(self, known: HostReport | None, report: HostReport) -> None:
         membership = known.hosting.membership if known else None
@@ -166,6 +206,17 @@
         if present is None or present.key != membership.key:
             self.ended_groups.add(membership.key)
 
+    def note_order(self, id: str, hosting: Hosting | None) -> None:
+        """Keep what an order did to a backend server."""
+        heard = self.by_id.get(id)
+        if heard is None:
+            return
+        known = heard.report
+        heard.note_order(hosting)
+        if hosting is not None and known is not None:
+            self._note_end(known, heard.report)
+        self.hurry(id)
+
     def _rest(self, id: str, period_s: float) -> None:
         signal = self._hurry_by_id[id]
         with eventlet.Timeout(period_s, False):
@@ -175,6 +226,8 @@
 
     @staticmethod
     def _period_s(heard: Heard) -> float:
+        if not heard.is_settled():
+            return UNSETTLED_PERIOD_S
         report = heard.report
         if report is not None and report.hosting.membership is not None:
             return MEMBER_PERIOD_S
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -144,6 +144,12 @@
         "It was lost, or only this node can't reach it.",
         "Nothing; the other members are used again when it must have given up.",
     )
+    ORDER_ACCEPTED = (
+        252,
+        "order accepted",
+        "A backend server took an order of the planner.",
+        "Nothing.",
+    )
     ORDER_REFUSED = (
         250,
         "order refused",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -21,6 +21,7 @@
 )
 from poplarspar.coordination.pools import (
     Fences,
+    OrderGiver,
     OrderPort,
     PlanDesk,
     PoolPlanner,
@@ -217,12 +218,10 @@
         desk = PlanDesk(lambda head: self._planner.suspect(head))
         self._planner = PoolPlanner(
             survey,
-            self._outside.orders,
-            self._fences,
+            OrderGiver(survey, self._outside.orders, self._fences),
             desk,
             lambda: self._keeper.fleet,
             settings.stall_s,
-            settings.load_factor,
         )
         self._stack.callback(self._planner.stop)
         self._stack.callback(keep_running(self._plan_in_turn).kill)
--- a/poplarspar/platform/settings.py
+++ b/poplarspar/platform/settings.py
@@ -31,8 +31,6 @@
     budget_slack: float = 0
     cold_over: float = 1.0
     cold_slack: float = 0
-    ceiling_window_s: float = 5
-    load_burst_factor: float = 1.0
 
 
 class _Platform(_Table):
@@ -100,6 +98,5 @@
         retry_window_s=bounds.budget_window_s,
         cold_factor=bounds.cold_over,
         cold_slack=bounds.cold_slack,
-        load_factor=bounds.load_burst_factor,
         lease_min_s=found.platform.ttl_min_ms / 1000,
     )
--- a/poplarspar/platform/workers.py
+++ b/poplarspar/platform/workers.py
@@ -22,7 +22,8 @@
 
 REPORT_PATH = "/poplarspar/report"
 ORDER_PATH = "/poplarspar/order"
-DONE = (200, 202)
+DONE = 200
+BEGUN = 202
 FENCED = 412
 
 
@@ -45,7 +46,7 @@
                 read_timeout_s=timeout_s,
                 headers={BACKEND: backend.id},
             )
-            if answer.status != DONE[0]:
+            if answer.status != DONE:
                 raise BackendFailed(f"report: status {answer.status}", sent=True)
             return parse_report(backend.id, answer.body.decode())
         except (TransportError, MalformedDocument, UnicodeDecodeError) as error:
@@ -68,21 +69,23 @@
         order: Order,
         *,
         fence: int,
-        accepted_before: int,
+        accepted_before: int | None,
         timeout_s: float,
     ) -> OrderResult:
-        """Give an order that holds only in the state that was last reported.
+        """Give an order.
 
         Parameters
         ----------
         fence : int
             Orders with a lower number are refused from now on.
-        accepted_before : int
-            Orders that the backend server is expected to have accepted.
+        accepted_before : int or None
+            Orders that the backend server must have accepted before, or else it
+            refuses this one; None for any number.
         """
         body = _body(order)
         body["fencing_token"] = fence
-        body["expected"] = accepted_before
+        if accepted_before is not None:
+            body["expected"] = accepted_before
         try:
             answer = send_request(
                 backend.address,
@@ -94,8 +97,8 @@
             )
         except TransportError:
             return Unanswered()
-        if answer.status in DONE:
-            return Accepted()
+        if answer.status in (DONE, BEGUN):
+            return Accepted(done=answer.status == DONE)
         return Refused(answer.status, fenced=answer.status == FENCED)
 
 
--- a/poplarspar/state/node.py
+++ b/poplarspar/state/node.py
@@ -21,8 +21,6 @@
     cold_factor, cold_slack : float
         Requests to a cold backend server allowed in a second: a factor on what it
         says that it bears, and some more, over all nodes.
-    load_factor : float
-        Factor on the rate at which loads from the weight store may begin.
     """
 
     name: str
@@ -41,5 +39,4 @@
     retry_window_s: float
     cold_factor: float
     cold_slack: float
-    load_factor: float
     lease_min_s: float
--- a/poplarspar/state/orders.py
+++ b/poplarspar/state/orders.py
@@ -50,7 +50,15 @@
 
 @dataclass(frozen=True)
 class Accepted:
-    """The order has begun or is done."""
+    """The order was taken.
+
+    Attributes
+    ----------
+    done : bool
+        Whether its effect is there already.
+    """
+
+    done: bool
 
 
 @dataclass(frozen=True)
--- a/poplarspar/transport/plan_links.py
+++ b/poplarspar/transport/plan_links.py
@@ -62,6 +62,7 @@
         self._planner = planner
         self._load = load
         self._apply = apply
+        self._lost = ""
 
     def follow(self) -> None:
         """Ask the planner for as long as the process lives."""
@@ -71,15 +72,21 @@
                 try:
                     self._follow_one(address, secret)
                 except (TransportError, ProtocolError) as error:
-                    log_event(Event.PLANNER_LOST, address=address, cause=str(error))
+                    self._note_loss(address, str(error))
             eventlet.sleep(PAUSE_S)
 
+    def _note_loss(self, address: str, cause: str) -> None:
+        if address != self._lost:
+            self._lost = address
+            log_event(Event.PLANNER_LOST, address=address, cause=cause)
+
     def _follow_one(self, address: str, secret: str) -> None:
         link = connect(address, Identity(self._name, secret))
         try:
             while self._planner() == (address, secret):
                 match link.ask(self._load(), ANSWER_TIMEOUT_S):
                     case FleetPlan() as plan:
+                        self._lost = ""
                         self._apply(plan)
                     case other:
                         raise ProtocolError(f"unexpected {type(other).__name__}")
