--- a/poplarspar/coordination/pools/planner.py
+++ b/poplarspar/coordination/pools/planner.py
@@ -183,7 +183,7 @@
             self._listed_at = now
         reports = [found.report for found in heard.values()]
         untouched = bool(reports) and all(
-            report is not None and not report.hosting.orders for report in reports
+            report is None or not report.hosting.orders for report in reports
         )
         # Backend servers that have all just started are still being listed, and
         # groups are better chosen among all of them.
