--- a/poplarspar/coordination/following.py
+++ b/poplarspar/coordination/following.py
@@ -13,6 +13,9 @@
 
 FIRST_BACKOFF_S = 0.1
 LAST_BACKOFF_S = 1.0
+# While a fleet starts, changes come close upon one another and all of them matter.
+EARLY_S = 5.0
+EARLY_PAUSE_S = 0.25
 
 
 class StoreHealth:
@@ -77,6 +80,7 @@
         self._apply = apply
         self._as_of: int | None = None
         self._backoff_s = FIRST_BACKOFF_S
+        self._began_at = time.monotonic()
 
     def follow(self) -> None:
         """Follow for as long as the process lives."""
@@ -102,4 +106,5 @@
         self._health.succeeded()
         self._backoff_s = FIRST_BACKOFF_S
         if self._pause_s:
-            eventlet.sleep(self._pause_s)
+            early = time.monotonic() < self._began_at + EARLY_S
+            eventlet.sleep(EARLY_PAUSE_S if early else self._pause_s)
--- a/poplarspar/coordination/pools/giving.py
+++ b/poplarspar/coordination/pools/giving.py
@@ -32,9 +32,11 @@
 
 # Orders are answered within milliseconds, or lost.
 ORDER_TIMEOUT_S = 0.4
-# A backend server that served the model last joins again within this time.
-REJOIN_S = 0.2
-LOOK_MARGIN_S = 0.005
+# An order that is repeated when it should be done says so at once, while reports
+# show the state of some hundred milliseconds ago.
+REPEATS = 4
+REPEAT_PAUSE_S = 0.03
+SEND_MARGIN_S = 0.005
 
 
 class OrderPort(Protocol):
@@ -75,54 +77,80 @@
         self._port = port
         self.fences = fences
         self._busy_until: dict[str, float] = {}
+        self._last_order: dict[str, Order] = {}
         self.on_result: Callable[[Order, OrderResult], None] = lambda *_: None
 
     def is_busy(self, id: str) -> bool:
         """Return whether an order to a backend server is on its way or at work."""
         return time.monotonic() < self._busy_until.get(id, 0.0)
 
-    def give(self, heard: Heard, order: Order) -> bool:
-        """Give an order in a task of its own, unless one is on its way."""
+    def give(self, heard: Heard, order: Order, due_s: float | None = None) -> bool:
+        """Give an order in a task of its own, unless one is on its way.
+
+        Parameters
+        ----------
+        due_s : float or None
+            Time after which the order should be done, None to leave it to reports.
+        """
         id = heard.backend.id
         if self.is_busy(id):
             return False
-        self._busy_until[id] = time.monotonic() + ORDER_TIMEOUT_S + LOOK_MARGIN_S
-        eventlet.spawn(self._give, heard, order)
+        self._busy_until[id] = time.monotonic() + ORDER_TIMEOUT_S + REPEAT_PAUSE_S
+        self._last_order[id] = order
+        eventlet.spawn(self._give, heard, order, due_s)
         return True
 
-    def _give(self, heard: Heard, order: Order) -> None:
-        backend = heard.backend
+    def _give(self, heard: Heard, order: Order, due_s: float | None) -> None:
+        id = heard.backend.id
         hosting = heard.report.hosting
-        fence = self.fences.next()
         # Another planner may have ordered it elsewhere since the last report; the
         # other orders name the group that they are for.
-        joins = isinstance(order, Join)
+        expected = hosting.orders if isinstance(order, Join) else None
+        result = self._send(heard, order, expected)
+        after = _effect(id, hosting, order, result)
+        self._survey.note_order(id, after)
+        self._busy_until[id] = time.monotonic() + self._pause_s(result)
+        self.on_result(order, result)
+        if result == Accepted(done=False) and due_s is not None:
+            self._await_done(heard, order, due_s)
+
+    def _await_done(self, heard: Heard, order: Order, due_s: float) -> None:
+        """Repeat an order from when it should be done until it says so."""
+        id = heard.backend.id
+        pause_s = due_s + SEND_MARGIN_S
+        for _ in range(REPEATS):
+            eventlet.sleep(pause_s)
+            if self._last_order.get(id) is not order or self.is_busy(id):
+                return
+            result = self._send(heard, order, None)
+            if result == Accepted(done=True):
+                after = _effect(id, heard.report.hosting, order, result, repeat=True)
+                self._survey.note_order(id, after)
+                self.on_result(order, result)
+                return
+            pause_s = REPEAT_PAUSE_S
+
+    def _send(self, heard: Heard, order: Order, expected: int | None) -> OrderResult:
+        fence = self.fences.next()
         result = self._port.give(
-            backend,
+            heard.backend,
             order,
             fence=fence,
-            accepted_before=hosting.orders if joins else None,
+            accepted_before=expected,
             timeout_s=ORDER_TIMEOUT_S,
         )
-        self._note(backend, order, result, fence)
-        after = _effect(backend.id, hosting, order, result)
-        self._survey.note_order(backend.id, after)
-        self._busy_until[backend.id] = time.monotonic() + self._pause_s(order, result)
-        self.on_result(order, result)
-        if isinstance(order, Join | Open) and isinstance(result, Accepted):
-            due_s = REJOIN_S + REPORT_LAG_S + LOOK_MARGIN_S
-            eventlet.spawn_after(due_s, self._survey.hurry, backend.id)
+        self._note(heard.backend, order, result, fence)
+        return result
 
-    def _pause_s(self, order: Order, result: OrderResult) -> float:
+    @staticmethod
+    def _pause_s(result: OrderResult) -> float:
         """Return how long the next order to the same backend server waits."""
-        match order, result:
-            case Open(), Accepted():
-                # It opens by itself; a repeat would be refused.
-                return 3 * REPORT_LAG_S
-            case _, Accepted():
+        match result:
+            case Accepted():
                 return 0.0
             case _:
-                return REPORT_LAG_S + LOOK_MARGIN_S
+                # What it knows better will show in its report.
+                return REPORT_LAG_S
 
     def _note(
         self, backend: BackendServer, order: Order, result: OrderResult, fence: int
@@ -154,21 +182,28 @@
 
 
 def _effect(
-    id: str, hosting: Hosting, order: Order, result: OrderResult
+    id: str, hosting: Hosting, order: Order, result: OrderResult, repeat: bool = False
 ) -> Hosting | None:
     """Return a backend server's state after an order, None if it is not known."""
     if not isinstance(result, Accepted):
         return None
-    orders = hosting.orders + 1
+    after = replace(hosting, orders=hosting.orders + (not repeat))
     match order:
         case Join(group, epoch, model, members):
-            place = Membership(group, epoch, members.index(id), MemberPhase.JOINING)
-            return replace(hosting, orders=orders, membership=place, model=model)
+            phase = MemberPhase.READY if result.done else MemberPhase.JOINING
+            place = Membership(group, epoch, members.index(id), phase)
+            return replace(after, membership=place, model=model)
+        case Open() if result.done:
+            return _in_phase(after, MemberPhase.OPEN)
         case Close():
             phase = MemberPhase.READY if result.done else MemberPhase.CLOSING
-            place = hosting.membership and replace(hosting.membership, phase=phase)
-            return replace(hosting, orders=orders, membership=place)
+            return _in_phase(after, phase)
         case Leave():
-            return replace(hosting, orders=orders, membership=None)
+            return replace(after, membership=None)
         case Open() | Stage():
-            return replace(hosting, orders=orders)
+            return after
+
+
+def _in_phase(hosting: Hosting, phase: MemberPhase) -> Hosting:
+    place = hosting.membership
+    return replace(hosting, membership=place and replace(place, phase=phase))
--- a/poplarspar/coordination/pools/planner.py
+++ b/poplarspar/coordination/pools/planner.py
@@ -43,10 +43,13 @@
 ROUND_S = 0.25
 # Reports of members that are ready lag, and orders may be lost and given again.
 JOIN_MARGIN_S = 2.0
+# A backend server that served the model last joins again within this time.
+REJOIN_S = 0.2
 # Fresh backend servers are listed within a second or two after one another.
-LISTING_S = 1.2
+LISTING_S = 0.6
 # A new planner first hears from everyone, since silence means a loss.
 START_UP_S = 1.0
+START_FAILURES = 2
 # The head ends its work this much after the rules say, at the latest.
 STALL_MARGIN_S = 0.3
 # Demand in replica groups from which on it is measured well enough to plan by.
@@ -98,6 +101,7 @@
         self._forming: dict[GroupKey, _Forming] = {}
         self._left_from: set[GroupKey] = set()
         self._closed: set[GroupKey] = set()
+        self._broken: set[GroupKey] = set()
         self._before_traffic = False
         self._wake = Signal()
 
@@ -129,6 +133,7 @@
         self._forming.clear()
         self._left_from.clear()
         self._closed.clear()
+        self._broken.clear()
 
     def _plan(self) -> None:
         fleet = self._fleet()
@@ -190,7 +195,11 @@
         quiet_s = LISTING_S if untouched else 0.0
         if now < self._listed_at + quiet_s or not reports:
             return False
-        if None in reports and now < self._began_at + START_UP_S:
+        awaited = any(
+            found.report is None and found.failures < START_FAILURES
+            for found in heard.values()
+        )
+        if awaited and now < self._began_at + START_UP_S:
             return False
         self._started = True
         self._before_traffic = untouched
@@ -265,7 +274,7 @@
         match group.phase:
             case MemberPhase.READY:
                 name, epoch = group.key
-                self._order(group.head, Open(name, epoch))
+                self._order(group.head, Open(name, epoch), self._engine.open_s)
             case MemberPhase.OPEN:
                 if self._planner._forming.pop(group.key, None) is not None:
                     log_event(
@@ -288,22 +297,28 @@
             self._leave_silent_head(group)
         elif group.phase in (MemberPhase.OPEN, MemberPhase.CLOSING):
             evict = bool(group.silent_members()) or not self._is_complete(group)
-            log_event(
-                Event.GROUP_BROKEN,
-                group=name,
-                epoch=epoch,
-                silent=[worker.id for worker in group.silent_members()],
-                evict=evict,
-            )
+            self._note_broken(group, evict)
             asked = group.key in self._planner._closed
             if head.heard.is_settled() or not asked:
-                self._order(head, Close(name, epoch, evict))
+                self._order(head, Close(name, epoch, evict), 0.0 if evict else None)
         elif group.key in self._planner._closed:
             self._release(group)
         else:
             # Once it has left, no late order can open this group any more.
             self._order(head, Leave(name, epoch))
 
+    def _note_broken(self, group: Group, evict: bool) -> None:
+        if group.key in self._planner._broken:
+            return
+        self._planner._broken.add(group.key)
+        log_event(
+            Event.GROUP_BROKEN,
+            group=group.key[0],
+            epoch=group.key[1],
+            silent=[worker.id for worker in group.silent_members()],
+            evict=evict,
+        )
+
     def _is_complete(self, group: Group) -> bool:
         model = self._engine.models_by_name.get(group.model)
         return model is not None and len(group.members_by_rank) == model.members
@@ -394,7 +409,9 @@
         )
         for worker in new.members:
             self._free.remove(worker)
-            self._order(worker, Join(name, epoch, new.model.name, ids))
+            load_s = worker.load_s(new.model)
+            due_s = None if load_s >= new.model.load_s else load_s or REJOIN_S
+            self._order(worker, Join(name, epoch, new.model.name, ids), due_s)
 
     def _loads_margin_s(self, new: NewGroup) -> float:
         """Return how much longer loads may take since many run at once."""
@@ -430,8 +447,8 @@
                 early = planner._before_traffic
                 planner._loads.begin(worker.id, model, self._now, early)
 
-    def _order(self, worker: Worker, order: Order) -> bool:
-        return self._planner._orders.give(worker.heard, order)
+    def _order(self, worker: Worker, order: Order, due_s: float | None = None) -> bool:
+        return self._planner._orders.give(worker.heard, order, due_s)
 
 
 def _is_joining(worker: Worker) -> bool:
--- a/poplarspar/coordination/pools/survey.py
+++ b/poplarspar/coordination/pools/survey.py
@@ -53,6 +53,8 @@
         Whether it still has an entry in the platform's list.
     ordered_at : float
         Time of the last order; reports may show the state before it for a while.
+    failures : int
+        Questions without an answer in a row.
     suspected_at : float
         Time since when a node misses signs of its work.
     failed_since_suspected : int
@@ -64,6 +66,7 @@
     heard_at: float = float("-inf")
     listed: bool = True
     ordered_at: float = float("-inf")
+    failures: int = 0
     suspected_at: float = float("-inf")
     failed_since_suspected: int = 0
 
@@ -170,10 +173,12 @@
             report = self._reports.read(heard.backend, timeout_s)
         except BackendFailed:
             # Silence is judged by the time since the last answer.
+            heard.failures += 1
             heard.failed_since_suspected += suspected
             if heard.silent(time.monotonic()):
                 self._changed()
             return False
+        heard.failures = 0
         heard.failed_since_suspected = 0
         self._take(heard, report, asked_at)
         return True
--- a/poplarspar/coordination/session.py
+++ b/poplarspar/coordination/session.py
@@ -14,8 +14,8 @@
 PLANNER_KEY = NODE_PREFIX + "planner"
 MEMBER_PREFIX = NODE_PREFIX + "nodes/"
 # A lost planner is replaced after this time at the latest.
-LEASE_TTL_S = 2.5
-RENEWAL_S = 0.8
+LEASE_TTL_S = 1.5
+RENEWAL_S = 0.4
 
 
 def boot_time() -> float:
