--- a/poplarspar/coordination/pools/giving.py
+++ b/poplarspar/coordination/pools/giving.py
@@ -109,7 +109,7 @@
         result = self._send(heard, order, expected)
         after = _effect(id, hosting, order, result)
         self._survey.note_order(id, after)
-        self._busy_until[id] = time.monotonic() + self._pause_s(result)
+        self._busy_until[id] = time.monotonic() + _pause_s(order, result, due_s)
         self.on_result(order, result)
         if result == Accepted(done=False) and due_s is not None:
             self._await_done(heard, order, due_s)
@@ -120,7 +120,7 @@
         pause_s = due_s + SEND_MARGIN_S
         for _ in range(REPEATS):
             eventlet.sleep(pause_s)
-            if self._last_order.get(id) is not order or self.is_busy(id):
+            if self._last_order.get(id) is not order:
                 return
             result = self._send(heard, order, None)
             if result == Accepted(done=True):
@@ -142,16 +142,6 @@
         self._note(heard.backend, order, result, fence)
         return result
 
-    @staticmethod
-    def _pause_s(result: OrderResult) -> float:
-        """Return how long the next order to the same backend server waits."""
-        match result:
-            case Accepted():
-                return 0.0
-            case _:
-                # What it knows better will show in its report.
-                return REPORT_LAG_S
-
     def _note(
         self, backend: BackendServer, order: Order, result: OrderResult, fence: int
     ) -> None:
@@ -181,6 +171,19 @@
                 )
 
 
+def _pause_s(order: Order, result: OrderResult, due_s: float | None) -> float:
+    """Return how long the next order to the same backend server waits."""
+    match order, result:
+        case Open(), Accepted():
+            # Opening takes its time, and would begin anew with each order.
+            return (due_s or 0.0) + REPEATS * REPEAT_PAUSE_S
+        case _, Accepted():
+            return 0.0
+        case _:
+            # What it knows better will show in its report.
+            return REPORT_LAG_S
+
+
 def _effect(
     id: str, hosting: Hosting, order: Order, result: OrderResult, repeat: bool = False
 ) -> Hosting | None:
--- a/poplarspar/coordination/pools/planner.py
+++ b/poplarspar/coordination/pools/planner.py
@@ -258,7 +258,7 @@
                 self._dissolve(group)
         for key, forming in list(self._planner._forming.items()):
             if key not in self._groups:
-                if self._now < forming.until - JOIN_MARGIN_S:
+                if self._now < forming.until:
                     self._count_by_model[forming.new.model.name] += 1
                 else:
                     del self._planner._forming[key]
