--- a/poplarspar/coordination/pools/desk.py
+++ b/poplarspar/coordination/pools/desk.py
@@ -8,7 +8,7 @@
 import eventlet
 from eventlet.event import Event as Signal
 
-from poplarspar.state.plan import FleetPlan, NodeLoad, PlannedGroup
+from poplarspar.state.plan import FleetPlan, NodeLoad, PlannedGroup, Spare
 
 # Nodes are answered at once when the plan changes, else after this time for each
 # node, so that the planner's own work stays bounded in a large fleet.
@@ -35,11 +35,17 @@
         self._changed = Signal()
         self._load_by_node: dict[str, tuple[float, NodeLoad]] = {}
 
-    def publish(self, groups: tuple[PlannedGroup, ...]) -> None:
-        """Tell all nodes which replica groups serve."""
-        if self._plan.serial and groups == self._plan.groups:
+    def publish(
+        self, groups: tuple[PlannedGroup, ...], spares: tuple[Spare, ...]
+    ) -> None:
+        """Tell all nodes which replica groups serve, and which servers are spare."""
+        changes = groups != self._plan.groups or _lives(spares) != _lives(
+            self._plan.spares
+        )
+        serial = self._plan.serial + (changes or not self._plan.serial)
+        self._plan = FleetPlan(serial, 0, groups, spares)
+        if not changes:
             return
-        self._plan = FleetPlan(self._plan.serial + 1, 0, groups)
         changed, self._changed = self._changed, Signal()
         changed.send()
 
@@ -104,3 +110,7 @@
             for group in self._plan.groups
         )
         return replace(self._plan, nodes=len(loads), groups=groups)
+
+
+def _lives(spares: tuple[Spare, ...]) -> set[tuple[str, int]]:
+    return {(spare.backend, spare.started_ms) for spare in spares}
--- /dev/null
+++ b/poplarspar/coordination/pools/rounds.py
@@ -0,0 +1,312 @@
+"""One look at the backend servers of a model service, and the orders that follow."""
+
+import time
+from collections import Counter
+
+from poplarspar.coordination.pools.desk import PlanDesk
+from poplarspar.coordination.pools.forming import (
+    NewGroup,
+    choose_group,
+    choose_staging,
+)
+from poplarspar.coordination.pools.giving import OrderGiver
+from poplarspar.coordination.pools.picture import Group, Worker, build_groups
+from poplarspar.coordination.pools.survey import Heard, Survey
+from poplarspar.coordination.pools.term import Forming, Term
+from poplarspar.events import Event
+from poplarspar.logs import log_event
+from poplarspar.state.backends import MemberPhase
+from poplarspar.state.orders import Close, Join, Leave, Open, Order, Stage
+from poplarspar.state.plan import PlannedGroup, Spare
+from poplarspar.state.serving import Engine, Fleet, ServiceSpec
+
+# Reports of members that are ready lag, and orders may be lost and given again.
+JOIN_MARGIN_S = 2.0
+# A backend server that served the model last joins again within this time.
+REJOIN_S = 0.2
+# Demand in replica groups from which on it is measured well enough to plan by.
+MEASURED_GROUPS = 1.0
+# No model is left with less than this part of the most wanted one's groups.
+MOST_UNEVEN = 8.0
+
+
+class Round:
+    """Plans the replica groups of one service once.
+
+    Everything is worked out anew from what the backend servers report and what
+    the planner remembers of its term.
+    """
+
+    def __init__(
+        self,
+        service: ServiceSpec,
+        fleet: Fleet,
+        term: Term,
+        survey: Survey,
+        orders: OrderGiver,
+        desk: PlanDesk,
+    ) -> None:
+        self._service = service
+        self._engine: Engine = service.engine
+        self._fleet = fleet
+        self._term = term
+        self._survey = survey
+        self._orders = orders
+        self._desk = desk
+        self._now = time.monotonic()
+        self._workers = [
+            self._see(heard)
+            for heard in survey.by_id.values()
+            if heard.backend.service == service.name and heard.report is not None
+        ]
+        term.meet(self._workers, self._now)
+        self._groups = build_groups(self._workers)
+        self._count_by_model: Counter[str] = Counter()
+        self._free: list[Worker] = []
+
+    def run(self) -> None:
+        """Order all that is due."""
+        self._look_at_groups()
+        self._collect_free()
+        self._form()
+        self._stage()
+
+    def serving(self) -> list[PlannedGroup]:
+        """Return the groups that may be sent requests."""
+        return [
+            PlannedGroup(group.head.id, *group.key, group.model)
+            for group in self._groups.values()
+            if group.phase is MemberPhase.OPEN and group.is_whole(self._engine)
+        ]
+
+    def spares(self) -> list[Spare]:
+        """Return the backend servers in no group."""
+        return [
+            self._term.spare(worker, self._now)
+            for worker in self._workers
+            if worker.membership is None and not worker.silent
+        ]
+
+    def _see(self, heard: Heard) -> Worker:
+        backend = heard.backend
+        leaving = backend.draining or not heard.listed
+        out = backend.zone in self._fleet.evacuated_zones
+        if heard.report.running or heard.report.waiting:
+            self._term.before_traffic = False
+        return Worker(heard, heard.silent(self._now), leaving, out)
+
+    def _look_at_groups(self) -> None:
+        forming = self._term.forming
+        for group in self._groups.values():
+            begun = forming.get(group.key)
+            if group.is_whole(self._engine):
+                self._count_by_model[group.model] += not group.is_out
+                self._advance(group)
+            elif begun is not None and self._may_still_form(begun):
+                self._count_by_model[begun.new.model.name] += 1
+            else:
+                self._dissolve(group)
+        for key, begun in list(forming.items()):
+            if key in self._groups:
+                continue
+            if self._now < begun.until:
+                self._count_by_model[begun.new.model.name] += 1
+            else:
+                del forming[key]
+
+    def _may_still_form(self, begun: Forming) -> bool:
+        if self._now > begun.until:
+            return False
+        silent = {worker.id for worker in self._workers if worker.silent}
+        return not silent & {member.id for member in begun.new.members}
+
+    def _advance(self, group: Group) -> None:
+        """Open a whole group as soon as its head is ready."""
+        name, epoch = group.key
+        match group.phase:
+            case MemberPhase.READY:
+                self._order(group.head, Open(name, epoch), self._engine.open_s)
+            case MemberPhase.OPEN:
+                if self._term.forming.pop(group.key, None) is not None:
+                    log_event(
+                        Event.GROUP_OPENED,
+                        group=name,
+                        epoch=epoch,
+                        model=group.model,
+                        head=group.head.id,
+                    )
+
+    def _dissolve(self, group: Group) -> None:
+        """Take a broken group apart, the head first."""
+        name, epoch = group.key
+        if self._term.forming.pop(group.key, None) is not None:
+            log_event(Event.GROUP_ABANDONED, group=name, epoch=epoch)
+        head = group.head
+        if head is None and group.key in self._survey.ended_groups:
+            self._release(group)
+        elif head is None or head.silent:
+            self._leave_silent_head(group)
+        elif group.phase in (MemberPhase.OPEN, MemberPhase.CLOSING):
+            self._close(group)
+        elif group.key in self._term.closed:
+            self._release(group)
+        else:
+            # Once it has left, no late order can open this group any more.
+            self._order(head, Leave(name, epoch))
+
+    def _close(self, group: Group) -> None:
+        name, epoch = group.key
+        evict = bool(group.silent_members()) or not self._is_complete(group)
+        if group.key not in self._term.broken:
+            self._term.broken.add(group.key)
+            log_event(
+                Event.GROUP_BROKEN,
+                group=name,
+                epoch=epoch,
+                silent=[worker.id for worker in group.silent_members()],
+                evict=evict,
+            )
+        if group.head.heard.is_settled() or group.key not in self._term.closed:
+            due_s = 0.0 if evict else None
+            self._order(group.head, Close(name, epoch, evict), due_s)
+
+    def _is_complete(self, group: Group) -> bool:
+        model = self._engine.models_by_name.get(group.model)
+        return model is not None and len(group.members_by_rank) == model.members
+
+    def _release(self, group: Group) -> None:
+        """Free the members of a group that can serve no more."""
+        for worker in group.members_by_rank.values():
+            if not worker.silent:
+                self._free.append(worker)
+
+    def _leave_silent_head(self, group: Group) -> None:
+        """Stop a group whose head may serve on, out of our sight.
+
+        A head that lost a member gives up after a while; only then may its
+        members serve elsewhere.
+        """
+        if group.key not in self._term.headless:
+            self._term.headless.add(group.key)
+            log_event(Event.HEAD_SILENT, group=group.key[0], epoch=group.key[1])
+        for worker in group.members_by_rank.values():
+            if not worker.silent and worker is not group.head:
+                self._term.held_until[worker.id] = self._now + self._term.stall_s
+                self._order(worker, Leave(*group.key))
+
+    def _collect_free(self) -> None:
+        for worker in self._workers:
+            if worker.membership is None and not worker.silent:
+                self._free.append(worker)
+        forming = {
+            member.id
+            for begun in self._term.forming.values()
+            for member in begun.new.members
+        }
+        self._free = [
+            worker
+            for worker in self._free
+            if not worker.leaving
+            and not worker.out
+            and worker.id not in forming
+            and not self._term.is_held(worker, self._now)
+            and not self._orders.is_busy(worker.id)
+        ]
+
+    def _form(self) -> None:
+        weights = self._weights()
+        while True:
+            new = choose_group(
+                self._engine,
+                self._free,
+                self._count_by_model,
+                weights,
+                self._longest_load_s(),
+            )
+            if new is None:
+                return
+            self._join(new, weights)
+
+    def _weights(self) -> dict[str, float]:
+        """Return how many replica groups each model needs, the least being 1."""
+        demand = self._desk.demand(self._service.name)
+        models = self._engine.models_by_name.values()
+        if sum(demand.values()) < MEASURED_GROUPS:
+            demand = {model.name: model.share / model.members for model in models}
+        floor = max([*demand.values(), 1e-6]) / MOST_UNEVEN
+        weights = {m.name: max(floor, demand.get(m.name, 0.0)) for m in models}
+        least = min(weights.values())
+        return {name: weight / least for name, weight in weights.items()}
+
+    def _longest_load_s(self) -> float:
+        """Return how long members of a new group may load.
+
+        Before the first request there is time to load from the weight store.
+        """
+        models = self._engine.models_by_name.values()
+        if self._term.before_traffic:
+            return max(model.load_s for model in models)
+        return max(model.staged_load_s for model in models)
+
+    def _join(self, new: NewGroup, weights: dict[str, float]) -> None:
+        epoch = self._orders.fences.next()
+        name = f"{new.model.name}-{epoch}"
+        until = self._now + new.load_s + self._load_margin_s(new) + JOIN_MARGIN_S
+        self._term.forming[(name, epoch)] = Forming(new, until)
+        ids = tuple(worker.id for worker in new.members)
+        log_event(
+            Event.GROUP_FORMING,
+            group=name,
+            epoch=epoch,
+            members=ids,
+            load_s=new.load_s,
+            count_by_model=dict(self._count_by_model),
+            weight_by_model={name: round(w, 2) for name, w in weights.items()},
+            free=len(self._free),
+        )
+        self._count_by_model[new.model.name] += 1
+        for worker in new.members:
+            self._free.remove(worker)
+            load_s = worker.load_s(new.model)
+            due_s = None if load_s >= new.model.load_s else load_s or REJOIN_S
+            self._order(worker, Join(name, epoch, new.model.name, ids), due_s)
+
+    def _load_margin_s(self, new: NewGroup) -> float:
+        """Return how much longer loads may take since many run at once."""
+        if new.load_s < new.model.load_s:
+            return 0.0
+        return new.model.load_s * len(self._workers) / self._engine.loads_at_once
+
+    def _stage(self) -> None:
+        """Load models onto hosts, beside all other work, for the next loss."""
+        term = self._term
+        joining = any(_is_joining(worker) for worker in self._workers)
+        if term.before_traffic and joining:
+            return
+        weights = self._weights()
+        spares = {worker.id for worker in self._free}
+        wanting = [
+            (worker.id not in spares, worker, model)
+            for worker in self._workers
+            if not (worker.silent or worker.leaving or worker.out)
+            and not _is_joining(worker)
+            and not self._orders.is_busy(worker.id)
+            and not term.loads.is_loading(worker.id, self._now)
+            and (model := choose_staging(self._engine, worker, weights)) is not None
+        ]
+        # Spares first: without a model on their host they are of no use.
+        wanting.sort(key=lambda item: item[0])
+        for _, worker, model in wanting:
+            early = term.before_traffic
+            if not term.loads.may_begin(self._engine, self._now, early):
+                return
+            if self._order(worker, Stage(model.name)):
+                term.loads.begin(worker.id, model, self._now, early)
+
+    def _order(self, worker: Worker, order: Order, due_s: float | None = None) -> bool:
+        return self._orders.give(worker.heard, order, due_s)
+
+
+def _is_joining(worker: Worker) -> bool:
+    place = worker.membership
+    return place is not None and place.phase is MemberPhase.JOINING
--- /dev/null
+++ b/poplarspar/coordination/pools/term.py
@@ -0,0 +1,76 @@
+"""What one planner remembers from its beginning to its end."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from poplarspar.coordination.pools.forming import NewGroup
+from poplarspar.coordination.pools.loads import LoadBudget
+from poplarspar.coordination.pools.picture import GroupKey, Worker
+from poplarspar.state.plan import Spare
+
+
+@dataclass
+class Forming:
+    """A replica group whose members have been ordered to join."""
+
+    new: NewGroup
+    until: float
+
+
+@dataclass
+class Term:
+    """A planner's memory, beside what reports show.
+
+    Attributes
+    ----------
+    began_at : float
+        Monotonic time at which this node became the planner.
+    stall_s : float
+        Time after which a replica group without one of its members gives up.
+    inherited : dict
+        Times from which on spares may join a group, as the last planner told,
+        by identifier and start.
+    before_traffic : bool
+        Whether there has been no request yet; loads are quick then.
+    held_until : dict of str to float
+        Times until which the last groups of backend servers may still serve.
+    closed : set of GroupKey
+        Groups that were closed and can't be opened again by a late order.
+    """
+
+    began_at: float
+    stall_s: float
+    inherited: dict[tuple[str, int], float] = field(default_factory=dict)
+    before_traffic: bool = False
+    forming: dict[GroupKey, Forming] = field(default_factory=dict)
+    held_until: dict[str, float] = field(default_factory=dict)
+    headless: set[GroupKey] = field(default_factory=set)
+    closed: set[GroupKey] = field(default_factory=set)
+    broken: set[GroupKey] = field(default_factory=set)
+    loads: LoadBudget = field(default_factory=LoadBudget)
+    _life_by_id: dict[str, int] = field(default_factory=dict)
+
+    def meet(self, workers: Iterable[Worker], now: float) -> None:
+        """Hold back spares whose last replica group may still serve.
+
+        A backend server that has had orders and is in no group when this planner
+        first hears of it may have left one whose head is out of sight.
+        """
+        for worker in workers:
+            report = worker.heard.report
+            if self._life_by_id.get(worker.id) == report.started_ms:
+                continue
+            self._life_by_id[worker.id] = report.started_ms
+            self.held_until.pop(worker.id, None)
+            if worker.membership is None and report.hosting.orders:
+                key = (worker.id, report.started_ms)
+                self.held_until[worker.id] = self.inherited.get(key, now + self.stall_s)
+
+    def is_held(self, worker: Worker, now: float) -> bool:
+        """Return whether a backend server may not join a group yet."""
+        return now < self.held_until.get(worker.id, float("-inf"))
+
+    def spare(self, worker: Worker, now: float) -> Spare:
+        """Return what the next planner has to know of a spare."""
+        held_s = max(0.0, self.held_until.get(worker.id, now) - now)
+        return Spare(worker.id, worker.heard.report.started_ms, int(held_s * 1000))
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -221,6 +221,7 @@
             OrderGiver(survey, self._outside.orders, self._fences),
             desk,
             lambda: self._keeper.fleet,
+            self._inherited,
             settings.stall_s,
         )
         self._stack.callback(self._planner.stop)
@@ -247,6 +248,13 @@
         # does no harm; elsewhere only its lease keeps two from giving orders.
         return self._settings.orders_fenced or self._session.lease_runs()
 
+    def _inherited(self) -> dict[tuple[str, int], float]:
+        """Return from when on spares may join a group, as the last planner told."""
+        return {
+            (spare.backend, spare.started_ms): self._plan_at + spare.held_ms / 1000
+            for spare in self._plan.spares
+        }
+
     def _load(self) -> NodeLoad:
         return NodeLoad(
             self._plan.serial, self._targets.loads(), self._demand.demands()
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -103,11 +103,18 @@
   stalled @6 :Bool;
 }
 
+struct Spare {
+  backend @0 :Text;
+  startedMs @1 :UInt64;
+  heldMs @2 :UInt32;
+}
+
 # The planner's answer.
 struct FleetPlan {
   serial @0 :UInt64;
   nodes @1 :UInt32;
   groups @2 :List(PlannedGroup);
+  spares @3 :List(Spare);
 }
 
 struct Message {
--- a/poplarspar/protocol/plans.py
+++ b/poplarspar/protocol/plans.py
@@ -6,6 +6,7 @@
     ModelDemand,
     NodeLoad,
     PlannedGroup,
+    Spare,
 )
 
 
@@ -63,6 +64,14 @@
             readingTokens=group.reading_tokens,
             stalled=group.stalled,
         )
+    spares = builder.init("spares", len(plan.spares))
+    for item, spare in zip(spares, plan.spares, strict=True):
+        set_fields(
+            item,
+            backend=spare.backend,
+            startedMs=spare.started_ms,
+            heldMs=spare.held_ms,
+        )
 
 
 def read_plan(fields) -> FleetPlan:
@@ -82,4 +91,5 @@
             )
             for g in fields.groups
         ),
+        tuple(Spare(s.backend, s.startedMs, s.heldMs) for s in fields.spares),
     )
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -67,9 +67,24 @@
     stalled: bool = False
 
 
+@dataclass(frozen=True)
+class Spare:
+    """A backend server in no replica group.
+
+    Attributes
+    ----------
+    held_ms : int
+        Time until it may join one, since its last one may still serve till then.
+    """
+
+    backend: str
+    started_ms: int
+    held_ms: int
+
+
 @dataclass(frozen=True)
 class FleetPlan:
-    """The replica groups that serve.
+    """The replica groups that serve, and what a next planner has to know.
 
     Attributes
     ----------
@@ -82,3 +97,4 @@
     serial: int = 0
     nodes: int = 0
     groups: tuple[PlannedGroup, ...] = ()
+    spares: tuple[Spare, ...] = ()
--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -230,7 +230,9 @@
                 body=body or None,
                 headers=headers,
                 redirect=False,
-                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
+                timeout=urllib3.Timeout(
+                    connect=min(CONNECT_TIMEOUT_S, read_timeout_s), read=read_timeout_s
+                ),
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise ConnectFailed(f"no connection to {pool.host}:{pool.port}") from error
