--- a/poplarspar/coordination/pools/planner.py
+++ b/poplarspar/coordination/pools/planner.py
@@ -166,4 +166,10 @@
             return False
         self._started = True
         self._term.before_traffic = untouched
+        log_event(
+            Event.PLANNER_READY,
+            backends=len(reports),
+            unheard=reports.count(None),
+            untouched=untouched,
+        )
         return True
--- a/poplarspar/coordination/pools/rounds.py
+++ b/poplarspar/coordination/pools/rounds.py
@@ -20,6 +20,7 @@
 from poplarspar.state.plan import PlannedGroup, Spare
 from poplarspar.state.serving import Engine, Fleet, ServiceSpec
 
+STATE_LOG_S = 1.0
 # Reports of members that are ready lag, and orders may be lost and given again.
 JOIN_MARGIN_S = 2.0
 # A backend server that served the model last joins again within this time.
@@ -70,6 +71,28 @@
         self._collect_free()
         self._form()
         self._stage()
+        self._log_state()
+
+    def _log_state(self) -> None:
+        if self._now < self._term.logged_at + STATE_LOG_S:
+            return
+        self._term.logged_at = self._now
+        groupless = [w for w in self._workers if w.membership is None and not w.silent]
+        log_event(
+            Event.POOL_STATE,
+            service=self._service.name,
+            backends=len(self._workers),
+            silent=sum(worker.silent for worker in self._workers),
+            leaving=sum(worker.leaving for worker in self._workers),
+            held=sum(self._term.is_held(w, self._now) for w in groupless),
+            free=len(self._free),
+            spares_by_domain=dict(Counter(worker.domain for worker in groupless)),
+            groups=len(self._groups),
+            serving_by_model=dict(Counter(group.model for group in self.serving())),
+            weight_by_model={
+                name: round(weight, 2) for name, weight in self._weights().items()
+            },
+        )
 
     def serving(self) -> list[PlannedGroup]:
         """Return the groups that may be sent requests."""
--- a/poplarspar/coordination/pools/term.py
+++ b/poplarspar/coordination/pools/term.py
@@ -48,6 +48,7 @@
     closed: set[GroupKey] = field(default_factory=set)
     broken: set[GroupKey] = field(default_factory=set)
     loads: LoadBudget = field(default_factory=LoadBudget)
+    logged_at: float = float("-inf")
     _life_by_id: dict[str, int] = field(default_factory=dict)
 
     def meet(self, workers: Iterable[Worker], now: float) -> None:
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -84,6 +84,18 @@
         "The planner ended or was cut off.",
         "Nothing if it passes; the entries of backend servers serve meanwhile.",
     )
+    PLANNER_READY = (
+        214,
+        "planner has heard from the backend servers",
+        "It knows the replica groups and goes on with them.",
+        "Nothing.",
+    )
+    POOL_STATE = (
+        215,
+        "state of a pool",
+        "The planner's counts of a model service's backend servers and groups.",
+        "Look at silent and held ones if groups are fewer than their weights ask for.",
+    )
     CONFIGURATION_IN_FORCE = (
         220,
         "configuration in force here",
