--- a/poplarspar/coordination/pools/forming.py
+++ b/poplarspar/coordination/pools/forming.py
@@ -4,12 +4,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from poplarspar.coordination.pools.picture import Worker
+from poplarspar.coordination.pools.picture import Group, Worker
 from poplarspar.state.serving import Engine, EngineModel
 
-# A model may lead another by this factor before spares wait for the other one.
-BALANCE = 1.5
-
 
 @dataclass(frozen=True)
 class NewGroup:
@@ -44,13 +41,10 @@
     for worker in free:
         by_domain[worker.domain].append(worker)
 
-    def fill(name: str, more: int = 0) -> float:
-        return (count_by_model[name] + more) / max(weight_by_model[name], 1e-6)
+    def fill(name: str) -> float:
+        return count_by_model[name] / weight_by_model[name]
 
-    names = sorted(engine.models_by_name, key=fill)
-    for name in names:
-        if fill(name, 1) > BALANCE * max(1.0, fill(names[0], 1)):
-            return None
+    for name in sorted(engine.models_by_name, key=fill):
         model = engine.models_by_name[name]
         found = _best_in_domains(model, by_domain, longest_load_s)
         if found is not None:
@@ -75,6 +69,38 @@
     return best
 
 
+def choose_conversion(
+    engine: Engine,
+    groups: Iterable[Group],
+    free: Iterable[Worker],
+    count_by_model: Counter[str],
+    weight_by_model: dict[str, float],
+) -> Group | None:
+    """Return a group to give up so that a model with too few can have one more.
+
+    That is worth it if the model that gives still has the larger part of what it
+    needs afterwards, and if all that is missing is soon loaded.
+    """
+    spares = defaultdict(list)
+    for worker in free:
+        spares[worker.domain].append(worker)
+    needy = min(
+        engine.models_by_name.values(),
+        key=lambda model: count_by_model[model.name] / weight_by_model[model.name],
+    )
+    after = (count_by_model[needy.name] + 1) / weight_by_model[needy.name]
+    for group in groups:
+        left = (count_by_model[group.model] - 1) / weight_by_model[group.model]
+        if group.model == needy.name or left < after:
+            continue
+        members = list(group.members_by_rank.values())
+        found = members + spares[members[0].domain]
+        quick = [w for w in found if w.load_s(needy) <= needy.staged_load_s]
+        if len(quick) >= needy.members:
+            return group
+    return None
+
+
 def choose_staging(
     engine: Engine, worker: Worker, weight_by_model: dict[str, float]
 ) -> EngineModel | None:
--- a/poplarspar/coordination/pools/planner.py
+++ b/poplarspar/coordination/pools/planner.py
@@ -10,7 +10,7 @@
 from poplarspar.coordination.pools.giving import OrderGiver
 from poplarspar.coordination.pools.rounds import Round
 from poplarspar.coordination.pools.survey import Survey
-from poplarspar.coordination.pools.term import Term
+from poplarspar.coordination.pools.term import Inherited, Term
 from poplarspar.events import Event
 from poplarspar.logs import log_event
 from poplarspar.state.orders import Accepted, Close, Join, Order, OrderResult, Refused
@@ -32,8 +32,7 @@
     Parameters
     ----------
     inherited : callable
-        Returns the times from which on spares may join a group, as the last
-        planner told.
+        Returns what the last planner told of spares.
     stall_s : float
         Time after which a replica group without one of its members gives up.
     """
@@ -44,7 +43,7 @@
         orders: OrderGiver,
         desk: PlanDesk,
         fleet: Callable[[], Fleet],
-        inherited: Callable[[], dict[tuple[str, int], float]],
+        inherited: Callable[[], dict[tuple[str, int], Inherited]],
         stall_s: float,
     ) -> None:
         self._survey = survey
--- a/poplarspar/coordination/pools/rounds.py
+++ b/poplarspar/coordination/pools/rounds.py
@@ -6,6 +6,7 @@
 from poplarspar.coordination.pools.desk import PlanDesk
 from poplarspar.coordination.pools.forming import (
     NewGroup,
+    choose_conversion,
     choose_group,
     choose_staging,
 )
@@ -25,6 +26,8 @@
 JOIN_MARGIN_S = 2.0
 # A backend server that served the model last joins again within this time.
 REJOIN_S = 0.2
+# A change of the mix shows in the demand within some seconds.
+CONVERSION_PAUSE_S = 3.0
 # Demand in replica groups from which on it is measured well enough to plan by.
 MEASURED_GROUPS = 1.0
 # No model is left with less than this part of the most wanted one's groups.
@@ -70,6 +73,7 @@
         self._look_at_groups()
         self._collect_free()
         self._form()
+        self._convert()
         self._stage()
         self._log_state()
 
@@ -99,7 +103,7 @@
         return [
             PlannedGroup(group.head.id, *group.key, group.model)
             for group in self._groups.values()
-            if group.phase is MemberPhase.OPEN and group.is_whole(self._engine)
+            if group.phase is MemberPhase.OPEN and self._is_kept(group)
         ]
 
     def spares(self) -> list[Spare]:
@@ -122,7 +126,7 @@
         forming = self._term.forming
         for group in self._groups.values():
             begun = forming.get(group.key)
-            if group.is_whole(self._engine):
+            if self._is_kept(group):
                 self._count_by_model[group.model] += not group.is_out
                 self._advance(group)
             elif begun is not None and self._may_still_form(begun):
@@ -137,6 +141,11 @@
             else:
                 del forming[key]
 
+    def _is_kept(self, group: Group) -> bool:
+        """Return whether a group is whole and is to serve on."""
+        given_up = group.key in self._term.given_up
+        return group.is_whole(self._engine) and not given_up
+
     def _may_still_form(self, begun: Forming) -> bool:
         if self._now > begun.until:
             return False
@@ -189,9 +198,12 @@
                 silent=[worker.id for worker in group.silent_members()],
                 evict=evict,
             )
-        if group.head.heard.is_settled() or group.key not in self._term.closed:
-            due_s = 0.0 if evict else None
-            self._order(group.head, Close(name, epoch, evict), due_s)
+        if group.key in self._term.closed:
+            # Running requests may end first, unless nothing moves any more.
+            ending = group.phase is MemberPhase.CLOSING and not evict
+            if ending or not group.head.heard.is_settled():
+                return
+        self._order(group.head, Close(name, epoch, evict), 0.0 if evict else None)
 
     def _is_complete(self, group: Group) -> bool:
         model = self._engine.models_by_name.get(group.model)
@@ -250,6 +262,33 @@
                 return
             self._join(new, weights)
 
+    def _convert(self) -> None:
+        """Give up a group of a model with plenty for one with too few."""
+        term = self._term
+        if self._now < term.converted_at + CONVERSION_PAUSE_S or term.forming:
+            return
+        whole = [
+            group
+            for group in self._groups.values()
+            if group.phase is MemberPhase.OPEN
+            and group.is_whole(self._engine)
+            and not group.is_out
+        ]
+        group = choose_conversion(
+            self._engine, whole, self._free, self._count_by_model, self._weights()
+        )
+        if group is None:
+            return
+        term.converted_at = self._now
+        term.given_up.add(group.key)
+        log_event(
+            Event.GROUP_GIVEN_UP,
+            group=group.key[0],
+            epoch=group.key[1],
+            count_by_model=dict(self._count_by_model),
+        )
+        self._dissolve(group)
+
     def _weights(self) -> dict[str, float]:
         """Return how many replica groups each model needs, the least being 1."""
         demand = self._desk.demand(self._service.name)
--- a/poplarspar/coordination/pools/survey.py
+++ b/poplarspar/coordination/pools/survey.py
@@ -74,7 +74,7 @@
         """Return whether the backend server has stopped to answer."""
         if self.failed_since_suspected >= SUSPECT_FAILURES:
             return True
-        return now - self.heard_at > SILENT_S
+        return self.failures > 0 and now - self.heard_at > SILENT_S
 
     def note_order(self, hosting: Hosting | None) -> None:
         """Keep the time of an order, and the state that it brought about.
@@ -88,6 +88,12 @@
         if hosting is not None and self.report is not None:
             self.report = replace(self.report, hosting=hosting)
 
+    def note_model(self, model: str) -> None:
+        """Keep the model that was served last, which reports don't tell for long."""
+        if model and not self.report.hosting.model:
+            hosting = replace(self.report.hosting, model=model)
+            self.report = replace(self.report, hosting=hosting)
+
     def is_settled(self) -> bool:
         """Return whether the last report shows the effect of the last order."""
         return self.heard_at >= self.ordered_at + REPORT_LAG_S
--- a/poplarspar/coordination/pools/term.py
+++ b/poplarspar/coordination/pools/term.py
@@ -17,6 +17,22 @@
     until: float
 
 
+@dataclass(frozen=True)
+class Inherited:
+    """What the last planner knew of a spare.
+
+    Attributes
+    ----------
+    model : str
+        Model that it served last.
+    held_until : float
+        Monotonic time from which on it may join a group.
+    """
+
+    model: str
+    held_until: float
+
+
 @dataclass
 class Term:
     """A planner's memory, beside what reports show.
@@ -27,9 +43,8 @@
         Monotonic time at which this node became the planner.
     stall_s : float
         Time after which a replica group without one of its members gives up.
-    inherited : dict
-        Times from which on spares may join a group, as the last planner told,
-        by identifier and start.
+    inherited : dict of (str, int) to Inherited
+        What the last planner told of spares, by identifier and start.
     before_traffic : bool
         Whether there has been no request yet; loads are quick then.
     held_until : dict of str to float
@@ -40,13 +55,15 @@
 
     began_at: float
     stall_s: float
-    inherited: dict[tuple[str, int], float] = field(default_factory=dict)
+    inherited: dict[tuple[str, int], Inherited] = field(default_factory=dict)
     before_traffic: bool = False
     forming: dict[GroupKey, Forming] = field(default_factory=dict)
     held_until: dict[str, float] = field(default_factory=dict)
     headless: set[GroupKey] = field(default_factory=set)
     closed: set[GroupKey] = field(default_factory=set)
     broken: set[GroupKey] = field(default_factory=set)
+    given_up: set[GroupKey] = field(default_factory=set)
+    converted_at: float = float("-inf")
     loads: LoadBudget = field(default_factory=LoadBudget)
     logged_at: float = float("-inf")
     _life_by_id: dict[str, int] = field(default_factory=dict)
@@ -74,4 +91,6 @@
     def spare(self, worker: Worker, now: float) -> Spare:
         """Return what the next planner has to know of a spare."""
         held_s = max(0.0, self.held_until.get(worker.id, now) - now)
-        return Spare(worker.id, worker.heard.report.started_ms, int(held_s * 1000))
+        report = worker.heard.report
+        model = report.hosting.model
+        return Spare(worker.id, report.started_ms, model, int(held_s * 1000))
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -150,6 +150,12 @@
         "A member was lost, or did not get ready in time.",
         "Nothing; its other members are used again.",
     )
+    GROUP_GIVEN_UP = (
+        245,
+        "replica group is given up for another model",
+        "Another model has far fewer groups than its demand needs.",
+        "Nothing.",
+    )
     HEAD_SILENT = (
         244,
         "head of a replica group is silent",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -21,6 +21,7 @@
 )
 from poplarspar.coordination.pools import (
     Fences,
+    Inherited,
     OrderGiver,
     OrderPort,
     PlanDesk,
@@ -248,10 +249,12 @@
         # does no harm; elsewhere only its lease keeps two from giving orders.
         return self._settings.orders_fenced or self._session.lease_runs()
 
-    def _inherited(self) -> dict[tuple[str, int], float]:
-        """Return from when on spares may join a group, as the last planner told."""
+    def _inherited(self) -> dict[tuple[str, int], Inherited]:
+        """Return what the last planner told of spares."""
         return {
-            (spare.backend, spare.started_ms): self._plan_at + spare.held_ms / 1000
+            (spare.backend, spare.started_ms): Inherited(
+                spare.model, self._plan_at + spare.held_ms / 1000
+            )
             for spare in self._plan.spares
         }
 
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -107,6 +107,7 @@
   backend @0 :Text;
   startedMs @1 :UInt64;
   heldMs @2 :UInt32;
+  model @3 :Text;
 }
 
 # The planner's answer.
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -73,12 +73,15 @@
 
     Attributes
     ----------
+    model : str
+        Model that it served last, empty for none.
     held_ms : int
         Time until it may join one, since its last one may still serve till then.
     """
 
     backend: str
     started_ms: int
+    model: str
     held_ms: int
 
 
