--- a/poplarspar/coordination/pools/rounds.py
+++ b/poplarspar/coordination/pools/rounds.py
@@ -90,7 +90,7 @@
             leaving=sum(worker.leaving for worker in self._workers),
             held=sum(self._term.is_held(w, self._now) for w in groupless),
             free=len(self._free),
-            spares_by_domain=dict(Counter(worker.domain for worker in groupless)),
+            spares=[_spare_text(worker) for worker in self._free],
             groups=len(self._groups),
             serving_by_model=dict(Counter(group.model for group in self.serving())),
             weight_by_model={
@@ -372,3 +372,10 @@
 def _is_joining(worker: Worker) -> bool:
     place = worker.membership
     return place is not None and place.phase is MemberPhase.JOINING
+
+
+def _spare_text(worker: Worker) -> str:
+    """Return a spare's domain, last model and staged models, for the log."""
+    hosting = worker.heard.report.hosting
+    staged = ",".join(hosting.staged)
+    return f"{hosting.domain} last={hosting.model} staged={staged}"
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -264,6 +264,9 @@
         )
 
     def _apply_plan(self, plan: FleetPlan) -> None:
+        if not plan.serial:
+            # A new planner knows nothing yet; what the last one told still holds.
+            return
         changed = plan.serial != self._plan.serial
         self._plan = plan
         self._plan_at = time.monotonic()
@@ -275,7 +278,7 @@
 
     def _fleet_changed(self) -> None:
         fleet = self._keeper.fleet
-        if self._plan.serial and time.monotonic() - self._plan_at < PLAN_AGE_S:
+        if time.monotonic() - self._plan_at < PLAN_AGE_S:
             opened = {g.head: ((g.name, g.epoch), g.model) for g in self._plan.groups}
         else:
             # Without the planner, the entries of the heads tell what is open.
