--- a/poplarspar/coordination/pools/term.py
+++ b/poplarspar/coordination/pools/term.py
@@ -81,8 +81,10 @@
             self._life_by_id[worker.id] = report.started_ms
             self.held_until.pop(worker.id, None)
             if worker.membership is None and report.hosting.orders:
-                key = (worker.id, report.started_ms)
-                self.held_until[worker.id] = self.inherited.get(key, now + self.stall_s)
+                unknown = Inherited(report.hosting.model, now + self.stall_s)
+                known = self.inherited.get((worker.id, report.started_ms), unknown)
+                self.held_until[worker.id] = known.held_until
+                worker.heard.note_model(known.model)
 
     def is_held(self, worker: Worker, now: float) -> bool:
         """Return whether a backend server may not join a group yet."""
