Free members that have left a group whose head is silent at once

Cause: up to 10 of 43 backend servers were held back for 5.3 s each after the head of their group fell silent.

--- a/poplarspar/coordination/pools/__init__.py
+++ b/poplarspar/coordination/pools/__init__.py
@@ -5,11 +5,9 @@
 from poplarspar.coordination.pools.giving import OrderGiver, OrderPort
 from poplarspar.coordination.pools.planner import PoolPlanner
 from poplarspar.coordination.pools.survey import ReportPort, Survey
-from poplarspar.coordination.pools.term import Inherited
 
 __all__ = [
     "Fences",
-    "Inherited",
     "OrderGiver",
     "OrderPort",
     "PlanDesk",
--- a/poplarspar/coordination/pools/planner.py
+++ b/poplarspar/coordination/pools/planner.py
@@ -10,7 +10,7 @@
 from poplarspar.coordination.pools.giving import OrderGiver
 from poplarspar.coordination.pools.rounds import Round
 from poplarspar.coordination.pools.survey import Survey
-from poplarspar.coordination.pools.term import Inherited, Term
+from poplarspar.coordination.pools.term import Term
 from poplarspar.events import Event
 from poplarspar.logs import log_event
 from poplarspar.state.orders import Accepted, Close, Join, Order, OrderResult, Refused
@@ -22,8 +22,6 @@
 # A new planner first hears from everyone, since silence means a loss.
 START_UP_S = 1.0
 START_FAILURES = 2
-# The head ends its work this much after the rules say, at the latest.
-STALL_MARGIN_S = 0.3
 
 
 class PoolPlanner:
@@ -31,10 +29,8 @@
 
     Parameters
     ----------
-    inherited : callable
-        Returns what the last planner told of spares.
-    stall_s : float
-        Time after which a replica group without one of its members gives up.
+    last_models : callable
+        Returns the models that spares served last, as the last planner told.
     """
 
     def __init__(
@@ -43,17 +39,15 @@
         orders: OrderGiver,
         desk: PlanDesk,
         fleet: Callable[[], Fleet],
-        inherited: Callable[[], dict[tuple[str, int], Inherited]],
-        stall_s: float,
+        last_models: Callable[[], dict[tuple[str, int], str]],
     ) -> None:
         self._survey = survey
         self._orders = orders
         orders.on_result = self._take_result
         self._desk = desk
         self._fleet = fleet
-        self._inherited = inherited
-        self._stall_s = stall_s + STALL_MARGIN_S
-        self._term = Term(float("-inf"), self._stall_s)
+        self._last_models = last_models
+        self._term = Term(float("-inf"))
         self._started = False
         self._listed = 0
         self._listed_at = float("-inf")
@@ -66,13 +60,13 @@
 
     def plan_while(self, may_plan: Callable[[], bool]) -> None:
         """Plan for as long as this node is the planner."""
-        self._term = Term(time.monotonic(), self._stall_s, self._inherited())
+        self._term = Term(time.monotonic(), self._last_models())
         self._started = False
         self._listed = 0
         log_event(
             Event.PLANNER_STARTED,
             fence=self._orders.fences.last,
-            inherited=len(self._term.inherited),
+            spares_told=len(self._term.models),
         )
         while may_plan():
             self._plan()
--- a/poplarspar/coordination/pools/rounds.py
+++ b/poplarspar/coordination/pools/rounds.py
@@ -63,7 +63,7 @@
             for heard in survey.by_id.values()
             if heard.backend.service == service.name and heard.report is not None
         ]
-        term.meet(self._workers, self._now)
+        term.meet(self._workers)
         self._groups = build_groups(self._workers)
         self._count_by_model: Counter[str] = Counter()
         self._free: list[Worker] = []
@@ -81,14 +81,12 @@
         if self._now < self._term.logged_at + STATE_LOG_S:
             return
         self._term.logged_at = self._now
-        groupless = [w for w in self._workers if w.membership is None and not w.silent]
         log_event(
             Event.POOL_STATE,
             service=self._service.name,
             backends=len(self._workers),
             silent=sum(worker.silent for worker in self._workers),
             leaving=sum(worker.leaving for worker in self._workers),
-            held=sum(self._term.is_held(w, self._now) for w in groupless),
             free=len(self._free),
             spares=[_spare_text(worker) for worker in self._free],
             groups=len(self._groups),
@@ -107,11 +105,12 @@
         ]
 
     def spares(self) -> list[Spare]:
-        """Return the backend servers in no group."""
+        """Return the backend servers in no group that were in one before."""
+        reports = [w.heard.report for w in self._workers if w.membership is None]
         return [
-            self._term.spare(worker, self._now)
-            for worker in self._workers
-            if worker.membership is None and not worker.silent
+            Spare(report.id, report.started_ms, report.hosting.model)
+            for report in reports
+            if report.hosting.model
         ]
 
     def _see(self, heard: Heard) -> Worker:
@@ -216,17 +215,15 @@
                 self._free.append(worker)
 
     def _leave_silent_head(self, group: Group) -> None:
-        """Stop a group whose head may serve on, out of our sight.
+        """Take the members out of a group whose head can't be asked to close.
 
-        A head that lost a member gives up after a while; only then may its
-        members serve elsewhere.
+        If it lives, out of our sight, it stands still without them.
         """
         if group.key not in self._term.headless:
             self._term.headless.add(group.key)
             log_event(Event.HEAD_SILENT, group=group.key[0], epoch=group.key[1])
         for worker in group.members_by_rank.values():
             if not worker.silent and worker is not group.head:
-                self._term.held_until[worker.id] = self._now + self._term.stall_s
                 self._order(worker, Leave(*group.key))
 
     def _collect_free(self) -> None:
@@ -244,7 +241,6 @@
             if not worker.leaving
             and not worker.out
             and worker.id not in forming
-            and not self._term.is_held(worker, self._now)
             and not self._orders.is_busy(worker.id)
         ]
 
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -21,7 +21,6 @@
 )
 from poplarspar.coordination.pools import (
     Fences,
-    Inherited,
     OrderGiver,
     OrderPort,
     PlanDesk,
@@ -222,8 +221,7 @@
             OrderGiver(survey, self._outside.orders, self._fences),
             desk,
             lambda: self._keeper.fleet,
-            self._inherited,
-            settings.stall_s,
+            self._last_models,
         )
         self._stack.callback(self._planner.stop)
         self._stack.callback(keep_running(self._plan_in_turn).kill)
@@ -249,14 +247,9 @@
         # does no harm; elsewhere only its lease keeps two from giving orders.
         return self._settings.orders_fenced or self._session.lease_runs()
 
-    def _inherited(self) -> dict[tuple[str, int], Inherited]:
-        """Return what the last planner told of spares."""
-        return {
-            (spare.backend, spare.started_ms): Inherited(
-                spare.model, self._plan_at + spare.held_ms / 1000
-            )
-            for spare in self._plan.spares
-        }
+    def _last_models(self) -> dict[tuple[str, int], str]:
+        """Return the models that spares served last, as the last planner told."""
+        return {(s.backend, s.started_ms): s.model for s in self._plan.spares}
 
     def _load(self) -> NodeLoad:
         return NodeLoad(
--- a/poplarspar/platform/settings.py
+++ b/poplarspar/platform/settings.py
@@ -23,7 +23,6 @@
 
 
 class _Bounds(_Table):
-    stall_ms: float = 5000
     grace_s: float = 8
     require_fencing: bool = False
     retry_budget: float = 0.2
@@ -90,7 +89,6 @@
         metrics_listen=f"{found.ip}:{first_port + 1}",
         store=found.platform.address,
         connection_limit=found.limits.max_fds,
-        stall_s=bounds.stall_ms / 1000,
         stop_s=bounds.grace_s,
         orders_fenced=bounds.require_fencing,
         retry_share=bounds.retry_budget,
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -106,8 +106,7 @@
 struct Spare {
   backend @0 :Text;
   startedMs @1 :UInt64;
-  heldMs @2 :UInt32;
-  model @3 :Text;
+  model @2 :Text;
 }
 
 # The planner's answer.
--- a/poplarspar/protocol/plans.py
+++ b/poplarspar/protocol/plans.py
@@ -70,7 +70,6 @@
             item,
             backend=spare.backend,
             startedMs=spare.started_ms,
-            heldMs=spare.held_ms,
             model=spare.model,
         )
 
@@ -92,5 +91,5 @@
             )
             for g in fields.groups
         ),
-        tuple(Spare(s.backend, s.startedMs, s.model, s.heldMs) for s in fields.spares),
+        tuple(Spare(s.backend, s.startedMs, s.model) for s in fields.spares),
     )
--- a/poplarspar/state/node.py
+++ b/poplarspar/state/node.py
@@ -9,8 +9,6 @@
 
     Attributes
     ----------
-    stall_s : float
-        Time after which a replica group that lost a member ends its work.
     stop_s : float
         Time from SIGTERM until the process is killed.
     orders_fenced : bool
@@ -31,7 +29,6 @@
     metrics_listen: str
     store: str
     connection_limit: int
-    stall_s: float
     stop_s: float
     orders_fenced: bool
     retry_share: float
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -74,15 +74,12 @@
     Attributes
     ----------
     model : str
-        Model that it served last, empty for none.
-    held_ms : int
-        Time until it may join one, since its last one may still serve till then.
+        Model that it served last.
     """
 
     backend: str
     started_ms: int
     model: str
-    held_ms: int
 
 
 @dataclass(frozen=True)
