Notice resets under answers without a length; don't repeat refused orders on old reports

Cause of a new planner that formed nothing (test_planner_killed_while_forming failed first): a refused order moved the time from which on reports count, at each repeat.

--- a/poplarspar/coordination/pools/giving.py
+++ b/poplarspar/coordination/pools/giving.py
@@ -37,6 +37,7 @@
 REPEATS = 4
 REPEAT_PAUSE_S = 0.03
 SEND_MARGIN_S = 0.005
+REFUSED_MARGIN_S = 0.05
 
 
 class OrderPort(Protocol):
@@ -107,8 +108,11 @@
         # other orders name the group that they are for.
         expected = hosting.orders if isinstance(order, Join) else None
         result = self._send(heard, order, expected)
-        after = _effect(id, hosting, order, result)
-        self._survey.note_order(id, after)
+        if isinstance(result, Refused):
+            # It has no effect, and a report tells soon what is known wrongly.
+            eventlet.spawn_after(REPORT_LAG_S, self._survey.hurry, id)
+        else:
+            self._survey.note_order(id, _effect(id, hosting, order, result))
         self._busy_until[id] = time.monotonic() + _pause_s(order, result, due_s)
         self.on_result(order, result)
         if result == Accepted(done=False) and due_s is not None:
@@ -180,8 +184,7 @@
         case _, Accepted():
             return 0.0
         case _:
-            # What it knows better will show in its report.
-            return REPORT_LAG_S
+            return REPORT_LAG_S + REFUSED_MARGIN_S
 
 
 def _effect(
--- a/poplarspar/coordination/pools/loads.py
+++ b/poplarspar/coordination/pools/loads.py
@@ -7,6 +7,8 @@
 # Before the first request loads are quick and bound by nothing but the store.
 EARLY_LOADS_AT_ONCE = 16
 EARLY_PART = 0.1
+# Reports show the end of a load a little later.
+REPORT_MARGIN_S = 0.6
 # Part of the store's rate that is used; its windows count other nodes' loads too.
 RATE_PART = 0.8
 
@@ -43,8 +45,4 @@
         """Count a load that begins now."""
         self._begun.append(now)
         load_s = model.load_s * EARLY_PART if early else model.load_s
-        self._ends_by_id[id] = now + load_s
-
-    def end(self, id: str) -> None:
-        """Count a load less that a report shows as done."""
-        self._ends_by_id.pop(id, None)
+        self._ends_by_id[id] = now + load_s + REPORT_MARGIN_S
--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import urllib3
+from eventlet.greenio import GreenSocket
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -52,6 +53,28 @@
             raise TransportError("the answer is not JSON") from error
 
 
+class _ResetAwareSocket(GreenSocket):
+    """Raises when the other end resets the connection.
+
+    The library takes a reset for the end of the data, so an answer without a
+    length that broke off would look complete.
+    """
+
+    def _recv_loop(self, receive, empty, *arguments):
+        while True:
+            try:
+                return receive(*arguments)
+            except BlockingIOError:
+                self._read_trampoline()
+
+
+class _Connection(HTTPConnection):
+    """A connection whose resets show."""
+
+    def _new_conn(self) -> socket.socket:
+        return _ResetAwareSocket(super()._new_conn().fd)
+
+
 class HttpStream:
     """An HTTP answer whose body is read piece by piece on its own connection."""
 
@@ -118,7 +141,7 @@
         If the request may have arrived.
     """
     host, port = split_address(address)
-    connection = HTTPConnection(
+    connection = _Connection(
         host, port, timeout=connect_timeout_s, socket_options=SOCKET_OPTIONS
     )
     try:
--- /dev/null
+++ b/standins/pool.py
@@ -0,0 +1,276 @@
+"""Virtual backend servers of a model service, in one process.
+
+They take orders, load models, form replica groups and report late, as engines
+do, and note each breach of what must always hold.
+"""
+
+import random
+import time
+from dataclasses import dataclass, field, replace
+
+import eventlet
+
+from poplarspar.exceptions import BackendFailed
+from poplarspar.state.backends import (
+    BackendServer,
+    Hosting,
+    HostReport,
+    MemberPhase,
+    Membership,
+)
+from poplarspar.state.orders import (
+    Accepted,
+    Close,
+    Join,
+    Leave,
+    Open,
+    Refused,
+    Stage,
+    Unanswered,
+)
+from poplarspar.state.serving import Engine
+
+REPORT_LAG_S = 0.2
+REJOIN_S = 0.05
+STALL_S = 2.0
+
+
+@dataclass
+class Worker:
+    """One virtual backend server.
+
+    Attributes
+    ----------
+    done_at : float
+        When the present join is ready.
+    opens_at : float
+        When the head begins to serve.
+    ready_for : set
+        Groups, epochs and member lists that it has been ready for.
+    """
+
+    id: str
+    domain: str
+    started_ms: int = 1
+    hosting: Hosting = None
+    members: tuple[str, ...] = ()
+    done_at: float = 0.0
+    opens_at: float | None = None
+    fence: int = 0
+    epoch: int = 0
+    silent: bool = False
+    draining: bool = False
+    ready_for: set = field(default_factory=set)
+    history: list = field(default_factory=list)
+
+    def __post_init__(self):
+        self.hosting = self.hosting or Hosting("", (), self.domain, None, 0)
+
+    def phase(self, phase: MemberPhase) -> None:
+        place = self.hosting.membership
+        self.hosting = replace(self.hosting, membership=replace(place, phase=phase))
+
+    def advance(self, now: float) -> None:
+        """Let joins and openings that are due take effect."""
+        place = self.hosting.membership
+        if place is None:
+            return
+        if place.phase is MemberPhase.JOINING and now >= self.done_at:
+            self.phase(MemberPhase.READY)
+            self.ready_for.add((place.key, self.members))
+        if self.opens_at is not None and now >= self.opens_at:
+            self.opens_at = None
+            self.phase(MemberPhase.OPEN)
+
+
+class Pool:
+    """Reports and orders of virtual backend servers.
+
+    Parameters
+    ----------
+    late_share : float
+        Share of orders without an answer that are carried out later.
+    """
+
+    def __init__(self, engine: Engine, late_share: float = 0.0, seed: int = 0) -> None:
+        self._engine = engine
+        self._late_share = late_share
+        self._random = random.Random(seed)
+        self.by_id: dict[str, Worker] = {}
+        self.breaches: list[str] = []
+        self.orders = 0
+
+    def add(self, id: str, domain: str, **options) -> Worker:
+        """Add a backend server."""
+        self.by_id[id] = Worker(id, domain, **options)
+        return self.by_id[id]
+
+    def restart(self, id: str) -> None:
+        """Start a backend server anew, under the same name."""
+        old = self.by_id[id]
+        staged = old.hosting.staged
+        hosting = Hosting("", staged, old.domain, None, 0)
+        self.by_id[id] = Worker(id, old.domain, old.started_ms + 1, hosting)
+
+    def entries(self) -> dict[str, BackendServer]:
+        """Return the list of backend servers as the platform has it."""
+        return {
+            worker.id: BackendServer(
+                id=worker.id,
+                started_ms=worker.started_ms,
+                service="llm",
+                address=f"{worker.id}:1",
+                zone="a",
+                draining=worker.draining,
+                slots=self._engine.slots,
+                cold_s=0.0,
+                hosting=worker.hosting,
+            )
+            for worker in self.by_id.values()
+        }
+
+    def serving(self) -> list[tuple[str, int]]:
+        """Return the groups that are open with all their members."""
+        return [key for key in self._open_groups() if not self._missing(key)]
+
+    def read(self, backend: BackendServer, timeout_s: float) -> HostReport:
+        """Return a report that lags."""
+        worker = self._reach(backend, timeout_s)
+        now = time.monotonic()
+        worker.history.append((now, worker.hosting))
+        seen = [h for at, h in worker.history if at <= now - REPORT_LAG_S]
+        worker.history = [(at, h) for at, h in worker.history if at > now - 1.0]
+        hosting = seen[-1] if seen else worker.history[0][1]
+        return HostReport(worker.id, worker.started_ms, hosting, 0, 0, False, 1.0)
+
+    def forget(self, backend: BackendServer) -> None:
+        """Close nothing, since there are no connections."""
+
+    def give(self, backend, order, *, fence, accepted_before, timeout_s):
+        """Carry out an order, now or, without an answer, later."""
+        try:
+            worker = self._reach(backend, timeout_s)
+        except BackendFailed:
+            return Unanswered()
+        self.orders += 1
+        if self._random.random() < self._late_share:
+            delay_s = self._random.uniform(0.5, 2.0)
+            eventlet.spawn_after(
+                delay_s, self._carry_out, worker, order, fence, accepted_before
+            )
+            eventlet.sleep(timeout_s)
+            return Unanswered()
+        return self._carry_out(worker, order, fence, accepted_before)
+
+    def _reach(self, backend: BackendServer, timeout_s: float) -> Worker:
+        worker = self.by_id.get(backend.id)
+        if worker is None or worker.silent:
+            eventlet.sleep(timeout_s)
+            raise BackendFailed("silent", sent=True)
+        worker.advance(time.monotonic())
+        return worker
+
+    def _carry_out(self, worker: Worker, order, fence: int, accepted_before):
+        worker.advance(time.monotonic())
+        orders = worker.hosting.orders
+        if fence < worker.fence:
+            return Refused(412, fenced=True)
+        if accepted_before is not None and accepted_before != orders:
+            return Refused(409, fenced=False)
+        worker.fence = fence
+        result = self._apply(worker, order)
+        if result == Accepted(done=False):
+            worker.hosting = replace(worker.hosting, orders=orders + 1)
+        worker.history.append((time.monotonic(), worker.hosting))
+        return result
+
+    def _apply(self, worker: Worker, order):
+        place = worker.hosting.membership
+        match order:
+            case Join():
+                return self._join(worker, order)
+            case Stage(model):
+                worker.hosting = replace(worker.hosting, staged=(model,))
+                return Accepted(done=False)
+            case Open(group, epoch) | Close(group, epoch) | Leave(group, epoch):
+                if place is None or place.key != (group, epoch):
+                    return Refused(409, fenced=False)
+        match order, place.phase:
+            case Open(), MemberPhase.OPEN:
+                return Accepted(done=True)
+            case Open(), MemberPhase.READY:
+                worker.opens_at = time.monotonic() + self._engine.open_s
+                self._check_partial(worker)
+                return Accepted(done=False)
+            case Close(), MemberPhase.OPEN:
+                worker.phase(MemberPhase.READY)
+                return Accepted(done=False)
+            case Close(), MemberPhase.READY:
+                worker.opens_at = None
+                return Accepted(done=True)
+            case Leave(), _:
+                worker.hosting = replace(
+                    worker.hosting, membership=None, orders=worker.hosting.orders + 1
+                )
+                worker.opens_at = None
+                return Accepted(done=True)
+        return Refused(409, fenced=False)
+
+    def _join(self, worker: Worker, order: Join):
+        place = worker.hosting.membership
+        key = (order.group, order.epoch)
+        if place is not None and place.key == key:
+            return Accepted(done=place.phase is not MemberPhase.JOINING)
+        if order.epoch < worker.epoch:
+            return Refused(412, fenced=False)
+        if place is not None and place.key in self._open_groups():
+            self.breaches.append(f"{worker.id} joined {key}, {place.key} is open")
+        model = self._engine.models_by_name[order.model]
+        load_s = model.load_s
+        if worker.hosting.model == order.model:
+            load_s = REJOIN_S
+        elif order.model in worker.hosting.staged:
+            load_s = model.staged_load_s
+        rank = order.members.index(worker.id)
+        worker.epoch = order.epoch
+        worker.members = order.members
+        worker.opens_at = None
+        worker.done_at = time.monotonic() + load_s
+        worker.hosting = replace(
+            worker.hosting,
+            model=order.model,
+            staged=worker.hosting.staged or (order.model,),
+            membership=Membership(*key, rank, MemberPhase.JOINING),
+        )
+        return Accepted(done=False)
+
+    def _open_groups(self) -> dict[tuple[str, int], Worker]:
+        """Return the heads of open groups that live and don't stand still."""
+        now = time.monotonic()
+        heads = {}
+        for worker in self.by_id.values():
+            worker.advance(now)
+            place = worker.hosting.membership
+            if place is not None and place.rank == 0 and not worker.silent:
+                if place.phase is MemberPhase.OPEN:
+                    heads[place.key] = worker
+        return heads
+
+    def _missing(self, key) -> list[str]:
+        head = self._open_groups()[key]
+        return [
+            id
+            for id in head.members
+            if self.by_id[id].silent
+            or self.by_id[id].hosting.membership is None
+            or self.by_id[id].hosting.membership.key != key
+        ]
+
+    def _check_partial(self, head: Worker) -> None:
+        place = head.hosting.membership
+        size = self._engine.models_by_name[head.hosting.model].members
+        if len(head.members) != size:
+            self.breaches.append(f"{place.key} opened with {len(head.members)}")
+        for id in head.members:
+            if (place.key, head.members) not in self.by_id[id].ready_for:
+                self.breaches.append(f"{place.key} opened, {id} was never ready")
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,390 @@
+"""Decisions on single requests: routing, repeats, refusals that are true."""
+
+import time
+import unittest
+
+from expression import Result
+
+from poplarspar.coordination.forwarding import (
+    DemandMeter,
+    Forwarder,
+    RepeatBudget,
+    Sender,
+    StreamEvent,
+    Targets,
+)
+from poplarspar.exceptions import BackendFailed
+from poplarspar.state.backends import BackendServer, Hosting, Load
+from poplarspar.state.callers import CallerRequest, StreamedAnswer, WholeAnswer
+from poplarspar.state.refusals import Ran, Reason
+from poplarspar.state.serving import (
+    CallerLimits,
+    Engine,
+    EngineModel,
+    Fleet,
+    KeyHolder,
+    RouteKind,
+    ServiceRoute,
+    ServiceSpec,
+    ServingConfiguration,
+    WeightedService,
+)
+
+ENGINE = Engine(
+    slots=4,
+    models_by_name={"m0": EngineModel("m0", 2, 1.0, 1.0, 16.0, 1.6)},
+    step_s=0.006,
+    step_per_request_s=0.0001,
+    tokens_read_per_s=50_000.0,
+    tokens_per_event=7,
+    loads_per_s=4.0,
+    loads_at_once=6,
+    open_s=0.3,
+)
+
+
+def route(name, kind, service, **changes):
+    values = {
+        "name": name,
+        "host": "a.example",
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "services": (WeightedService(service, 1),),
+        "timeout_s": 1.0,
+        "aim_s": 0.1,
+        "pause_aim_s": 0.2,
+        "urgency": 1,
+        "max_attempts": 2,
+        "public": False,
+        "resumable": True,
+    }
+    return ServiceRoute(**{**values, **changes})
+
+
+def configuration(*routes, version=1):
+    rows = tuple(sorted(routes, key=lambda r: -len(r.path_prefix)))
+    return ServingConfiguration(
+        version=version,
+        routes_by_host={"a.example": rows},
+        services_by_name={
+            "llm": ServiceSpec("llm", 100, 36.0, ENGINE),
+            "ledger": ServiceSpec("ledger", 100, 2.0, None),
+        },
+        holder_by_key={"k1": KeyHolder("pilots", None)},
+        keys_required=True,
+        limits=CallerLimits(16_384, 4_000_000, 3.0, 15.0),
+    )
+
+
+def backend(id, service="ledger", **changes):
+    values = {
+        "id": id,
+        "started_ms": 1,
+        "service": service,
+        "address": f"{id}:1",
+        "zone": "a",
+        "draining": False,
+        "slots": 4,
+        "cold_s": 0.0,
+        "hosting": Hosting("m0", (), "d0", None, 1) if service == "llm" else None,
+    }
+    return BackendServer(**{**values, **changes})
+
+
+def request(path="/pay/1", **changes):
+    values = {
+        "id": "r1",
+        "method": "POST",
+        "target": path,
+        "host": "a.example",
+        "path": path,
+        "headers": (),
+        "body": b"",
+        "key": "k1",
+        "patience_s": 1.0,
+        "last_event": None,
+        "model": "",
+        "prompt_tokens": 0,
+        "answer_tokens": 0,
+        "arrived_at": time.monotonic(),
+    }
+    return CallerRequest(**{**values, **changes})
+
+
+class FakeExchange:
+    """An answer with a body or events; `break_after` events the stream breaks."""
+
+    def __init__(self, status=200, body=b"ok", **options):
+        self.status = status
+        self.headers = ()
+        self.genuine = options.get("genuine", True)
+        self.not_run = options.get("not_run", False)
+        self.load = options.get("load")
+        self.is_stream = "numbers" in options
+        self._numbers = options.get("numbers", ())
+        self._break_after = options.get("break_after")
+        self._broken_body = options.get("broken_body", False)
+        self._body = body
+        self.closed = False
+
+    def read_whole(self):
+        if self._broken_body:
+            raise BackendFailed("reset", sent=True)
+        return self._body
+
+    def events(self):
+        for position, number in enumerate(self._numbers):
+            if position == self._break_after:
+                raise BackendFailed("reset", sent=True)
+            yield StreamEvent(number, b"id: %d\n\n" % number)
+
+    def limit_silence(self, timeout_s):
+        pass
+
+    def abort(self):
+        pass
+
+    def close(self):
+        self.closed = True
+
+
+class FakeUpstream:
+    """Gives prepared answers, each an exchange or a `BackendFailed`."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.attempts = []
+
+    def send(self, attempt):
+        self.attempts.append(attempt)
+        answer = self.answers.pop(0)
+        if isinstance(answer, BackendFailed):
+            raise answer
+        return answer
+
+
+class ForwardingTestCase(unittest.TestCase):
+    routes = (
+        route("pay", RouteKind.NON_IDEMPOTENT, "ledger"),
+        route("look", RouteKind.IDEMPOTENT, "ledger"),
+        route("draft", RouteKind.STREAM, "llm"),
+        route("draft/once", RouteKind.STREAM, "llm", resumable=False),
+        route("open", RouteKind.IDEMPOTENT, "ledger", public=True),
+    )
+
+    def setUp(self):
+        self.fleet = Fleet(configuration(*self.routes))
+        for id in ("s1", "s2", "s3"):
+            self.fleet.backends_by_id[id] = backend(id)
+        for id in ("h1", "h2"):
+            self.fleet.backends_by_id[id] = backend(id, "llm")
+        self.opened = {"h1": (("g1", 1), "m0"), "h2": (("g2", 2), "m0")}
+        self.budget = RepeatBudget(0.2, 100, 10.0)
+        self.targets = Targets("a", lambda service: service.cold_requests_per_s)
+        self.update()
+
+    def update(self):
+        self.targets.update(self.fleet, self.opened)
+
+    def serve(self, received, *answers):
+        self.upstream = FakeUpstream(*answers)
+        forwarder = Forwarder(
+            lambda: self.fleet.configuration,
+            self.targets,
+            Sender(self.targets, self.upstream),
+            self.budget,
+            DemandMeter(),
+        )
+        return forwarder.serve(received)
+
+    def refused(self, result):
+        self.assertTrue(result.is_error(), result)
+        return result.error
+
+    def answered(self, result):
+        self.assertTrue(result.is_ok(), result)
+        return result.ok
+
+
+class LookupTest(ForwardingTestCase):
+    def test_longest_prefix_wins(self):
+        found = self.fleet.configuration.find_route("a.example", "/draft/once/1")
+        self.assertEqual("draft/once", found.name)
+
+    def test_unknown_path_host_and_key(self):
+        for changes in ({"path": "/nowhere/"}, {"host": "b.example"}):
+            refusal = self.refused(self.serve(request(**changes)))
+            self.assertEqual(Reason.NOT_FOUND, refusal.reason)
+        refusal = self.refused(self.serve(request(key="k2")))
+        self.assertEqual(Reason.UNAUTHORIZED, refusal.reason)
+
+    def test_public_route_needs_no_key(self):
+        answer = self.answered(self.serve(request("/open/1", key=""), FakeExchange()))
+        self.assertEqual(200, answer.status)
+
+    def test_no_configuration_is_a_refusal_that_has_not_run(self):
+        self.fleet.configuration = None
+        refusal = self.refused(self.serve(request()))
+        self.assertEqual((Reason.STALE, Ran.NO), (refusal.reason, refusal.ran))
+
+
+class PlainCallTest(ForwardingTestCase):
+    def test_workspace_and_time_left_are_passed_on(self):
+        self.answered(self.serve(request(), FakeExchange()))
+        attempt = self.upstream.attempts[0]
+        self.assertEqual("pilots", attempt.workspace)
+        self.assertLess(attempt.left_s, 1.0)
+
+    def test_unreached_backend_server_is_replaced(self):
+        failed = BackendFailed("no connection", sent=False)
+        answer = self.answered(self.serve(request(), failed, FakeExchange()))
+        self.assertEqual(b"ok", answer.body)
+        ids = [attempt.backend_id for attempt in self.upstream.attempts]
+        self.assertEqual(2, len(set(ids)))
+
+    def test_lost_answer_is_not_sent_again(self):
+        lost = BackendFailed("reset", sent=True)
+        refusal = self.refused(self.serve(request(), lost, FakeExchange()))
+        self.assertEqual(Ran.UNKNOWN, refusal.ran)
+        self.assertEqual(1, len(self.upstream.attempts))
+
+    def test_torn_answer_is_not_sent_again(self):
+        torn = FakeExchange(broken_body=True)
+        refusal = self.refused(self.serve(request(), torn, FakeExchange()))
+        self.assertEqual(Ran.UNKNOWN, refusal.ran)
+        self.assertEqual(1, len(self.upstream.attempts))
+
+    def test_lost_answer_of_idempotent_request_is_sent_again(self):
+        lost = BackendFailed("reset", sent=True)
+        answer = self.answered(self.serve(request("/look/1"), lost, FakeExchange()))
+        self.assertEqual(b"ok", answer.body)
+
+    def test_no_more_than_max_attempts(self):
+        lost = [BackendFailed("reset", sent=True) for _ in range(3)]
+        self.refused(self.serve(request("/look/1"), *lost))
+        self.assertEqual(2, len(self.upstream.attempts))
+
+    def test_declined_by_all_has_not_run(self):
+        declined = [FakeExchange(503, not_run=True) for _ in range(3)]
+        refusal = self.refused(self.serve(request(), *declined))
+        self.assertEqual(Ran.NO, refusal.ran)
+        self.assertIsNotNone(refusal.retry_after_s)
+
+    def test_answer_without_signature_is_not_handed_on(self):
+        forged = FakeExchange(200, genuine=False)
+        refusal = self.refused(self.serve(request(), forged))
+        self.assertEqual(Ran.UNKNOWN, refusal.ran)
+
+    def test_failed_answer_is_handed_on_when_nobody_does_better(self):
+        failed = [FakeExchange(500), FakeExchange(500)]
+        answer = self.answered(self.serve(request("/look/1"), *failed))
+        self.assertEqual(500, answer.status)
+
+    def test_repeats_stop_when_the_budget_is_used_up(self):
+        self.budget = RepeatBudget(0.0, 0.0, 10.0)
+        lost = BackendFailed("reset", sent=True)
+        self.refused(self.serve(request("/look/1"), lost, FakeExchange()))
+        self.assertEqual(1, len(self.upstream.attempts))
+
+    def test_zone_out_gets_nothing(self):
+        self.fleet.evacuated_zones = frozenset({"a"})
+        refusal = self.refused(self.serve(request()))
+        self.assertEqual(Reason.NO_BACKEND, refusal.reason)
+
+    def test_draining_backend_server_gets_nothing(self):
+        for id in ("s1", "s2"):
+            self.fleet.backends_by_id[id] = backend(id, draining=True)
+        self.update()
+        for _ in range(8):
+            self.answered(self.serve(request(), FakeExchange()))
+            self.assertEqual("s3", self.upstream.attempts[0].backend_id)
+
+    def test_cold_backend_server_gets_what_it_bears(self):
+        for id in ("s1", "s2", "s3"):
+            self.fleet.cold_until_by_id[id] = time.monotonic() + 10
+        self.update()
+        results = [self.serve(request(), FakeExchange()) for _ in range(8)]
+        self.assertEqual(6, sum(result.is_ok() for result in results))
+
+    def test_failing_backend_server_is_avoided(self):
+        target = next(t for t in self.targets.by_key.values() if t.backend.id == "s1")
+        target.note_failure()
+        target.note_failure()
+        for _ in range(8):
+            self.answered(self.serve(request(), FakeExchange()))
+            self.assertNotEqual("s1", self.upstream.attempts[0].backend_id)
+
+
+class StreamTest(ForwardingTestCase):
+    def open(self, *answers, path="/draft/1", **changes):
+        received = request(path, model="m0", prompt_tokens=100, **changes)
+        return self.serve(received, *answers)
+
+    def read(self, answer):
+        self.assertIsInstance(answer, StreamedAnswer)
+        self.addCleanup(answer.events.close)
+        return [int(data[4:].strip()) for data in answer.events]
+
+    def test_whole_stream(self):
+        answer = self.answered(self.open(FakeExchange(numbers=(1, 2, 3))))
+        self.assertEqual([1, 2, 3], self.read(answer))
+
+    def test_broken_stream_goes_on_elsewhere(self):
+        first = FakeExchange(numbers=(1, 2, 3), break_after=2)
+        second = FakeExchange(numbers=(3, 4))
+        answer = self.answered(self.open(first, second))
+        self.assertEqual([1, 2, 3, 4], self.read(answer))
+        self.assertEqual(2, self.upstream.attempts[1].last_event)
+        self.assertTrue(first.closed)
+
+    def test_events_that_came_already_are_dropped(self):
+        first = FakeExchange(numbers=(1, 2, 3), break_after=2)
+        answer = self.answered(self.open(first, FakeExchange(numbers=(2, 3))))
+        self.assertEqual([1, 2, 3], self.read(answer))
+
+    def test_stream_that_may_not_be_resumed_breaks(self):
+        first = FakeExchange(numbers=(1, 2, 3), break_after=2)
+        answer = self.answered(
+            self.open(first, FakeExchange(numbers=(3,)), path="/draft/once/1")
+        )
+        with self.assertRaises(BackendFailed):
+            self.read(answer)
+
+    def test_other_models_groups_are_not_asked(self):
+        refusal = self.refused(self.serve(request("/draft/1", model="m9")))
+        self.assertEqual((Reason.NO_BACKEND, Ran.NO), (refusal.reason, refusal.ran))
+
+    def test_full_groups_refuse_with_a_time_to_come_back(self):
+        for target in self.targets.by_key.values():
+            target.in_flight = target.slots + 1
+        refusal = self.refused(self.open())
+        self.assertEqual((Reason.QUEUE_FULL, Ran.NO), (refusal.reason, refusal.ran))
+        self.assertIsNotNone(refusal.retry_after_s)
+
+    def test_told_load_of_others_counts(self):
+        busy = Load(running=5, waiting=0, slots=4)
+        for target in self.targets.by_key.values():
+            target.note_load(busy)
+        self.refused(self.open())
+
+    def test_places_are_freed(self):
+        answer = self.answered(self.open(FakeExchange(numbers=(1,))))
+        self.read(answer)
+        answer.events.close()
+        self.assertEqual([0], [*{t.in_flight for t in self.targets.by_key.values()}])
+
+
+class AnswerTypeTest(ForwardingTestCase):
+    def test_refused_stream_of_a_backend_server_is_whole(self):
+        result = self.serve(
+            request("/draft/1", model="m0"), FakeExchange(400, b"bad prompt")
+        )
+        match result:
+            case Result(tag="ok", ok=WholeAnswer(status, _, body)):
+                self.assertEqual((400, b"bad prompt"), (status, body))
+            case other:
+                self.fail(other)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_pools.py
@@ -0,0 +1,277 @@
+"""The planner of replica groups against virtual backend servers."""
+
+import standins.common  # noqa: F401  # isort: skip
+
+import unittest
+
+import eventlet
+
+from poplarspar.coordination.pools import (
+    Fences,
+    OrderGiver,
+    PlanDesk,
+    PoolPlanner,
+    Survey,
+)
+from poplarspar.state.backends import MemberPhase
+from poplarspar.state.plan import ModelDemand, NodeLoad
+from poplarspar.state.serving import (
+    CallerLimits,
+    Engine,
+    EngineModel,
+    Fleet,
+    ServiceSpec,
+    ServingConfiguration,
+)
+from standins.pool import Pool
+
+ENGINE = Engine(
+    slots=13,
+    models_by_name={
+        "m0": EngineModel("m0", 3, 1.0, 0.6, 2.0, 0.2),
+        "m1": EngineModel("m1", 2, 0.6, 0.4, 1.5, 0.15),
+    },
+    step_s=0.006,
+    step_per_request_s=0.0001,
+    tokens_read_per_s=50_000.0,
+    tokens_per_event=7,
+    loads_per_s=10.0,
+    loads_at_once=6,
+    open_s=0.1,
+)
+WAIT_S = 15.0
+
+
+def wait_until(condition, what):
+    with eventlet.Timeout(WAIT_S, AssertionError(f"not in time: {what}")):
+        while not condition():
+            eventlet.sleep(0.02)
+
+
+class TestNode:
+    """One node's planner, and the means to stop and start it."""
+
+    __test__ = False
+
+    def __init__(self, pool, term):
+        self.pool = pool
+        self.active = True
+        self.fences = Fences()
+        self.fences.start_term(term)
+        survey = Survey(pool, lambda: self.planner.wake())
+        self.desk = PlanDesk(lambda head: self.planner.suspect(head))
+        self.planner = PoolPlanner(
+            survey,
+            OrderGiver(survey, pool, self.fences),
+            self.desk,
+            self.fleet,
+            lambda: {},
+        )
+        self.task = eventlet.spawn(self.planner.plan_while, self.may_plan)
+
+    def may_plan(self):
+        return self.active and not self.fences.overtaken
+
+    def fleet(self):
+        spec = ServiceSpec("llm", 100, 36.0, ENGINE)
+        limits = CallerLimits(1, 1, 1, 1)
+        fleet = Fleet(ServingConfiguration(1, {}, {"llm": spec}, {}, True, limits))
+        fleet.backends_by_id = self.pool.entries()
+        return fleet
+
+    def stop(self):
+        """End like a killed process."""
+        self.task.kill()
+        self.planner.stop()
+
+
+class PoolTestCase(unittest.TestCase):
+    domains = {"d0": 5, "d1": 6}
+    late_share = 0.0
+
+    def setUp(self):
+        self.pool = Pool(ENGINE, self.late_share, seed=1)
+        for domain, count in self.domains.items():
+            for index in range(count):
+                self.pool.add(f"{domain}-{index}", domain)
+        self.nodes = []
+        self.addCleanup(self.stop_all)
+
+    def stop_all(self):
+        for node in self.nodes:
+            node.stop()
+        self.assertEqual([], self.pool.breaches)
+
+    def start(self, term=1):
+        node = TestNode(self.pool, term)
+        self.nodes.append(node)
+        return node
+
+    def wait_serving(self, count):
+        wait_until(lambda: len(self.pool.serving()) >= count, f"{count} serve")
+
+    def member(self, rank, of=None):
+        """Return a backend server that has a rank in a group that serves."""
+        key = of or self.pool.serving()[0]
+        for worker in self.pool.by_id.values():
+            place = worker.hosting.membership
+            if place is not None and place.key == key and place.rank == rank:
+                return worker
+        return None
+
+
+class FormingTest(PoolTestCase):
+    def test_groups_lie_in_one_domain(self):
+        self.start()
+        self.wait_serving(4)
+        for key in self.pool.serving():
+            domains = {self.pool.by_id[i].domain for i in self.member(0, key).members}
+            self.assertEqual(1, len(domains))
+
+    def test_plan_names_what_serves(self):
+        node = self.start()
+        self.wait_serving(4)
+        wait_until(
+            lambda: len(node.desk.answer("n", NodeLoad(0)).groups) >= 4, "planned"
+        )
+
+    def test_hosts_get_the_other_model(self):
+        self.start()
+        self.wait_serving(4)
+        wait_until(
+            lambda: all(
+                {w.hosting.model, *w.hosting.staged} >= {"m0", "m1"}
+                for w in self.pool.by_id.values()
+                if w.hosting.membership
+            ),
+            "staged",
+        )
+
+
+class LossTest(PoolTestCase):
+    def test_lost_member_is_replaced(self):
+        self.start()
+        self.wait_serving(4)
+        lost = self.member(1)
+        lost.silent = True
+        wait_until(lambda: len(self.pool.serving()) == 3, "noticed")
+        self.wait_serving(3)
+        for key in self.pool.serving():
+            self.assertNotIn(lost.id, self.member(0, key).members)
+
+    def test_survivors_of_a_lost_head_serve_again(self):
+        self.start()
+        self.wait_serving(4)
+        key = next(k for k in self.pool.serving() if k[0].startswith("m0"))
+        head = self.member(0, key)
+        survivors = set(head.members) - {head.id}
+        head.silent = True
+
+        def rejoined():
+            return any(
+                survivors & set(self.member(0, other).members)
+                for other in self.pool.serving()
+                if other != key
+            )
+
+        wait_until(rejoined, "survivors serve")
+
+    def test_restarted_member_is_no_member(self):
+        self.start()
+        self.wait_serving(4)
+        key = self.pool.serving()[0]
+        self.pool.restart(self.member(1, key).id)
+        wait_until(lambda: key not in self.pool.serving(), "noticed")
+        wait_until(
+            lambda: (
+                self.member(0, key) is None
+                or self.member(0, key).hosting.membership.phase is not MemberPhase.OPEN
+            ),
+            "closed",
+        )
+
+    def test_leaving_member_is_replaced(self):
+        self.start()
+        self.wait_serving(4)
+        leaving = self.member(1)
+        leaving.draining = True
+        wait_until(
+            lambda: (
+                not any(
+                    leaving.id in self.member(0, key).members
+                    for key in self.pool.serving()
+                )
+            ),
+            "its group closed",
+        )
+
+    def test_suspected_group_is_looked_at_sooner(self):
+        node = self.start()
+        self.wait_serving(4)
+        key = self.pool.serving()[0]
+        head = self.member(0, key)
+        self.member(1, key).silent = True
+        node.planner.suspect(head.id)
+        with eventlet.Timeout(0.6, AssertionError("not in time")):
+            while head.hosting.membership and head.hosting.membership.phase.value == (
+                "open"
+            ):
+                eventlet.sleep(0.01)
+
+
+class TakeoverTest(PoolTestCase):
+    def test_killed_planner_is_replaced(self):
+        self.start().stop()
+        self.start(2)
+        self.wait_serving(4)
+
+    def test_planner_killed_while_forming(self):
+        first = self.start()
+        wait_until(
+            lambda: any(w.hosting.membership for w in self.pool.by_id.values()), "begun"
+        )
+        first.stop()
+        self.start(2)
+        self.wait_serving(4)
+
+    def test_two_planners_at_once(self):
+        first = self.start()
+        self.wait_serving(4)
+        # The first one is cut off from the store, but not from backend servers.
+        self.start(2)
+        self.member(1).silent = True
+        wait_until(lambda: not first.may_plan() or first.task.dead, "overtaken")
+        self.wait_serving(3)
+
+
+class LateOrdersTest(PoolTestCase):
+    late_share = 0.3
+
+    def test_groups_form_through_late_orders(self):
+        self.start()
+        self.wait_serving(3)
+        self.member(1).silent = True
+        self.wait_serving(2)
+
+
+class DemandTest(PoolTestCase):
+    domains = {"d0": 8}
+
+    def test_group_is_given_up_for_a_model_in_demand(self):
+        node = self.start()
+
+        def served(model):
+            return sum(key[0].startswith(model) for key in self.pool.serving())
+
+        demand = (ModelDemand("llm", "m0", 8.0), ModelDemand("llm", "m1", 1.0))
+        wait_until(lambda: (served("m0"), served("m1")) == (1, 2), "formed")
+
+        def converted():
+            node.desk.answer("n", NodeLoad(0, (), demand))
+            return served("m0") == 2
+
+        wait_until(converted, "two groups of the model in demand")
+
+
+if __name__ == "__main__":
+    unittest.main()
