--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -72,7 +72,11 @@
     """A connection whose resets show."""
 
     def _new_conn(self) -> socket.socket:
-        return _ResetAwareSocket(super()._new_conn().fd)
+        opened = super()._new_conn()
+        aware = _ResetAwareSocket(opened.fd)
+        # The first wrapper closes the descriptor when it is collected.
+        aware.opened = opened
+        return aware
 
 
 class HttpStream:
