--- a/poplarspar/coordination/following.py
+++ b/poplarspar/coordination/following.py
@@ -13,6 +13,9 @@
 
 FIRST_BACKOFF_S = 0.1
 LAST_BACKOFF_S = 1.0
+# A watch can miss changes when the store loses its history; the values themselves
+# are read again this often, well before the history of a quiet prefix ends.
+READ_ALL_S = 10.0
 # While a fleet starts, changes come close upon one another and all of them matter.
 EARLY_S = 5.0
 EARLY_PAUSE_S = 0.25
@@ -81,6 +84,7 @@
         self._as_of: int | None = None
         self._backoff_s = FIRST_BACKOFF_S
         self._began_at = time.monotonic()
+        self._read_all_at = float("-inf")
 
     def follow(self) -> None:
         """Follow for as long as the process lives."""
@@ -96,13 +100,19 @@
                 self._backoff_s = min(2 * self._backoff_s, LAST_BACKOFF_S)
 
     def _step(self) -> None:
-        if self._as_of is None:
+        now = time.monotonic()
+        if self._as_of is None or now > self._read_all_at + READ_ALL_S:
             found = self._store.read_all(self._prefix)
             self._replace(found.items)
+            self._as_of = found.as_of
+            self._read_all_at = now
         else:
             found = self._store.changes(self._prefix, self._as_of, self._wait_s)
             self._apply(found.items)
-        self._as_of = found.as_of
+            if found.items:
+                # A watch that heard nothing may have missed something, so the next
+                # one begins where this one did.
+                self._as_of = found.as_of
         self._health.succeeded()
         self._backoff_s = FIRST_BACKOFF_S
         if self._pause_s:
--- a/poplarspar/coordination/forwarding/resuming.py
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -75,6 +75,7 @@
         """Yield the events; raises `BackendFailed` if they can't go on."""
         while True:
             try:
+                self._limit_silence()
                 event = next(self._events, None)
             except BackendFailed as failure:
                 self._resume(failure)
@@ -108,7 +109,6 @@
                     self._sent += 1
                     self._began = began
                     self._events = began.exchange.events()
-                    began.exchange.limit_silence(EVENT_SILENCE_S)
                     return Ok(began)
                 case NotReached() | Rejected():
                     self._declined += 1
@@ -146,6 +146,13 @@
             self._routed, target, silence_s=silence_s, last_event=self._last_event
         )
 
+    def _limit_silence(self) -> None:
+        """Wait for the next event no longer than makes sense."""
+        left_s = self._routed.ends_at - time.monotonic()
+        if left_s <= 0:
+            raise BackendFailed("the answer was not complete in time", sent=True)
+        self._began.exchange.limit_silence(min(EVENT_SILENCE_S, left_s))
+
     def _resume(self, failure: BackendFailed) -> None:
         self._began.target.note_failure()
         self.close()
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -49,9 +49,11 @@
     json_response,
 )
 
-# The store answers a question at once when something changes, so waiting long costs
-# few calls; its connections are probed for silence meanwhile.
-WATCH_WAIT_S = 20.0
+# A watch that went deaf is found when it is asked anew, and a configuration is to be
+# in force within two seconds.
+OPERATOR_WAIT_S = 1.4
+# Where another node is missed for a while, little is lost.
+NODES_WAIT_S = 4.0
 # Entries of backend servers change all the time; they are read about once a second.
 BACKEND_PAUSE_S = 0.9
 BACKEND_WAIT_S = 1.0
@@ -175,7 +177,7 @@
         keeper = self._keeper
         self._follow(
             outside.operator_prefix,
-            WATCH_WAIT_S,
+            OPERATOR_WAIT_S,
             0.0,
             keeper.replace_operator,
             keeper.apply_operator,
@@ -196,7 +198,7 @@
             self._nodes_changed,
         )
         self._follow(
-            NODE_PREFIX, WATCH_WAIT_S, 0.0, self._session.replace, self._session.apply
+            NODE_PREFIX, NODES_WAIT_S, 0.0, self._session.replace, self._session.apply
         )
         self._stack.callback(keep_running(self._session.run).kill)
 
