--- a/poplarspar/cmdline.py
+++ b/poplarspar/cmdline.py
@@ -101,13 +101,14 @@
         With --check the settings are only checked.
         """
         # Only this command needs the platform's adapter.
-        from poplarspar.platform import build_node, read_node_settings
+        from poplarspar.platform import SettingsFile, build_node, read_node_settings
 
         checked = read_node_settings(settings)
         if check:
             print(f"{checked.name}: correct")
             return
-        run_daemon(checked.name, lambda: build_node(checked))
+        file = SettingsFile(settings)
+        run_daemon(checked.name, lambda: build_node(checked), file.reload)
 
     @SetParseFn(str)
     def check(self, kind: str, path: str) -> None:
--- a/poplarspar/coordination/fleet.py
+++ b/poplarspar/coordination/fleet.py
@@ -77,6 +77,7 @@
         self._changed = changed
         self._lapsed_ids: set[str] = set()
         self._malformed_keys: set[str] = set()
+        self._configuration_at = time.monotonic()
         self.fleet = Fleet()
         self.listed = False
 
@@ -85,6 +86,10 @@
         """Whether enough is known to serve."""
         return self.listed and self.fleet.configuration is not None
 
+    def configuration_age_s(self) -> float:
+        """Return for how long the configuration has been in force here."""
+        return time.monotonic() - self._configuration_at
+
     def replace_operator(self, items: tuple[Change, ...]) -> None:
         """Take all that the operator has written."""
         decoded = [self._decode_operator(change) for change in items]
@@ -145,6 +150,7 @@
         if held is not None and held.version >= configuration.version:
             return
         self.fleet.configuration = configuration
+        self._configuration_at = time.monotonic()
         log_event(Event.CONFIGURATION_IN_FORCE, version=configuration.version)
 
     def _set_zones(self, zones: frozenset[str]) -> None:
--- a/poplarspar/coordination/forwarding/repeats.py
+++ b/poplarspar/coordination/forwarding/repeats.py
@@ -24,13 +24,17 @@
     """
 
     def __init__(self, share: float, slack: float, window_s: float) -> None:
-        self._share = share
-        self._slack = slack
-        self._window_s = window_s
+        self.set_bounds(share, slack, window_s)
         self._nodes = 1
         self._requests: dict[str, deque[float]] = {}
         self._repeats: dict[str, deque[float]] = {}
 
+    def set_bounds(self, share: float, slack: float, window_s: float) -> None:
+        """Act on other bounds from now on."""
+        self._share = share
+        self._slack = slack
+        self._window_s = window_s
+
     def share_among(self, nodes: int) -> None:
         """Divide the fixed part by the number of nodes."""
         self._nodes = max(1, nodes)
@@ -47,6 +51,10 @@
         allowed = self._share * requests + self._slack / self._nodes
         return int(allowed * SAFETY) - repeats
 
+    def gauges(self) -> dict[str, float]:
+        """Return the repeats left, for the metrics page."""
+        return {f"repeats_left_{name}": self.left(name) for name in self._requests}
+
     def take(self, service: str) -> bool:
         """Use one repeat and return whether the budget had it."""
         if self.left(service) <= 0:
--- a/poplarspar/daemon.py
+++ b/poplarspar/daemon.py
@@ -14,6 +14,8 @@
 from poplarspar.logs import log_event, set_up_logging
 
 RESTART_S = 1.0
+# Settings may change without a signal; reading a small file costs next to nothing.
+RELOAD_PERIOD_S = 1.0
 
 
 class Daemon(Protocol):
@@ -46,7 +48,7 @@
     return eventlet.spawn(run)
 
 
-def run_daemon(name: str, start) -> None:
+def run_daemon(name: str, start, reload=None) -> None:
     """Start a daemon, print its addresses as JSON, and run it until SIGTERM.
 
     Parameters
@@ -55,6 +57,9 @@
         Name of the daemon, for the log.
     start : callable
         Returns the started `Daemon`.
+    reload : callable or None
+        Takes the started daemon and reads its settings again; called every two
+        seconds, so that SIGHUP and changes without a signal count alike.
     """
     set_up_logging(name)
     stop = Signal()
@@ -65,13 +70,18 @@
         else:
             stop.send()
 
+    # The settings are read again soon anyway; the signal must just not end it.
+    signal.signal(signal.SIGHUP, lambda number, frame: None)
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     daemon = start()
     try:
         log_event(Event.STARTED, **daemon.addresses)
         print(json.dumps(daemon.addresses), flush=True)
-        stop.wait()
+        while not stop.ready():
+            stop.wait(timeout=RELOAD_PERIOD_S)
+            if reload is not None and not stop.ready():
+                reload(daemon)
         daemon.shut_down()
     finally:
         daemon.close()
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -30,6 +30,18 @@
         "A stop signal came again during a graceful shutdown.",
         "Wait, or end the process by SIGKILL and lose its running requests.",
     )
+    SETTINGS_APPLIED = (
+        106,
+        "changed settings applied",
+        "The settings file has changed.",
+        "Nothing.",
+    )
+    SETTINGS_REJECTED = (
+        107,
+        "changed settings rejected",
+        "The settings file has changed to something that can't be applied.",
+        "Correct the file; the process goes on with the old settings.",
+    )
     LINES_LEFT_OUT = (
         105,
         "log lines left out",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -1,5 +1,6 @@
 """The node daemon: serves callers, and plans replica groups when it is its turn."""
 
+import resource
 import time
 import uuid
 from collections.abc import Callable
@@ -32,6 +33,7 @@
 from poplarspar.coordination.session import LEASE_TTL_S, NODE_PREFIX, Session
 from poplarspar.daemon import keep_running
 from poplarspar.events import Event
+from poplarspar.exceptions import InvalidSettings
 from poplarspar.logs import log_event
 from poplarspar.state.metrics import Metrics
 from poplarspar.state.node import NodeSettings
@@ -39,6 +41,7 @@
 from poplarspar.state.serving import ServiceSpec
 from poplarspar.transport.addresses import bound_address, listen
 from poplarspar.transport.links import LinkServer
+from poplarspar.transport.metrics import MetricsPage
 from poplarspar.transport.plan_links import PlanLink, PlanServer
 from poplarspar.transport.server import (
     Handler,
@@ -118,6 +121,28 @@
             "ready": bound_address(self._ready_listener),
         }
 
+    def apply_settings(self, settings: NodeSettings) -> None:
+        """Act on changed settings.
+
+        Raises
+        ------
+        InvalidSettings
+            If an address or name differs, which takes a new process.
+        """
+        fixed = ("name", "caller_listen", "ready_listen", "peer_listen", "store")
+        differing = [
+            name
+            for name in fixed
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        if differing:
+            raise InvalidSettings(f"{', '.join(differing)}: can't change in a process")
+        self._settings = settings
+        self._budget.set_bounds(
+            settings.retry_share, settings.retry_slack, settings.retry_window_s
+        )
+        log_event(Event.SETTINGS_APPLIED)
+
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
         return self._keeper.ready and not self.drain.draining
@@ -171,6 +196,14 @@
             limits=lambda: READY_LIMITS,
         )
         self._stack.callback(ready.close)
+        page = MetricsPage(self.metrics, self._gauges)
+        metrics = HttpServer(
+            listen(settings.metrics_listen),
+            page.handle,
+            connection_limit=16,
+            limits=lambda: READY_LIMITS,
+        )
+        self._stack.callback(metrics.close)
 
     def _start_following(self) -> None:
         outside = self._outside
@@ -308,6 +341,27 @@
             limits.header_bytes,
         )
 
+    def _gauges(self) -> dict[str, float]:
+        """Return what is known now, for the metrics page."""
+        configuration = self._keeper.fleet.configuration
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return {
+            "ready": self.is_ready(),
+            "planner": self._session.is_planner,
+            "nodes": self._nodes(),
+            "requests_running": self.drain.running,
+            "configuration_version": configuration.version if configuration else 0,
+            "configuration_age_seconds": self._keeper.configuration_age_s(),
+            "store_steady_seconds": self._health.steady_s(),
+            "plan_age_seconds": min(time.monotonic() - self._plan_at, 1e9),
+            "backend_servers": len(self._keeper.fleet.backends_by_id),
+            "replica_groups_serving": len(self._plan.groups),
+            "evacuated_zones": len(self._keeper.fleet.evacuated_zones),
+            "memory_peak_bytes": usage.ru_maxrss * 1024,
+            "processor_seconds": usage.ru_utime + usage.ru_stime,
+            **self._budget.gauges(),
+        }
+
     def _answer_ready(self, request: Request) -> Response:
         ready = self.is_ready()
         return json_response(200 if ready else 503, {"ready": ready})
--- a/poplarspar/platform/settings.py
+++ b/poplarspar/platform/settings.py
@@ -6,10 +6,15 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from poplarspar.events import Event
 from poplarspar.exceptions import InvalidSettings
+from poplarspar.logs import log_event
+from poplarspar.node import Node
 from poplarspar.state.node import NodeSettings
 
 SETTINGS_VARIABLE = "POPLARSPAR_SETTINGS"
+# The port that deploy/system.toml names for collectors.
+METRICS_PORT = 9464
 ADDRESS = r"^[^:]+:[0-9]+$"
 
 
@@ -77,6 +82,38 @@
     return _to_state(found)
 
 
+class SettingsFile:
+    """The settings file of a running node, read again when it has changed.
+
+    Parameters
+    ----------
+    path : str
+        Where the file lies; empty for where the environment says.
+    """
+
+    def __init__(self, path: str = "") -> None:
+        self._path = path
+        self._seen = self._text()
+
+    def _text(self) -> str:
+        path = self._path or os.environ.get(SETTINGS_VARIABLE, "")
+        try:
+            return Path(path).read_text()
+        except (OSError, UnicodeDecodeError):
+            return ""
+
+    def reload(self, node: Node) -> None:
+        """Apply changed settings, or keep the old ones and say why."""
+        text = self._text()
+        if text == self._seen:
+            return
+        self._seen = text
+        try:
+            node.apply_settings(read_node_settings(self._path))
+        except InvalidSettings as error:
+            log_event(Event.SETTINGS_REJECTED, cause=str(error))
+
+
 def _to_state(found: _Settings) -> NodeSettings:
     bounds = found.bounds
     first_port = found.port_range[0]
@@ -86,7 +123,7 @@
         caller_listen=found.listen.frontend,
         ready_listen=found.listen.ready,
         peer_listen=f"{found.ip}:{first_port}",
-        metrics_listen=f"{found.ip}:{first_port + 1}",
+        metrics_listen=f"{found.ip}:{METRICS_PORT}",
         store=found.platform.address,
         connection_limit=found.limits.max_fds,
         stop_s=bounds.grace_s,
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,6 +9,18 @@
 PACKAGE = Path(poplarspar.__file__).parent
 # From the outside in; each layer may import those after it.
 LAYERS = ["transport", "protocol", "coordination", "state"]
+PLATFORM_NAMES = [
+    "Attempt-Id",
+    "Deadline-Ms",
+    "Not-Executed",
+    "Expect-Instance",
+    "Response-Signature",
+    "kv-txn",
+    "kv-watch",
+    "op/config",
+    "op/evacuate",
+    "fencing_token",
+]
 
 
 def imported_modules(path: Path) -> list[str]:
@@ -25,21 +37,37 @@
     def test_imports_point_inwards(self):
         for position, layer in enumerate(LAYERS):
             outer = tuple(f"poplarspar.{name}" for name in LAYERS[:position])
-            for path in (PACKAGE / layer).glob("*.py"):
+            for path in (PACKAGE / layer).rglob("*.py"):
                 for module in imported_modules(path):
                     with self.subTest(file=f"{layer}/{path.name}", module=module):
                         self.assertFalse(module.startswith(outer))
 
     def test_layers_do_not_import_daemons(self):
-        allowed = {"poplarspar.exceptions", "poplarspar.events"}
+        allowed = {"poplarspar.exceptions", "poplarspar.events", "poplarspar.logs"}
         allowed_starts = tuple(f"poplarspar.{layer}" for layer in LAYERS)
         for layer in LAYERS:
-            for path in (PACKAGE / layer).glob("*.py"):
+            for path in (PACKAGE / layer).rglob("*.py"):
                 for module in imported_modules(path):
                     if module.startswith("poplarspar.") and module not in allowed:
                         with self.subTest(file=path.name, module=module):
                             self.assertTrue(module.startswith(allowed_starts))
 
+    def test_only_the_command_line_imports_the_platform(self):
+        for path in PACKAGE.rglob("*.py"):
+            if "platform" in path.parts or path.name == "cmdline.py":
+                continue
+            for module in imported_modules(path):
+                with self.subTest(file=path.name, module=module):
+                    self.assertFalse(module.startswith("poplarspar.platform"))
+
+    def test_platform_names_stay_in_its_folder(self):
+        for path in PACKAGE.rglob("*.py"):
+            if "platform" in path.relative_to(PACKAGE).parts[:1]:
+                continue
+            for name in PLATFORM_NAMES:
+                with self.subTest(file=path.name, name=name):
+                    self.assertNotIn(name, path.read_text())
+
     def test_package_does_not_import_scaffolding(self):
         for path in PACKAGE.rglob("*.py"):
             for module in imported_modules(path):
