--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -34,6 +34,8 @@
 # long prompts; beyond, each moment makes its loss more likely.
 WORKING_PAUSE_S = 0.1
 STALLED_DELAY_S = 0.3
+# Each multiple of the usual pace adds this much to a stream's pauses.
+SLOW_DELAY_S = 0.1
 
 
 @dataclass(eq=False)
@@ -48,6 +50,8 @@
         The same of all other nodes, as far as they have told.
     stalled_elsewhere : bool
         Whether another node sees no sign of work there.
+    pace : float
+        How much slower it is than the engine's figures.
     trouble : float
         Recent share of failures, from 0 to 1, as of `trouble_at`.
     progress_at : float
@@ -63,6 +67,7 @@
     others: int = 0
     others_reading: int = 0
     stalled_elsewhere: bool = False
+    pace: float = 1.0
     told: Load | None = None
     told_at: float = float("-inf")
     in_flight_when_told: int = 0
@@ -254,15 +259,17 @@
         if engine is None:
             busy = (expected + 1) / max(1, target.slots)
             return target.answer_s * (1.0 + busy) + 0.01 * busy + penalty_s + remote_s
-        pace = engine.models_by_name[target.model].pace
+        pace = engine.models_by_name[target.model].pace * target.pace
         reading = target.reading_tokens + target.others_reading
         reading_s = reading / engine.tokens_read_per_s * pace
         step_s = (engine.step_s + engine.step_per_request_s * expected) * pace
+        slow_s = SLOW_DELAY_S * (target.pace - 1.0)
         crowd_s = 0.1 * expected / target.slots
         stalled_s = max(0.0, target.stalled_s(now) - WORKING_PAUSE_S)
         if target.stalled_elsewhere:
             stalled_s = max(stalled_s, STALLED_DELAY_S)
-        return reading_s + step_s + crowd_s + stalled_s + penalty_s + remote_s
+        waiting_s = reading_s + step_s + crowd_s + slow_s
+        return waiting_s + stalled_s + penalty_s + remote_s
 
     def start(self, target: Target, tokens: int) -> None:
         """Count a request that is sent."""
@@ -294,6 +301,7 @@
                 target.others = group.in_flight
                 target.others_reading = group.reading_tokens
                 target.stalled_elsewhere = group.stalled
+                target.pace = group.pace
         self.wake()
 
     def loads(self) -> tuple[GroupLoad, ...]:
--- a/poplarspar/coordination/pools/forming.py
+++ b/poplarspar/coordination/pools/forming.py
@@ -7,6 +7,9 @@
 from poplarspar.coordination.pools.picture import Group, Worker
 from poplarspar.state.serving import Engine, EngineModel
 
+# A backend server that fits into no group is worth this much more time to load.
+LEFT_OVER_S = 1.0
+
 
 @dataclass(frozen=True)
 class NewGroup:
@@ -46,16 +49,21 @@
 
     for name in sorted(engine.models_by_name, key=fill):
         model = engine.models_by_name[name]
-        found = _best_in_domains(model, by_domain, longest_load_s)
+        found = _best_in_domains(engine, model, by_domain, longest_load_s)
         if found is not None:
             return found
     return None
 
 
 def _best_in_domains(
-    model: EngineModel, by_domain: dict[str, list[Worker]], longest_load_s: float
+    engine: Engine,
+    model: EngineModel,
+    by_domain: dict[str, list[Worker]],
+    longest_load_s: float,
 ) -> NewGroup | None:
+    sizes = {other.members for other in engine.models_by_name.values()}
     best: NewGroup | None = None
+    best_cost = float("inf")
     for workers in by_domain.values():
         if len(workers) < model.members:
             continue
@@ -64,11 +72,22 @@
         load_s = max(worker.load_s(model) for worker in members)
         if load_s > longest_load_s:
             continue
-        if best is None or load_s < best.load_s:
-            best = NewGroup(model, members, load_s)
+        left = _left_over(len(workers) - model.members, sizes)
+        cost = load_s + LEFT_OVER_S * left
+        if cost < best_cost:
+            best, best_cost = NewGroup(model, members, load_s), cost
     return best
 
 
+def _left_over(count: int, sizes: set[int]) -> int:
+    """Return how many backend servers at least would be in no group."""
+    reachable = {0}
+    for total in range(1, count + 1):
+        if any(total - size in reachable for size in sizes):
+            reachable.add(total)
+    return count - max(reachable)
+
+
 def choose_conversion(
     engine: Engine,
     groups: Iterable[Group],
@@ -102,7 +121,10 @@
 
 
 def choose_staging(
-    engine: Engine, worker: Worker, weight_by_model: dict[str, float]
+    engine: Engine,
+    worker: Worker,
+    count_by_model: Counter[str],
+    weight_by_model: dict[str, float],
 ) -> EngineModel | None:
     """Return the model that a host should have besides, None if it has all it can.
 
@@ -111,7 +133,21 @@
     """
     hosting = worker.heard.report.hosting
     others = [m for m in engine.models_by_name.values() if m.name != hosting.model]
-    if not others:
+    if not others or any(model.name in hosting.staged for model in others):
         return None
-    wanted = max(others, key=lambda model: weight_by_model[model.name] * model.members)
-    return None if wanted.name in hosting.staged else wanted
+    return min(
+        others, key=lambda m: (count_by_model[m.name] + 1) / weight_by_model[m.name]
+    )
+
+
+def choose_warming(engine: Engine, worker: Worker) -> EngineModel | None:
+    """Return the model that a spare should get ready and leave again.
+
+    It joins a group of that model sooner then, and its host is free for another.
+    """
+    hosting = worker.heard.report.hosting
+    if hosting.model:
+        return None
+    return next(
+        (m for m in engine.models_by_name.values() if m.name in hosting.staged), None
+    )
--- a/poplarspar/coordination/pools/picture.py
+++ b/poplarspar/coordination/pools/picture.py
@@ -7,6 +7,10 @@
 from poplarspar.state.backends import MemberPhase, Membership
 from poplarspar.state.serving import Engine, EngineModel
 
+# A group runs at the pace of its slowest member; at half the pace its streams pause
+# for too long.
+SLOW_PACE = 1.8
+
 GroupKey = tuple[str, int]
 
 
@@ -43,6 +47,12 @@
         report = self.heard.report
         return report.hosting.membership if report else None
 
+    @property
+    def slow(self) -> bool:
+        """Whether it slows its replica group down."""
+        report = self.heard.report
+        return report is not None and report.pace >= SLOW_PACE
+
     def load_s(self, model: EngineModel) -> float:
         """Return how long it needs to get a model ready."""
         hosting = self.heard.report.hosting
@@ -96,6 +106,11 @@
         """Whether nothing is to be sent to the head's zone."""
         return self.head is not None and self.head.out
 
+    @property
+    def pace(self) -> float:
+        """How much slower the slowest member is than the engine's figures."""
+        return max(w.heard.report.pace for w in self.members_by_rank.values())
+
     def silent_members(self) -> list[Worker]:
         """Return the members that do not answer."""
         return [worker for worker in self.members_by_rank.values() if worker.silent]
--- a/poplarspar/coordination/pools/rounds.py
+++ b/poplarspar/coordination/pools/rounds.py
@@ -9,6 +9,7 @@
     choose_conversion,
     choose_group,
     choose_staging,
+    choose_warming,
 )
 from poplarspar.coordination.pools.giving import OrderGiver
 from poplarspar.coordination.pools.picture import Group, Worker, build_groups
@@ -19,7 +20,7 @@
 from poplarspar.state.backends import MemberPhase
 from poplarspar.state.orders import Close, Join, Leave, Open, Order, Stage
 from poplarspar.state.plan import PlannedGroup, Spare
-from poplarspar.state.serving import Engine, Fleet, ServiceSpec
+from poplarspar.state.serving import Engine, EngineModel, Fleet, ServiceSpec
 
 STATE_LOG_S = 1.0
 # Reports of members that are ready lag, and orders may be lost and given again.
@@ -73,8 +74,10 @@
         self._look_at_groups()
         self._collect_free()
         self._form()
+        self._drop_slow()
         self._convert()
         self._stage()
+        self._warm()
         self._log_state()
 
     def _log_state(self) -> None:
@@ -99,7 +102,9 @@
     def serving(self) -> list[PlannedGroup]:
         """Return the groups that may be sent requests."""
         return [
-            PlannedGroup(group.head.id, *group.key, group.model)
+            PlannedGroup(
+                group.head.id, *group.key, group.model, pace=round(group.pace, 1)
+            )
             for group in self._groups.values()
             if group.phase is MemberPhase.OPEN and self._is_kept(group)
         ]
@@ -128,15 +133,15 @@
             if self._is_kept(group):
                 self._count_by_model[group.model] += not group.is_out
                 self._advance(group)
-            elif begun is not None and self._may_still_form(begun):
-                self._count_by_model[begun.new.model.name] += 1
+            elif begun is not None and self._may_still_form(begun, group):
+                self._count_by_model[begun.new.model.name] += not begun.warming
             else:
                 self._dissolve(group)
         for key, begun in list(forming.items()):
             if key in self._groups:
                 continue
             if self._now < begun.until:
-                self._count_by_model[begun.new.model.name] += 1
+                self._count_by_model[begun.new.model.name] += not begun.warming
             else:
                 del forming[key]
 
@@ -145,9 +150,11 @@
         given_up = group.key in self._term.given_up
         return group.is_whole(self._engine) and not given_up
 
-    def _may_still_form(self, begun: Forming) -> bool:
+    def _may_still_form(self, begun: Forming, group: Group) -> bool:
         if self._now > begun.until:
             return False
+        if begun.warming and group.phase is MemberPhase.READY:
+            return False
         silent = {worker.id for worker in self._workers if worker.silent}
         return not silent & {member.id for member in begun.new.members}
 
@@ -170,7 +177,8 @@
     def _dissolve(self, group: Group) -> None:
         """Take a broken group apart, the head first."""
         name, epoch = group.key
-        if self._term.forming.pop(group.key, None) is not None:
+        begun = self._term.forming.pop(group.key, None)
+        if begun is not None and not begun.warming:
             log_event(Event.GROUP_ABANDONED, group=name, epoch=epoch)
         head = group.head
         if head is None and group.key in self._survey.ended_groups:
@@ -240,6 +248,7 @@
             for worker in self._free
             if not worker.leaving
             and not worker.out
+            and not worker.slow
             and worker.id not in forming
             and not self._orders.is_busy(worker.id)
         ]
@@ -261,7 +270,8 @@
     def _convert(self) -> None:
         """Give up a group of a model with plenty for one with too few."""
         term = self._term
-        if self._now < term.converted_at + CONVERSION_PAUSE_S or term.forming:
+        forming = any(not begun.warming for begun in term.forming.values())
+        if self._now < term.converted_at + CONVERSION_PAUSE_S or forming:
             return
         whole = [
             group
@@ -285,6 +295,24 @@
         )
         self._dissolve(group)
 
+    def _drop_slow(self) -> None:
+        """Give up a group with a slow member if a spare can take its place."""
+        spares = Counter(worker.domain for worker in self._free)
+        for group in self._groups.values():
+            slow = [w for w in group.members_by_rank.values() if w.slow]
+            if not slow or not self._is_kept(group):
+                continue
+            if group.phase is MemberPhase.OPEN and spares[slow[0].domain] >= len(slow):
+                spares[slow[0].domain] -= len(slow)
+                self._term.given_up.add(group.key)
+                log_event(
+                    Event.GROUP_SLOW,
+                    group=group.key[0],
+                    epoch=group.key[1],
+                    slow=[worker.id for worker in slow],
+                )
+                self._dissolve(group)
+
     def _weights(self) -> dict[str, float]:
         """Return how many replica groups each model needs, the least being 1."""
         demand = self._desk.demand(self._service.name)
@@ -350,7 +378,7 @@
             and not _is_joining(worker)
             and not self._orders.is_busy(worker.id)
             and not term.loads.is_loading(worker.id, self._now)
-            and (model := choose_staging(self._engine, worker, weights)) is not None
+            and (model := self._staging(worker, weights)) is not None
         ]
         # Spares first: without a model on their host they are of no use.
         wanting.sort(key=lambda item: item[0])
@@ -361,6 +389,25 @@
             if self._order(worker, Stage(model.name)):
                 term.loads.begin(worker.id, model, self._now, early)
 
+    def _staging(self, worker: Worker, weights: dict[str, float]) -> EngineModel | None:
+        return choose_staging(self._engine, worker, self._count_by_model, weights)
+
+    def _warm(self) -> None:
+        """Let spares get a model ready that is on their host, and leave again."""
+        for worker in list(self._free):
+            model = choose_warming(self._engine, worker)
+            if model is None or self._orders.is_busy(worker.id):
+                continue
+            epoch = self._orders.fences.next()
+            key = (f"warm-{epoch}", epoch)
+            until = self._now + model.staged_load_s + JOIN_MARGIN_S
+            new = NewGroup(model, (worker,), model.staged_load_s)
+            self._term.forming[key] = Forming(new, until, warming=True)
+            self._free.remove(worker)
+            self._order(
+                worker, Join(*key, model.name, (worker.id,)), model.staged_load_s
+            )
+
     def _order(self, worker: Worker, order: Order, due_s: float | None = None) -> bool:
         return self._orders.give(worker.heard, order, due_s)
 
--- a/poplarspar/coordination/pools/term.py
+++ b/poplarspar/coordination/pools/term.py
@@ -10,10 +10,17 @@
 
 @dataclass
 class Forming:
-    """A replica group whose members have been ordered to join."""
+    """A replica group whose members have been ordered to join.
+
+    Attributes
+    ----------
+    warming : bool
+        Whether it is of one spare only, which leaves it again.
+    """
 
     new: NewGroup
     until: float
+    warming: bool = False
 
 
 @dataclass
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -168,6 +168,12 @@
         "Another model has far fewer groups than its demand needs.",
         "Nothing.",
     )
+    GROUP_SLOW = (
+        246,
+        "replica group is given up for its slow member",
+        "A member reports that it is slow, and a spare can take its place.",
+        "Look at the slow VM.",
+    )
     HEAD_SILENT = (
         244,
         "head of a replica group is silent",
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -101,6 +101,7 @@
   inFlight @4 :UInt32;
   readingTokens @5 :UInt32;
   stalled @6 :Bool;
+  pace @7 :Float64;
 }
 
 struct Spare {
--- a/poplarspar/protocol/plans.py
+++ b/poplarspar/protocol/plans.py
@@ -63,6 +63,7 @@
             inFlight=group.in_flight,
             readingTokens=group.reading_tokens,
             stalled=group.stalled,
+            pace=group.pace,
         )
     spares = builder.init("spares", len(plan.spares))
     for item, spare in zip(spares, plan.spares, strict=True):
@@ -88,6 +89,7 @@
                 g.inFlight,
                 g.readingTokens,
                 g.stalled,
+                g.pace,
             )
             for g in fields.groups
         ),
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -56,6 +56,8 @@
         Work there of all nodes but the receiver.
     stalled : bool
         Whether some node sees no sign of work there.
+    pace : float
+        How much slower it is than the engine's figures.
     """
 
     head: str
@@ -65,6 +67,7 @@
     in_flight: int = 0
     reading_tokens: int = 0
     stalled: bool = False
+    pace: float = 1.0
 
 
 @dataclass(frozen=True)
