Count a request as one that may have run from its sending on; end tasks of callers that left

Cause of REFUSED in test_route_time_out_is_kept: the time ran out while an answer was awaited, and the request had not been counted as sent.

--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -132,6 +132,9 @@
                 case Result(ok=target):
                     pass
             self._tried.add(target)
+            ran_before = self.may_have_run
+            # Holds also if the time runs out while the answer is awaited.
+            self.may_have_run = True
             match self._send(target):
                 case Began() as began:
                     answer = self._read(began)
@@ -139,9 +142,9 @@
                         return Ok(answer)
                 case NotReached() | Rejected():
                     self._declined += 1
+                    self.may_have_run = ran_before
                 case Broke():
                     self._sent += 1
-                    self.may_have_run = True
 
     def _find_place(self) -> Result[Target, Refusal]:
         routed = self._routed
@@ -174,7 +177,6 @@
     def _read(self, began: Began) -> WholeAnswer | None:
         """Return the answer, None if another backend server should be asked."""
         exchange = began.exchange
-        self.may_have_run = True
         self._sent += 1
         try:
             body = exchange.read_whole()
--- a/poplarspar/exceptions.py
+++ b/poplarspar/exceptions.py
@@ -91,9 +91,13 @@
     """An open connection broke or went silent."""
 
 
-class CallerGone(TransportError):
-    """A caller closed its connection before it had its answer."""
-
-
 class FrameTooLong(TransportError):
     """A peer announced a frame above the size bound."""
+
+
+class CallerGone(PoplarsparError):
+    """A caller closed its connection before it had its answer.
+
+    It ends the caller's task from any place, so no layer takes it for a fault of
+    its own connections.
+    """
--- a/poplarspar/transport/server.py
+++ b/poplarspar/transport/server.py
@@ -11,7 +11,7 @@
 from eventlet import wsgi
 
 from poplarspar.events import Event
-from poplarspar.exceptions import InvalidRequest, PoplarsparError
+from poplarspar.exceptions import CallerGone, InvalidRequest, PoplarsparError
 from poplarspar.logs import log_event
 
 SEND_BUFFER_BYTES = 8_192
@@ -171,7 +171,8 @@
     def _application(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         response = self._respond(environ)
         status_text = STATUS_TEXT.get(response.status, OTHER_STATUS_TEXT)
-        headers = list(response.headers.items())
+        # The server adds this header itself when it is to close the connection.
+        headers = [item for item in response.headers.items() if item[0] != "Connection"]
         if response.content_type is not None:
             headers.insert(0, ("Content-Type", response.content_type))
         if response.headers.get("Connection") == "close":
@@ -193,6 +194,8 @@
             return self._handler(request)
         except InvalidRequest as error:
             return self._problem(400, error)
+        except CallerGone:
+            raise
         except PoplarsparError as error:
             log_event(Event.REQUEST_FAILED, cause=str(error))
             return self._problem(500, error)
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,283 @@
+"""The users' platform in one process: its store, a plain service, settings."""
+
+import base64
+import json
+import time
+from urllib.parse import parse_qs
+
+import eventlet
+
+from poplarspar.transport.addresses import bound_address, listen
+from poplarspar.transport.server import (
+    HttpServer,
+    Request,
+    Response,
+    ServerLimits,
+    json_response,
+)
+
+LIMITS = ServerLimits(4_000_000, header_timeout_s=30.0, idle_timeout_s=60.0)
+PREFIX = "/poplarspar/"
+POLL_S = 0.01
+
+
+class _Server:
+    """Serves a handler on a free port."""
+
+    def __init__(self) -> None:
+        self._listener = listen("127.0.0.1:0")
+        self.address = bound_address(self._listener)
+        self._server = HttpServer(
+            self._listener, self.handle, connection_limit=256, limits=lambda: LIMITS
+        )
+
+    def close(self) -> None:
+        self._server.close()
+
+
+class Store(_Server):
+    """The key-value store; `down` makes it refuse, `lose_answers` do and not say."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.items: dict[str, dict] = {}
+        self.log: list[dict] = []
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.down = False
+        self.lose_answers = False
+        self.oldest = 0
+        super().__init__()
+
+    def put(self, key: str, document, lease: int = 0) -> None:
+        """Write a JSON document, or raw bytes."""
+        data = (
+            document if isinstance(document, bytes) else json.dumps(document).encode()
+        )
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "revision": self.revision,
+            "created": self.items.get(key, {}).get("created", self.revision),
+            "lease": lease,
+        }
+        self.items[key] = item
+        self.log.append(item)
+
+    def remove(self, key: str) -> None:
+        """Delete a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            gone = {"key": key, "revision": self.revision, "deleted": True}
+            self.log.append(gone)
+
+    def forget_history(self) -> None:
+        """Make all older revisions unknown."""
+        self.oldest = self.revision
+
+    def handle(self, request: Request) -> Response:
+        self._end_leases()
+        if self.down:
+            return json_response(503, {"error": "down"})
+        query = {k: v[0] for k, v in parse_qs(request.query).items()}
+        parts = request.path.removeprefix(PREFIX).split("/")
+        match request.method, parts:
+            case "GET", ["kv-key"]:
+                item = self.items.get(query["key"])
+                return json_response(200 if item else 404, item or {})
+            case "GET", ["kv-range"]:
+                return self._range(query)
+            case "GET", ["kv-watch"]:
+                return self._watch(query)
+            case "POST", ["kv-txn"]:
+                return self._commit(json.loads(request.body))
+            case "POST", ["kv-lease"]:
+                ttl_s = json.loads(request.body)["ttl_ms"] / 1000
+                id = len(self.leases) + 1
+                self.leases[id] = (ttl_s, time.monotonic() + ttl_s)
+                return json_response(200, {"lease": id, "ttl_ms": int(ttl_s * 1000)})
+            case "POST", ["kv-keep", id]:
+                return self._keep(int(id))
+            case "DELETE", ["kv-lease-end", id]:
+                self._end(int(id))
+                return json_response(200, {})
+        return json_response(404, {})
+
+    def _range(self, query: dict) -> Response:
+        after = query.get("since_rev", "")
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query["path_prefix"]) and key > after
+        )
+        page = [self.items[key] for key in keys[:50]]
+        more = len(keys) > len(page)
+        return json_response(
+            200, {"items": page, "more_pages": more, "as_of": self.revision}
+        )
+
+    def _watch(self, query: dict) -> Response:
+        after = int(query["since_rev"])
+        ends_at = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            if after < self.oldest:
+                return json_response(410, {})
+            events = [
+                item
+                for item in self.log
+                if item["revision"] > after
+                and item["key"].startswith(query["path_prefix"])
+            ]
+            if events or time.monotonic() >= ends_at:
+                return json_response(200, {"events": events, "as_of": self.revision})
+            eventlet.sleep(POLL_S)
+            self._end_leases()
+
+    def _commit(self, body: dict) -> Response:
+        for row in body["expected"]:
+            held = self.items.get(row["key"], {"revision": 0})
+            if held["revision"] != row["revision"]:
+                return json_response(412, {"items": [held]})
+        for put in body["puts"]:
+            lease = put.get("lease", 0)
+            if lease and lease not in self.leases:
+                return json_response(404, {})
+            self.put(put["key"], base64.b64decode(put["value"]), lease)
+        for key in body["remove"]:
+            self.remove(key)
+        if self.lose_answers:
+            return json_response(503, {"error": "lost"})
+        return json_response(200, {"revision": self.revision})
+
+    def _keep(self, id: int) -> Response:
+        if id not in self.leases:
+            return json_response(404, {})
+        ttl_s, _ = self.leases[id]
+        self.leases[id] = (ttl_s, time.monotonic() + ttl_s)
+        return json_response(200, {"ttl_ms": int(ttl_s * 1000)})
+
+    def _end_leases(self) -> None:
+        for id, (_, ends_at) in list(self.leases.items()):
+            if time.monotonic() > ends_at:
+                self._end(id)
+
+    def _end(self, id: int) -> None:
+        self.leases.pop(id, None)
+        for key in [k for k, item in self.items.items() if item["lease"] == id]:
+            self.remove(key)
+
+
+class PlainWorker(_Server):
+    """A worker of a plain service that notes what it ran.
+
+    Attributes
+    ----------
+    answers : list
+        Ways to answer the next requests: ``ok``, ``shed``, ``unsigned``,
+        ``misdirected`` or ``slow``.
+    """
+
+    def __init__(self, id: str) -> None:
+        self.id = id
+        self.ran: list[Request] = []
+        self.answers: list[str] = []
+        super().__init__()
+
+    def entry(self, service: str, **changes) -> dict:
+        """Return its entry in the store."""
+        fields = {
+            "service": service,
+            "address": self.address,
+            "zone": "z-a",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "cold_ms": 0,
+            "seq": 0,
+            "born": 1_700_000_000_000,
+        }
+        return {**fields, **changes}
+
+    def handle(self, request: Request) -> Response:
+        way = self.answers.pop(0) if self.answers else "ok"
+        headers = {"Attempt-Id": request.headers.get("Attempt-Id", "")}
+        if way == "shed":
+            return Response(503, b"", None, {**headers, "Not-Executed": "1"})
+        if way == "misdirected" or request.headers["Expect-Instance"] != self.id:
+            return Response(421, b"", None, headers)
+        self.ran.append(request)
+        if way == "slow":
+            eventlet.sleep(5.0)
+        if way == "unsigned":
+            return Response(200, b"forged", None, headers)
+        headers["Response-Signature"] = f"s.{self.id}"
+        return Response(200, b"ran at " + self.id.encode(), None, headers)
+
+
+def configuration(version: int, **changes) -> dict:
+    """Return a configuration with one plain service and three routes."""
+
+    def route(name: str, kind: str, **fields) -> dict:
+        return {
+            "name": name,
+            "host": "a.example",
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 2000,
+            "target_latency_ms": 200,
+            "priority": 1,
+            "service": "ledger",
+            "max_attempts": 2,
+            **fields,
+        }
+
+    document = {
+        "version": version,
+        "routes": [
+            route("pay", "non_idempotent"),
+            route("look", "idempotent"),
+            route("quick", "idempotent", timeout_ms=300, max_attempts=1),
+        ],
+        "services": [
+            {
+                "name": "ledger",
+                "health_check": "/healthz",
+                "max_connections": 100,
+                "cold_start_s": 0.0,
+                "cold_per_s": 0.0,
+            }
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 10_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15_000,
+        },
+        "tenants": [{"name": "pilots", "api_keys": ["key-1"], "priority": 1}],
+        "new_field": {"is": "ignored"},
+    }
+    return {**document, **changes}
+
+
+def settings_text(store: str, ports: list[int], name: str = "front-1") -> str:
+    """Return a settings file of the platform."""
+    caller, ready, peer, _ = ports
+    return f"""
+node_name = "{name}"
+ip = "127.0.0.1"
+zone = "z-a"
+port_range = [{peer}, {peer}]
+unknown = "ignored"
+[listen]
+frontend = "127.0.0.1:{caller}"
+ready = "127.0.0.1:{ready}"
+[platform]
+address = "{store}"
+ttl_min_ms = 1000
+[bounds]
+grace_s = 8
+retry_budget = 0.2
+budget_slack = 100
+budget_window_s = 10
+require_fencing = true
+"""
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,318 @@
+"""The node on the platform, against its protocol in one process."""
+
+import standins.common  # noqa: F401  # isort: skip
+
+import json
+import socket
+import tempfile
+import unittest
+from dataclasses import replace
+from pathlib import Path
+
+import eventlet
+
+from poplarspar.exceptions import InvalidSettings, MalformedDocument, TransportError
+from poplarspar.platform import build_node, read_node_settings
+from poplarspar.platform.documents import parse_backend, parse_report
+from poplarspar.platform.store import PlatformStore
+from poplarspar.state.backends import MemberPhase
+from poplarspar.transport.http import send_request
+from standins.platform import PlainWorker, Store, configuration, settings_text
+
+WAIT_S = 10.0
+
+
+def free_ports(count):
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def wait_until(condition, what):
+    with eventlet.Timeout(WAIT_S, AssertionError(f"not in time: {what}")):
+        while not condition():
+            eventlet.sleep(0.02)
+
+
+class NodeTestCase(unittest.TestCase):
+    def setUp(self):
+        self.store = Store()
+        self.addCleanup(self.store.close)
+        self.workers = [PlainWorker(f"i-{index}") for index in range(2)]
+        for worker in self.workers:
+            self.addCleanup(worker.close)
+            self.store.put(f"servers/{worker.id}", worker.entry("ledger"))
+        self.store.put("op/config", configuration(3))
+        self.node = self.start_node()
+        wait_until(self.node.is_ready, "ready")
+
+    def start_node(self):
+        ports = free_ports(4)
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(settings_text(self.store.address, ports))
+            file.flush()
+            settings = read_node_settings(file.name)
+        metrics = f"127.0.0.1:{ports[3]}"
+        node = build_node(replace(settings, metrics_listen=metrics))
+        self.addCleanup(node.close)
+        return node
+
+    def send(self, path, key="key-1", node=None, method="POST", body=b"", **headers):
+        address = (node or self.node).addresses["http"]
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        given = {
+            "Host": "a.example",
+            "Attempt-Id": "a1",
+            "Authorization": f"Token {key}",
+            **names,
+        }
+        return send_request(
+            address, method, path, body, read_timeout_s=WAIT_S, headers=given
+        )
+
+    def ran(self):
+        return [request for worker in self.workers for request in worker.ran]
+
+
+class ServingTest(NodeTestCase):
+    def test_request_goes_on_as_it_came(self):
+        answer = self.send(
+            "/pay/7?a=b%20c", body=b"sum=5", X_Own="1", Deadline_Ms="900"
+        )
+        self.assertEqual(200, answer.status)
+        self.assertIn("Response-Signature", answer.headers)
+        (request,) = self.ran()
+        self.assertEqual(("/pay/7?a=b%20c", b"sum=5"), (request.target, request.body))
+        self.assertEqual("1", request.headers["X-Own"])
+        self.assertEqual("pilots", request.headers["Tenant"])
+        self.assertNotIn("Authorization", request.headers)
+        self.assertLessEqual(int(request.headers["Deadline-Ms"]), 900)
+
+    def test_workspace_that_a_caller_claims_is_not_passed_on(self):
+        self.send("/pay/7", Tenant="others")
+        self.assertEqual("pilots", self.ran()[0].headers["Tenant"])
+
+    def test_unknown_key_and_path(self):
+        self.assertEqual(401, self.send("/pay/7", key="key-9").status)
+        self.assertEqual(404, self.send("/nowhere/").status)
+        self.assertEqual([], self.ran())
+
+    def test_bad_input(self):
+        self.assertEqual(400, self.send("/pay/7", Deadline_Ms="soon").status)
+        self.assertEqual(413, self.send("/pay/7", body=b"x" * 10_001).status)
+        self.assertEqual(
+            431,
+            self.send(
+                "/pay/7", X_Long="x" * 8000, X_More="y" * 8000, X_Most="z" * 8000
+            ).status,
+        )
+        self.assertEqual([], self.ran())
+
+    def test_declined_everywhere_is_refused_with_a_time(self):
+        for worker in self.workers:
+            worker.answers = ["shed"]
+        answer = self.send("/pay/7")
+        self.assertEqual(503, answer.status)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0.0)
+
+    def test_misdirected_request_goes_elsewhere(self):
+        self.workers[0].answers = ["misdirected"]
+        self.workers[1].answers = []
+        for _ in range(4):
+            self.assertEqual(200, self.send("/pay/7").status)
+
+    def test_forged_answer_is_not_handed_on(self):
+        for worker in self.workers:
+            worker.answers = ["unsigned"]
+        answer = self.send("/pay/7")
+        self.assertEqual(502, answer.status)
+        self.assertEqual(1, len(self.ran()))
+
+    def test_route_time_out_is_kept(self):
+        for worker in self.workers:
+            worker.answers = ["slow"]
+        with eventlet.Timeout(1.0, AssertionError("answered too late")):
+            self.assertEqual(504, self.send("/quick/7").status)
+
+    def test_caller_that_leaves_cancels_its_request(self):
+        for worker in self.workers:
+            worker.answers = ["slow"]
+        host, port = self.node.addresses["http"].split(":")
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall(
+                b"GET /look/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a9\r\n"
+                b"Authorization: Token key-1\r\n\r\n"
+            )
+            wait_until(self.ran, "request runs")
+        wait_until(lambda: self.node.drain.running == 0, "request ended")
+        self.assertEqual(1, len(self.ran()))
+
+    def test_ready_page_and_metrics(self):
+        ready = send_request(
+            self.node.addresses["ready"], "GET", "/poplarspar/readyz", read_timeout_s=5
+        )
+        self.assertEqual(200, ready.status)
+        self.send("/pay/7")
+        address = self.node._settings.metrics_listen
+        text = send_request(address, "GET", "/metrics", read_timeout_s=5).body.decode()
+        self.assertIn("poplarspar_configuration_version 3.0", text)
+        self.assertIn("poplarspar_answers_2xx_total 1.0", text)
+
+
+class FollowingTest(NodeTestCase):
+    def test_new_configuration_and_revoked_key(self):
+        tenants = [{"name": "pilots", "api_keys": ["key-2"], "priority": 1}]
+        self.store.put("op/config", configuration(8, tenants=tenants))
+        wait_until(lambda: self.send("/pay/7").status == 401, "revoked")
+        self.assertEqual(200, self.send("/pay/7", key="key-2").status)
+
+    def test_evacuated_zone_gets_nothing(self):
+        self.store.put("op/evacuate/z-a", {})
+        wait_until(lambda: self.send("/pay/7").status == 503, "evacuated")
+        self.store.remove("op/evacuate/z-a")
+        wait_until(lambda: self.send("/pay/7").status == 200, "taken back")
+
+    def test_foreign_entry_harms_no_other(self):
+        self.store.put("servers/i-x", b"\xff\xfe not json")
+        self.store.put("servers/i-y", {"service": 5, "address": "nowhere"})
+        self.store.put("servers/i-0", self.workers[0].entry("ledger", state="resting"))
+        fleet = self.node._keeper.fleet
+        wait_until(lambda: set(fleet.backends_by_id) == {"i-1"}, "only the sound one")
+        self.assertEqual(200, self.send("/pay/7").status)
+
+    def test_outage_of_the_store(self):
+        self.store.down = True
+        eventlet.sleep(0.5)
+        self.assertEqual(200, self.send("/pay/7").status)
+        self.store.put("op/config", configuration(9, tenants=[]))
+        self.store.down = False
+        wait_until(lambda: self.send("/pay/7").status == 401, "configuration")
+
+    def test_lost_history(self):
+        self.store.put("op/config", configuration(9, tenants=[]))
+        self.store.forget_history()
+        wait_until(lambda: self.send("/pay/7").status == 401, "configuration")
+
+    def test_node_without_a_configuration_says_503(self):
+        self.store.remove("op/config")
+        node = self.start_node()
+        answer = self.send("/nowhere/", node=node)
+        self.assertEqual((503, False), (answer.status, node.is_ready()))
+
+    def test_next_node_plans_when_the_planner_ends(self):
+        wait_until(lambda: self.node._session.is_planner, "first plans")
+        second = self.start_node()
+        wait_until(lambda: len(second._session.address_by_node) == 2, "both known")
+        self.node.close()
+        wait_until(lambda: second._session.is_planner, "second plans")
+
+    def test_lost_answer_to_the_planners_key(self):
+        wait_until(lambda: self.node._session.is_planner, "first plans")
+        self.node.close()
+        self.store.lose_answers = True
+        second = self.start_node()
+        wait_until(lambda: second._session.is_planner, "second plans")
+
+
+class ShutdownTest(NodeTestCase):
+    def test_running_request_is_finished(self):
+        for worker in self.workers:
+            worker.answers = ["slow"]
+        address = self.node.addresses["http"]
+        task = eventlet.spawn(self.send, "/pay/7", Deadline_Ms="20000")
+        wait_until(self.ran, "runs")
+        stopping = eventlet.spawn(self.node.shut_down)
+        wait_until(lambda: not self.node.is_ready(), "not ready")
+        self.assertIn(task.wait().status, (200, 504))
+        stopping.wait()
+        with self.assertRaises(TransportError):
+            send_request(address, "GET", "/", read_timeout_s=WAIT_S)
+
+    def test_answers_close_their_connections(self):
+        self.node.drain.begin()
+        self.assertEqual("close", self.send("/pay/7").headers["Connection"])
+
+
+class StoreTest(unittest.TestCase):
+    def setUp(self):
+        self.served = Store()
+        self.addCleanup(self.served.close)
+        self.store = PlatformStore(self.served.address)
+        self.addCleanup(self.store.close)
+
+    def test_pages(self):
+        for index in range(120):
+            self.served.put(f"servers/{index:03}", {"n": index})
+        found = self.store.read_all("servers/")
+        self.assertEqual(120, len({change.key for change in found.items}))
+
+    def test_conditional_write(self):
+        first = self.store.swap("poplarspar/x", 0, "a")
+        self.assertEqual("a", self.store.read("poplarspar/x").text)
+        self.store.delete("poplarspar/x", first)
+        self.assertEqual(0, self.store.read("poplarspar/x").revision)
+
+
+class DocumentTest(unittest.TestCase):
+    entry = {
+        "service": "llm",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "slots": 13,
+        "state": "ready",
+        "cold_ms": 1500,
+        "born": 17,
+        "seq": 4,
+        "models": [{"name": "m0"}],
+        "staged": ["m1"],
+        "domain": "d0",
+        "group": {"name": "g", "epoch": 3, "rank": 0, "state": "open"},
+    }
+
+    def test_entry(self):
+        found = parse_backend("i-1", json.dumps(self.entry))
+        self.assertEqual((1.5, 17), (found.cold_s, found.started_ms))
+        self.assertEqual(("g", 3), found.opened.key)
+
+    def test_malformed_entries(self):
+        for field, value in [
+            ("born", "17"),
+            ("address", 5),
+            ("state", "odd"),
+            ("slots", None),
+            ("service", ""),
+            ("group", {"name": "g"}),
+        ]:
+            with self.subTest(field=field), self.assertRaises(MalformedDocument):
+                parse_backend("i-1", json.dumps({**self.entry, field: value}))
+
+    def test_report(self):
+        found = parse_report("i-1", json.dumps({**self.entry, "pace": 2.5}))
+        self.assertEqual(2.5, found.pace)
+        self.assertIs(MemberPhase.OPEN, found.hosting.membership.phase)
+
+
+class SettingsTest(unittest.TestCase):
+    def read(self, text):
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(text)
+            file.flush()
+            return read_node_settings(file.name)
+
+    def test_missing_field_is_named(self):
+        text = settings_text("10.0.0.1:80", [1, 2, 3, 4])
+        text = text.replace('address = "10.0.0.1:80"', "")
+        with self.assertRaisesRegex(InvalidSettings, "platform.address"):
+            self.read(text)
+
+    def test_broken_file(self):
+        with self.assertRaises(InvalidSettings):
+            self.read("node_name = ")
+        with self.assertRaises(InvalidSettings):
+            read_node_settings(str(Path("/nowhere/settings.toml")))
+
+
+if __name__ == "__main__":
+    unittest.main()
