--- a/poplarspar/coordination/pools/forming.py
+++ b/poplarspar/coordination/pools/forming.py
@@ -95,28 +95,32 @@
     count_by_model: Counter[str],
     weight_by_model: dict[str, float],
 ) -> Group | None:
-    """Return a group to give up so that a model with too few can have one more.
+    """Return a group to give up for one or more of another model in its domain.
 
-    That is worth it if the model that gives still has the larger part of what it
-    needs afterwards, and if all that is missing is soon loaded.
+    That is worth it for a model with too few groups, if the one that gives still
+    has the larger part of what it needs afterwards; or if more groups come of it
+    and no model has less of what it needs than the worst one had before.
     """
     spares = defaultdict(list)
     for worker in free:
         spares[worker.domain].append(worker)
-    needy = min(
-        engine.models_by_name.values(),
-        key=lambda model: count_by_model[model.name] / weight_by_model[model.name],
-    )
-    after = (count_by_model[needy.name] + 1) / weight_by_model[needy.name]
+
+    def fill(name: str, more: int) -> float:
+        return (count_by_model[name] + more) / weight_by_model[name]
+
+    worst = min(fill(name, 0) for name in engine.models_by_name)
     for group in groups:
-        left = (count_by_model[group.model] - 1) / weight_by_model[group.model]
-        if group.model == needy.name or left < after:
-            continue
+        left = fill(group.model, -1)
         members = list(group.members_by_rank.values())
         found = members + spares[members[0].domain]
-        quick = [w for w in found if w.load_s(needy) <= needy.staged_load_s]
-        if len(quick) >= needy.members:
-            return group
+        for model in engine.models_by_name.values():
+            if model.name == group.model:
+                continue
+            quick = [w for w in found if w.load_s(model) <= model.staged_load_s]
+            formed = len(quick) // model.members
+            helps = formed >= 1 and left >= fill(model.name, 1)
+            if helps or (formed >= 2 and left >= worst):
+                return group
     return None
 
 
--- a/poplarspar/coordination/session.py
+++ b/poplarspar/coordination/session.py
@@ -13,6 +13,8 @@
 NODE_PREFIX = "poplarspar/"
 PLANNER_KEY = NODE_PREFIX + "planner"
 MEMBER_PREFIX = NODE_PREFIX + "nodes/"
+# What planners know of spares, for when all nodes were lost at once.
+SPARES_KEY = NODE_PREFIX + "spares"
 # A lost planner is replaced after this time at the latest.
 LEASE_TTL_S = 1.5
 RENEWAL_S = 0.4
@@ -56,6 +58,7 @@
         self._lease = ""
         self._ends_at = float("-inf")
         self._planner = Change(PLANNER_KEY, 0, None)
+        self._spares = Change(SPARES_KEY, 0, None)
         self.address_by_node: dict[str, str] = {}
 
     @property
@@ -73,6 +76,23 @@
         """Revision at which the planner took its place."""
         return self._planner.revision
 
+    @property
+    def spares(self) -> str:
+        """What the last planner wrote of spares."""
+        return self._spares.text or ""
+
+    def write_spares(self, text: str) -> None:
+        """Keep what this planner knows of spares."""
+        if text == self.spares:
+            return
+        try:
+            revision = self._store.swap(SPARES_KEY, self._spares.revision, text)
+        except (StoreUnavailable, RevisionConflict) as error:
+            # It is written again with the next change, and only saves time.
+            log_event(Event.SPARES_NOT_KEPT, cause=str(error))
+            return
+        self._spares = Change(SPARES_KEY, revision, text)
+
     def lease_runs(self) -> bool:
         """Return whether the store still keeps this node's keys."""
         return bool(self._lease) and boot_time() < self._ends_at
@@ -101,6 +121,9 @@
             node = item.key.removeprefix(MEMBER_PREFIX)
             if item.key == PLANNER_KEY:
                 self._set_planner(item)
+            elif item.key == SPARES_KEY:
+                if item.revision > self._spares.revision:
+                    self._spares = item
             elif item.key.startswith(MEMBER_PREFIX) and item.text is not None:
                 self.address_by_node[node] = item.text
             else:
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -223,6 +223,12 @@
         "The store did not answer while the process stopped.",
         "Nothing; the lease ends by itself.",
     )
+    SPARES_NOT_KEPT = (
+        304,
+        "models of spares could not be kept",
+        "The store did not answer, or another planner wrote them.",
+        "Nothing; it is written again.",
+    )
     PUBLISHED = (
         400,
         "objects published",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -35,6 +35,7 @@
 from poplarspar.events import Event
 from poplarspar.exceptions import InvalidSettings
 from poplarspar.logs import log_event
+from poplarspar.protocol.spares import read_spares, spares_text
 from poplarspar.state.metrics import Metrics
 from poplarspar.state.node import NodeSettings
 from poplarspar.state.plan import FleetPlan, NodeLoad
@@ -68,6 +69,8 @@
 FIRST_LIMITS = ServerLimits(65_536, header_timeout_s=3.0, idle_timeout_s=15.0)
 READY_LIMITS = ServerLimits(4_096, header_timeout_s=3.0, idle_timeout_s=30.0)
 PLANNER_POLL_S = 0.2
+# Spares change every few seconds; what is kept of them saves loads, nothing more.
+SPARES_PERIOD_S = 2.0
 # The planner answers within a second; a plan that is older may be out of date.
 PLAN_AGE_S = 1.5
 # Callers that read nothing for this long hold a connection for nobody.
@@ -260,6 +263,7 @@
         )
         self._stack.callback(self._planner.stop)
         self._stack.callback(keep_running(self._plan_in_turn).kill)
+        self._stack.callback(keep_running(self._keep_spares).kill)
         server = PlanServer(desk.answer)
         links = LinkServer(listen(settings.peer_listen), self._secret, server.serve)
         self._stack.callback(links.close)
@@ -284,7 +288,14 @@
 
     def _last_models(self) -> dict[tuple[str, int], str]:
         """Return the models that spares served last, as the last planner told."""
-        return {(s.backend, s.started_ms): s.model for s in self._plan.spares}
+        spares = self._plan.spares or read_spares(self._session.spares)
+        return {(s.backend, s.started_ms): s.model for s in spares}
+
+    def _keep_spares(self) -> None:
+        while True:
+            if self._may_plan() and self._plan.serial:
+                self._session.write_spares(spares_text(self._plan.spares))
+            eventlet.sleep(SPARES_PERIOD_S)
 
     def _load(self) -> NodeLoad:
         return NodeLoad(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,7 +15,9 @@
 from poplarspar.platform import build_node, read_node_settings
 from poplarspar.platform.documents import parse_backend, parse_report
 from poplarspar.platform.store import PlatformStore
+from poplarspar.protocol.spares import read_spares, spares_text
 from poplarspar.state.backends import MemberPhase
+from poplarspar.state.plan import Spare
 from poplarspar.transport.http import send_request
 from standins.platform import PlainWorker, Store, configuration, settings_text
 
@@ -235,6 +237,13 @@
         self.assertEqual("close", self.send("/pay/7").headers["Connection"])
 
 
+class SparesTest(unittest.TestCase):
+    def test_document(self):
+        spares = (Spare("i-1", 17, "m0"), Spare("i-2", 18, "m1"))
+        self.assertEqual(spares, read_spares(spares_text(spares)))
+        self.assertEqual((), read_spares("not a document"))
+
+
 class StoreTest(unittest.TestCase):
     def setUp(self):
         self.served = Store()
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -3,6 +3,7 @@
 import standins.common  # noqa: F401  # isort: skip
 
 import unittest
+from collections import Counter
 
 import eventlet
 
@@ -13,7 +14,10 @@
     PoolPlanner,
     Survey,
 )
-from poplarspar.state.backends import MemberPhase
+from poplarspar.coordination.pools.forming import choose_conversion
+from poplarspar.coordination.pools.picture import Group, Worker
+from poplarspar.coordination.pools.survey import Heard
+from poplarspar.state.backends import Hosting, HostReport, MemberPhase
 from poplarspar.state.plan import ModelDemand, NodeLoad
 from poplarspar.state.serving import (
     CallerLimits,
@@ -273,5 +277,29 @@
         wait_until(converted, "two groups of the model in demand")
 
 
+class ConversionTest(PoolTestCase):
+    domains = {"d0": 5}
+
+    def test_group_is_split_for_two_of_another_model(self):
+        engine = ENGINE
+
+        def worker(id, model, staged):
+            report = HostReport(
+                id, 1, Hosting(model, staged, "d0", None, 1), 0, 0, False, 1.0
+            )
+            return Worker(Heard(None, report), False, False, False)
+
+        members = {rank: worker(f"w{rank}", "m0", ("m1",)) for rank in range(3)}
+        group = Group(("m0-1", 1), members)
+        spare = worker("s0", "m1", ("m0",))
+        counts = Counter(m0=2, m1=2)
+        weights = {"m0": 1.0, "m1": 1.0}
+        found = choose_conversion(engine, [group], [spare], counts, weights)
+        self.assertIsNone(found, "would leave one model with less than before")
+        counts = Counter(m0=3, m1=2)
+        found = choose_conversion(engine, [group], [spare], counts, weights)
+        self.assertIs(group, found)
+
+
 if __name__ == "__main__":
     unittest.main()
