--- a/poplarspar/coordination/pools/forming.py
+++ b/poplarspar/coordination/pools/forming.py
@@ -124,6 +124,59 @@
     return None
 
 
+def choose_completions(
+    engine: Engine,
+    free: Iterable[Worker],
+    loading_by_id: dict[str, str],
+    count_by_model: Counter[str],
+    weight_by_model: dict[str, float],
+) -> list[tuple[Worker, EngineModel]]:
+    """Return the loads that let spares form groups, the shortest way first.
+
+    Parameters
+    ----------
+    loading_by_id : dict of str to str
+        Models that are being loaded onto hosts.
+    """
+    by_domain: dict[str, list[Worker]] = defaultdict(list)
+    for worker in free:
+        by_domain[worker.domain].append(worker)
+    plans = []
+    for workers in by_domain.values():
+        ways = [
+            way
+            for model in engine.models_by_name.values()
+            if (way := _way_to_group(model, workers, loading_by_id)) is not None
+        ]
+        if not ways or any(not missing for _, missing in ways):
+            # None is possible, or one will form without more loads.
+            continue
+        model, missing = min(ways, key=lambda way: way[0].load_s * len(way[1]))
+        fill = count_by_model[model.name] / weight_by_model[model.name]
+        plans.append((model.load_s * len(missing), fill, model, missing))
+    plans.sort(key=lambda plan: plan[:2])
+    return [(worker, model) for _, _, model, missing in plans for worker in missing]
+
+
+def _way_to_group(
+    model: EngineModel, workers: list[Worker], loading_by_id: dict[str, str]
+) -> tuple[EngineModel, list[Worker]] | None:
+    """Return who would have to load a model, None if there are too few."""
+    able = [
+        worker
+        for worker in workers
+        if worker.load_s(model) <= model.staged_load_s
+        or loading_by_id.get(worker.id) == model.name
+    ]
+    others = [w for w in workers if w not in able and w.id not in loading_by_id]
+    lacking = model.members - len(able)
+    if lacking > len(others):
+        return None
+    # Those that have nothing yet lose nothing by it.
+    others.sort(key=lambda worker: len(worker.heard.report.hosting.staged))
+    return model, others[: max(0, lacking)]
+
+
 def choose_staging(
     engine: Engine,
     worker: Worker,
--- a/poplarspar/coordination/pools/loads.py
+++ b/poplarspar/coordination/pools/loads.py
@@ -18,11 +18,16 @@
 
     def __init__(self) -> None:
         self._begun: deque[float] = deque()
-        self._ends_by_id: dict[str, float] = {}
+        self._load_by_id: dict[str, tuple[float, str]] = {}
 
-    def is_loading(self, id: str, now: float) -> bool:
-        """Return whether a load that was begun at a backend server still runs."""
-        return now < self._ends_by_id.get(id, 0.0)
+    def loading(self, now: float) -> dict[str, str]:
+        """Return the models of loads that still run, by backend server."""
+        self._load_by_id = {
+            id: (end, model)
+            for id, (end, model) in self._load_by_id.items()
+            if end > now
+        }
+        return {id: model for id, (_, model) in self._load_by_id.items()}
 
     def may_begin(self, engine: Engine, now: float, early: bool) -> bool:
         """Return whether one more load may begin now.
@@ -34,7 +39,7 @@
         """
         while self._begun and self._begun[0] < now - 1.0:
             self._begun.popleft()
-        running = sum(end > now for end in self._ends_by_id.values())
+        running = len(self.loading(now))
         if early:
             return running < EARLY_LOADS_AT_ONCE
         if len(self._begun) >= max(1, int(engine.loads_per_s * RATE_PART)):
@@ -45,4 +50,4 @@
         """Count a load that begins now."""
         self._begun.append(now)
         load_s = model.load_s * EARLY_PART if early else model.load_s
-        self._ends_by_id[id] = now + load_s + REPORT_MARGIN_S
+        self._load_by_id[id] = (now + load_s + REPORT_MARGIN_S, model.name)
--- a/poplarspar/coordination/pools/rounds.py
+++ b/poplarspar/coordination/pools/rounds.py
@@ -6,6 +6,7 @@
 from poplarspar.coordination.pools.desk import PlanDesk
 from poplarspar.coordination.pools.forming import (
     NewGroup,
+    choose_completions,
     choose_conversion,
     choose_group,
     choose_staging,
@@ -369,25 +370,36 @@
         joining = any(_is_joining(worker) for worker in self._workers)
         if term.before_traffic and joining:
             return
+        for worker, model in self._wanted_loads():
+            early = term.before_traffic
+            if not term.loads.may_begin(self._engine, self._now, early):
+                return
+            if self._order(worker, Stage(model.name)):
+                term.loads.begin(worker.id, model, self._now, early)
+
+    def _wanted_loads(self) -> list[tuple[Worker, EngineModel]]:
+        """Return loads, those that are worth most first."""
         weights = self._weights()
+        loading = self._term.loads.loading(self._now)
+        wanted = choose_completions(
+            self._engine, self._free, loading, self._count_by_model, weights
+        )
         spares = {worker.id for worker in self._free}
-        wanting = [
-            (worker.id not in spares, worker, model)
+        others = [
+            worker
             for worker in self._workers
             if not (worker.silent or worker.leaving or worker.out)
             and not _is_joining(worker)
-            and not self._orders.is_busy(worker.id)
-            and not term.loads.is_loading(worker.id, self._now)
-            and (model := self._staging(worker, weights)) is not None
+            and worker.id not in loading
         ]
-        # Spares first: without a model on their host they are of no use.
-        wanting.sort(key=lambda item: item[0])
-        for _, worker, model in wanting:
-            early = term.before_traffic
-            if not term.loads.may_begin(self._engine, self._now, early):
-                return
-            if self._order(worker, Stage(model.name)):
-                term.loads.begin(worker.id, model, self._now, early)
+        # Then spares, so that they fit more groups, and then members, for the next
+        # loss among them.
+        others.sort(key=lambda worker: worker.id not in spares)
+        for worker in others:
+            model = self._staging(worker, weights)
+            if model is not None:
+                wanted.append((worker, model))
+        return wanted
 
     def _staging(self, worker: Worker, weights: dict[str, float]) -> EngineModel | None:
         return choose_staging(self._engine, worker, self._count_by_model, weights)
--- a/poplarspar/coordination/session.py
+++ b/poplarspar/coordination/session.py
@@ -7,7 +7,12 @@
 
 from poplarspar.coordination.ports import Change, WatchedStore
 from poplarspar.events import Event
-from poplarspar.exceptions import LeaseEnded, RevisionConflict, StoreUnavailable
+from poplarspar.exceptions import (
+    CoordinationError,
+    LeaseEnded,
+    RevisionConflict,
+    StoreUnavailable,
+)
 from poplarspar.logs import log_event
 
 NODE_PREFIX = "poplarspar/"
@@ -104,9 +109,9 @@
                 self._keep()
                 if not self._planner.text:
                     self._take_planning()
-            except (StoreUnavailable, RevisionConflict, LeaseEnded):
-                # The next round tries again; the follower tells of outages.
-                pass
+            except (StoreUnavailable, RevisionConflict, LeaseEnded) as error:
+                # The next round tries again.
+                self._note_failure(error)
             eventlet.sleep(RENEWAL_S)
 
     def replace(self, items: tuple[Change, ...]) -> None:
@@ -159,9 +164,13 @@
     def _try_planning(self) -> None:
         try:
             self._take_planning()
-        except (StoreUnavailable, RevisionConflict, LeaseEnded):
+        except (StoreUnavailable, RevisionConflict, LeaseEnded) as error:
             # Another node was quicker, or the next renewal tries again.
-            pass
+            self._note_failure(error)
+
+    def _note_failure(self, error: CoordinationError) -> None:
+        cause = f"{type(error).__name__}: {error}"
+        log_event(Event.LEASE_NOT_HELD, cause=cause, runs=self.lease_runs())
 
     def _keep(self) -> None:
         asked_at = boot_time()
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -223,6 +223,12 @@
         "The store did not answer while the process stopped.",
         "Nothing; the lease ends by itself.",
     )
+    LEASE_NOT_HELD = (
+        305,
+        "lease or planner's key could not be had",
+        "The store did not answer, or another node was quicker.",
+        "Nothing; it is tried again.",
+    )
     SPARES_NOT_KEPT = (
         304,
         "models of spares could not be kept",
