--- a/poplarspar/coordination/pools/forming.py
+++ b/poplarspar/coordination/pools/forming.py
@@ -9,6 +9,8 @@
 
 # A backend server that fits into no group is worth this much more time to load.
 LEFT_OVER_S = 1.0
+# Demand is measured this well only, and a change costs seconds of a group's work.
+CONVERSION_GAIN = 1.15
 
 
 @dataclass(frozen=True)
@@ -118,7 +120,7 @@
                 continue
             quick = [w for w in found if w.load_s(model) <= model.staged_load_s]
             formed = len(quick) // model.members
-            helps = formed >= 1 and left >= fill(model.name, 1)
+            helps = formed >= 1 and left >= fill(model.name, 1) * CONVERSION_GAIN
             if helps or (formed >= 2 and left >= worst):
                 return group
     return None
--- a/poplarspar/coordination/pools/rounds.py
+++ b/poplarspar/coordination/pools/rounds.py
@@ -6,30 +6,26 @@
 from poplarspar.coordination.pools.desk import PlanDesk
 from poplarspar.coordination.pools.forming import (
     NewGroup,
-    choose_completions,
     choose_conversion,
     choose_group,
-    choose_staging,
-    choose_warming,
 )
 from poplarspar.coordination.pools.giving import OrderGiver
 from poplarspar.coordination.pools.picture import Group, Worker, build_groups
+from poplarspar.coordination.pools.preparing import Preparation
 from poplarspar.coordination.pools.survey import Heard, Survey
-from poplarspar.coordination.pools.term import Forming, Term
+from poplarspar.coordination.pools.term import JOIN_MARGIN_S, Forming, Term
 from poplarspar.events import Event
 from poplarspar.logs import log_event
 from poplarspar.state.backends import MemberPhase
-from poplarspar.state.orders import Close, Join, Leave, Open, Order, Stage
+from poplarspar.state.orders import Close, Join, Leave, Open, Order
 from poplarspar.state.plan import PlannedGroup, Spare
-from poplarspar.state.serving import Engine, EngineModel, Fleet, ServiceSpec
+from poplarspar.state.serving import Engine, Fleet, ServiceSpec
 
 STATE_LOG_S = 1.0
-# Reports of members that are ready lag, and orders may be lost and given again.
-JOIN_MARGIN_S = 2.0
 # A backend server that served the model last joins again within this time.
 REJOIN_S = 0.2
 # A change of the mix shows in the demand within some seconds.
-CONVERSION_PAUSE_S = 3.0
+CONVERSION_PAUSE_S = 5.0
 # Demand in replica groups from which on it is measured well enough to plan by.
 MEASURED_GROUPS = 1.0
 # No model is left with less than this part of the most wanted one's groups.
@@ -66,6 +62,8 @@
             if heard.backend.service == service.name and heard.report is not None
         ]
         term.meet(self._workers)
+        if sum(desk.demand(service.name).values()) > 0.0:
+            term.before_traffic = False
         self._groups = build_groups(self._workers)
         self._count_by_model: Counter[str] = Counter()
         self._free: list[Worker] = []
@@ -77,8 +75,15 @@
         self._form()
         self._drop_slow()
         self._convert()
-        self._stage()
-        self._warm()
+        Preparation(
+            self._engine,
+            self._term,
+            self._orders,
+            self._workers,
+            self._free,
+            self._count_by_model,
+            self._weights(),
+        ).run()
         self._log_state()
 
     def _log_state(self) -> None:
@@ -271,6 +276,9 @@
     def _convert(self) -> None:
         """Give up a group of a model with plenty for one with too few."""
         term = self._term
+        if term.before_traffic:
+            # What callers want shows some seconds after the first request.
+            term.converted_at = self._now
         forming = any(not begun.warming for begun in term.forming.values())
         if self._now < term.converted_at + CONVERSION_PAUSE_S or forming:
             return
@@ -364,71 +372,10 @@
             return 0.0
         return new.model.load_s * len(self._workers) / self._engine.loads_at_once
 
-    def _stage(self) -> None:
-        """Load models onto hosts, beside all other work, for the next loss."""
-        term = self._term
-        joining = any(_is_joining(worker) for worker in self._workers)
-        if term.before_traffic and joining:
-            return
-        for worker, model in self._wanted_loads():
-            early = term.before_traffic
-            if not term.loads.may_begin(self._engine, self._now, early):
-                return
-            if self._order(worker, Stage(model.name)):
-                term.loads.begin(worker.id, model, self._now, early)
-
-    def _wanted_loads(self) -> list[tuple[Worker, EngineModel]]:
-        """Return loads, those that are worth most first."""
-        weights = self._weights()
-        loading = self._term.loads.loading(self._now)
-        wanted = choose_completions(
-            self._engine, self._free, loading, self._count_by_model, weights
-        )
-        spares = {worker.id for worker in self._free}
-        others = [
-            worker
-            for worker in self._workers
-            if not (worker.silent or worker.leaving or worker.out)
-            and not _is_joining(worker)
-            and worker.id not in loading
-        ]
-        # Then spares, so that they fit more groups, and then members, for the next
-        # loss among them.
-        others.sort(key=lambda worker: worker.id not in spares)
-        for worker in others:
-            model = self._staging(worker, weights)
-            if model is not None:
-                wanted.append((worker, model))
-        return wanted
-
-    def _staging(self, worker: Worker, weights: dict[str, float]) -> EngineModel | None:
-        return choose_staging(self._engine, worker, self._count_by_model, weights)
-
-    def _warm(self) -> None:
-        """Let spares get a model ready that is on their host, and leave again."""
-        for worker in list(self._free):
-            model = choose_warming(self._engine, worker)
-            if model is None or self._orders.is_busy(worker.id):
-                continue
-            epoch = self._orders.fences.next()
-            key = (f"warm-{epoch}", epoch)
-            until = self._now + model.staged_load_s + JOIN_MARGIN_S
-            new = NewGroup(model, (worker,), model.staged_load_s)
-            self._term.forming[key] = Forming(new, until, warming=True)
-            self._free.remove(worker)
-            self._order(
-                worker, Join(*key, model.name, (worker.id,)), model.staged_load_s
-            )
-
     def _order(self, worker: Worker, order: Order, due_s: float | None = None) -> bool:
         return self._orders.give(worker.heard, order, due_s)
 
 
-def _is_joining(worker: Worker) -> bool:
-    place = worker.membership
-    return place is not None and place.phase is MemberPhase.JOINING
-
-
 def _spare_text(worker: Worker) -> str:
     """Return a spare's domain, last model and staged models, for the log."""
     hosting = worker.heard.report.hosting
--- a/poplarspar/coordination/pools/term.py
+++ b/poplarspar/coordination/pools/term.py
@@ -7,6 +7,9 @@
 from poplarspar.coordination.pools.loads import LoadBudget
 from poplarspar.coordination.pools.picture import GroupKey, Worker
 
+# Reports of members that are ready lag, and orders may be lost and given again.
+JOIN_MARGIN_S = 2.0
+
 
 @dataclass
 class Forming:
