--- a/poplarspar/cmdline.py
+++ b/poplarspar/cmdline.py
@@ -14,6 +14,7 @@
 from poplarspar.daemon import run_daemon
 from poplarspar.display import (
     audit_lines,
+    explain_request,
     in_force_line,
     outcome_lines,
     status_lines,
@@ -110,6 +111,16 @@
         file = SettingsFile(settings)
         run_daemon(checked.name, lambda: build_node(checked), file.reload)
 
+    @SetParseFn(str)
+    def explain(self, id: str, *paths: str) -> None:
+        """Print what the log files PATHS of several nodes say of a request."""
+        if not paths:
+            raise CommandFailed("name at least one log file", Exit.WRONG_USE)
+        lines = explain_request(id, [_read(path) for path in paths])
+        if not lines:
+            raise CommandFailed(f"no line names {id!r}", Exit.FAILED)
+        print("\n".join(lines))
+
     @SetParseFn(str)
     def check(self, kind: str, path: str) -> None:
         """Check the file PATH offline; KIND is entry, steward or objects."""
--- a/poplarspar/coordination/forwarding/attempts.py
+++ b/poplarspar/coordination/forwarding/attempts.py
@@ -6,7 +6,9 @@
 from poplarspar.coordination.forwarding.lookup import RoutedRequest
 from poplarspar.coordination.forwarding.ports import Attempt, Exchange, Upstream
 from poplarspar.coordination.forwarding.targets import Target, Targets
+from poplarspar.events import Event
 from poplarspar.exceptions import BackendFailed
+from poplarspar.logs import log_event
 
 # A connection within a region takes under 3 ms; a lost packet is sent again only
 # after a second, so another backend server is the better choice before that.
@@ -80,6 +82,8 @@
         try:
             result = self._classify(target, attempt)
             began = isinstance(result, Began)
+            if not began:
+                _note_failure(attempt, result)
             return result
         finally:
             self._targets.begin_answer(target, request.prompt_tokens)
@@ -111,3 +115,14 @@
             return Broke(target, f"status {exchange.status} without a signature")
         target.exchanges.add(exchange)
         return Began(exchange, target)
+
+
+def _note_failure(attempt: Attempt, result: AttemptResult) -> None:
+    log_event(
+        Event.ATTEMPT_FAILED,
+        id=attempt.request.id,
+        backend=attempt.backend_id,
+        result=type(result).__name__.lower(),
+        cause=result.cause if isinstance(result, Broke) else "",
+        left_ms=int(attempt.left_s * 1000),
+    )
--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -18,7 +18,9 @@
 from poplarspar.coordination.forwarding.repeats import RepeatBudget
 from poplarspar.coordination.forwarding.resuming import ResumableAnswer
 from poplarspar.coordination.forwarding.targets import Target, Targets
+from poplarspar.events import Event
 from poplarspar.exceptions import BackendFailed
+from poplarspar.logs import log_event
 from poplarspar.state.callers import CallerRequest, StreamedAnswer, WholeAnswer
 from poplarspar.state.refusals import Ran, Reason, Refusal
 from poplarspar.state.serving import RouteKind, ServingConfiguration
@@ -104,6 +106,16 @@
             self._targets.wait(left_s)
 
     def _full(self, routed: RoutedRequest, tried: set[Target]) -> Refusal:
+        expected, slots = self._targets.occupancy(routed)
+        log_event(
+            Event.NO_PLACE,
+            id=routed.request.id,
+            route=routed.route.name,
+            model=routed.request.model,
+            expected=expected,
+            slots=slots,
+            tried=[target.backend.id for target in tried],
+        )
         if self._targets.has_any(routed, tried):
             message = "all backend servers are busy"
             return Refusal(Reason.QUEUE_FULL, message, retry_after_s=COME_BACK_S)
@@ -185,7 +197,9 @@
             return None
         finally:
             self._forwarder._sender.finish(began)
-        answer = WholeAnswer(exchange.status, exchange.headers, body)
+        answer = WholeAnswer(
+            exchange.status, exchange.headers, body, began.target.backend.id
+        )
         if exchange.status >= SERVER_ERROR:
             began.target.note_failure()
             if self._routed.route.repeatable:
--- a/poplarspar/coordination/forwarding/resuming.py
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -16,7 +16,9 @@
 from poplarspar.coordination.forwarding.ports import StreamEvent
 from poplarspar.coordination.forwarding.repeats import RepeatBudget
 from poplarspar.coordination.forwarding.targets import Target, Targets
+from poplarspar.events import Event
 from poplarspar.exceptions import BackendFailed
+from poplarspar.logs import log_event
 from poplarspar.state.callers import StreamedAnswer, WholeAnswer
 from poplarspar.state.refusals import Ran, Reason, Refusal
 
@@ -90,6 +92,11 @@
                 self._last_event = event.number
             yield event.data
 
+    @property
+    def backend(self) -> str:
+        """Backend server that produces the answer now, empty for none."""
+        return self._began.target.backend.id if self._began else ""
+
     def close(self) -> None:
         """End the answer, whatever is left of it."""
         began, self._began = self._began, None
@@ -154,6 +161,13 @@
         self._began.exchange.limit_silence(min(EVENT_SILENCE_S, left_s))
 
     def _resume(self, failure: BackendFailed) -> None:
+        log_event(
+            Event.STREAM_RESUMED,
+            id=self._routed.request.id,
+            backend=self._began.target.backend.id,
+            last_event=self._last_event,
+            cause=str(failure),
+        )
         self._began.target.note_failure()
         self.close()
         match self._start(RESUME_WAIT_S):
--- a/poplarspar/display.py
+++ b/poplarspar/display.py
@@ -1,5 +1,6 @@
 """Readable lines for what stewards report to operators."""
 
+import json
 import time
 
 from poplarspar.protocol.operators import (
@@ -81,3 +82,33 @@
     if group.draining_from:
         line += f", waiting for requests of {group.draining_from} to end"
     return line
+
+
+def explain_request(id: str, texts: list[str]) -> list[str]:
+    """Return the lines of a request's story, in the order of their times.
+
+    Parameters
+    ----------
+    texts : list of str
+        Logs of several nodes.
+    """
+    story = []
+    for text in texts:
+        for line in text.splitlines():
+            if f'"{id}"' not in line:
+                continue
+            try:
+                event = json.loads(line[line.index("{") :])
+            except ValueError:
+                continue
+            if event.get("id") == id:
+                story.append(event)
+    story.sort(key=lambda event: event["time"])
+    return [_story_line(event) for event in story]
+
+
+def _story_line(event: dict) -> str:
+    told = ("time", "level", "message", "daemon", "event", "id")
+    fields = " ".join(f"{k}={v}" for k, v in event.items() if k not in told)
+    head = f"{event['time']} {event['daemon']} {event['event']}"
+    return f"{head} {event['message']}: {fields}"
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -283,6 +283,30 @@
         "It closed the connection; the work for it was cancelled.",
         "Nothing.",
     )
+    REQUEST_ANSWERED = (
+        413,
+        "request answered",
+        "The whole answer of `backend` was passed on.",
+        "Nothing.",
+    )
+    ATTEMPT_FAILED = (
+        414,
+        "attempt at a backend server failed",
+        "It could not be reached, declined, or gave no sound answer; see `result`.",
+        "Look at the backend server if it stands out.",
+    )
+    STREAM_RESUMED = (
+        415,
+        "stream broke and goes on elsewhere",
+        "The replica group of `backend` was lost in mid-answer.",
+        "Nothing, unless event 411 follows for the same id.",
+    )
+    NO_PLACE = (
+        416,
+        "no place for a request",
+        "`expected` requests were at `slots` slots of the places for it.",
+        "If it lasts, add backend servers; see event 215 for the groups.",
+    )
     REQUEST_FAILED = (
         500,
         "request failed inside the daemon",
--- a/poplarspar/platform/callers.py
+++ b/poplarspar/platform/callers.py
@@ -30,6 +30,7 @@
 
 # Statuses that promise that a request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+OK = 200
 UNKNOWN_STATUS = 502
 TIMEOUT_STATUS = 504
 UNAVAILABLE_STATUS = 503
@@ -71,10 +72,11 @@
     ) -> Response:
         headers = dict(answer.headers)
         match answer:
-            case WholeAnswer(status, _, body):
+            case WholeAnswer(status, _, body, backend):
                 self._metrics.count(f"answers_{status // 100}xx")
                 taken_s = time.monotonic() - received.arrived_at
                 self._metrics.observe("answer_us", taken_s)
+                _note_answer(received, status, backend, taken_s)
                 return Response(status, body, None, headers)
             case StreamedAnswer(status, _, events):
                 # The body outlives this call and takes over what must be closed.
@@ -123,6 +125,8 @@
                     began = True
                 yield data
             self._metrics.count("streams_completed")
+            taken_s = time.monotonic() - self._received.arrived_at
+            _note_answer(self._received, OK, self._events.backend, taken_s)
         except BackendFailed as error:
             self._metrics.count("streams_broken")
             log_event(Event.STREAM_BROKEN, id=self._received.id, cause=str(error))
@@ -133,6 +137,18 @@
         self._owned.close()
 
 
+def _note_answer(
+    received: CallerRequest, status: int, backend: str, taken_s: float
+) -> None:
+    log_event(
+        Event.REQUEST_ANSWERED,
+        id=received.id,
+        status=status,
+        backend=backend,
+        after_ms=int(taken_s * 1000),
+    )
+
+
 def status_of(refusal: Refusal) -> int:
     """Return a status that promises no more than the refusal does."""
     status = STATUS_BY_REASON[refusal.reason]
--- a/poplarspar/state/callers.py
+++ b/poplarspar/state/callers.py
@@ -50,11 +50,12 @@
 
 @dataclass(frozen=True)
 class WholeAnswer:
-    """A backend server's complete answer."""
+    """A backend server's complete answer; `backend` gave it."""
 
     status: int
     headers: Headers
     body: bytes
+    backend: str = ""
 
 
 @dataclass(frozen=True)
