--- a/poplarspar/coordination/forwarding/attempts.py
+++ b/poplarspar/coordination/forwarding/attempts.py
@@ -17,10 +17,17 @@
 
 @dataclass(frozen=True)
 class Began:
-    """The headers of a genuine answer have come; the receiver closes it."""
+    """The headers of a genuine answer have come; the receiver closes it.
+
+    Attributes
+    ----------
+    sent_at : float
+        Monotonic time at which the request was sent.
+    """
 
     exchange: Exchange
     target: Target
+    sent_at: float
 
 
 @dataclass(frozen=True)
@@ -97,6 +104,7 @@
         self._targets.finish(began.target)
 
     def _classify(self, target: Target, attempt: Attempt) -> AttemptResult:
+        sent_at = time.monotonic()
         try:
             exchange = self._upstream.send(attempt)
         except BackendFailed as failure:
@@ -114,7 +122,7 @@
             target.note_failure()
             return Broke(target, f"status {exchange.status} without a signature")
         target.exchanges.add(exchange)
-        return Began(exchange, target)
+        return Began(exchange, target, sent_at)
 
 
 def _note_failure(attempt: Attempt, result: AttemptResult) -> None:
--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -16,7 +16,11 @@
 from poplarspar.coordination.forwarding.demand import DemandMeter
 from poplarspar.coordination.forwarding.lookup import RoutedRequest, route_request
 from poplarspar.coordination.forwarding.repeats import RepeatBudget
-from poplarspar.coordination.forwarding.resuming import ResumableAnswer
+from poplarspar.coordination.forwarding.resuming import (
+    COME_BACK_S,
+    FindPlace,
+    ResumableAnswer,
+)
 from poplarspar.coordination.forwarding.targets import Target, Targets
 from poplarspar.events import Event
 from poplarspar.exceptions import BackendFailed
@@ -29,8 +33,6 @@
 MAX_DECLINED = 3
 # When a repeat is allowed, the first backend server gets this part of the time.
 FIRST_ATTEMPT_PART = 0.5
-# A place becomes free about this often; see `Refusal.retry_after_s`.
-COME_BACK_S = 0.1
 # Part of a request's aim that it may wait for a place.
 WAIT_PART = 0.5
 SERVER_ERROR = 500
@@ -82,7 +84,7 @@
 
     def _call(self, routed: RoutedRequest) -> Result[Answer, Refusal]:
         left_s = routed.ends_at - time.monotonic()
-        call = _Call(self, routed)
+        call = _Call(routed, self._sender, self._budget, self.find_place)
         with eventlet.Timeout(max(0.0, left_s), False):
             return call.run()
         if call.may_have_run:
@@ -126,9 +128,17 @@
 class _Call:
     """One request of a plain service."""
 
-    def __init__(self, forwarder: Forwarder, routed: RoutedRequest) -> None:
-        self._forwarder = forwarder
+    def __init__(
+        self,
+        routed: RoutedRequest,
+        sender: Sender,
+        budget: RepeatBudget,
+        find_place: FindPlace,
+    ) -> None:
         self._routed = routed
+        self._sender = sender
+        self._budget = budget
+        self._place = find_place
         self._tried: set[Target] = set()
         self._declined = 0
         self._sent = 0
@@ -167,7 +177,7 @@
             message = "backend servers declined the request"
             return Error(Refusal(Reason.NO_BACKEND, message, retry_after_s=COME_BACK_S))
         wait_s = routed.route.aim_s * WAIT_PART
-        return self._forwarder.find_place(routed, self._tried, wait_s)
+        return self._place(routed, self._tried, wait_s)
 
     def _may_send(self) -> bool:
         """Return whether the request may be sent, once more or at all."""
@@ -177,14 +187,14 @@
             return False
         if self._sent >= self._routed.route.max_attempts:
             return False
-        return self._forwarder._budget.take(self._routed.service.name)
+        return self._budget.take(self._routed.service.name)
 
     def _send(self, target: Target):
         routed = self._routed
         left_s = routed.ends_at - time.monotonic()
         if routed.route.repeatable and self._sent + 1 < routed.route.max_attempts:
             left_s *= FIRST_ATTEMPT_PART
-        return self._forwarder._sender.send(routed, target, silence_s=left_s)
+        return self._sender.send(routed, target, silence_s=left_s)
 
     def _read(self, began: Began) -> WholeAnswer | None:
         """Return the answer, None if another backend server should be asked."""
@@ -196,7 +206,7 @@
             began.target.note_failure()
             return None
         finally:
-            self._forwarder._sender.finish(began)
+            self._sender.finish(began)
         answer = WholeAnswer(
             exchange.status, exchange.headers, body, began.target.backend.id
         )
@@ -207,6 +217,7 @@
                 return None
         else:
             began.target.note_success()
+            began.target.note_time(time.monotonic() - began.sent_at)
         return answer
 
     def _give_up(self, refusal: Refusal) -> Result[Answer, Refusal]:
--- a/poplarspar/coordination/forwarding/resuming.py
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -30,6 +30,8 @@
 # Callers leave a stream after two seconds without an event.
 FIRST_EVENT_SILENCE_S = 1.2
 RESUME_WAIT_S = 1.0
+# A place becomes free about this often; see `Refusal.retry_after_s`.
+COME_BACK_S = 0.1
 FindPlace = Callable[[RoutedRequest, set[Target], float], Result[Target, Refusal]]
 
 
@@ -126,7 +128,9 @@
         if self._tried and not self._may_send_again():
             ran = Ran.UNKNOWN if self._sent else Ran.NO
             reason = Reason.BACKEND if self._sent else Reason.NO_BACKEND
-            return Error(Refusal(reason, "no replica group could answer", ran, 0.1))
+            return Error(
+                Refusal(reason, "no replica group could answer", ran, COME_BACK_S)
+            )
         left_s = self._routed.ends_at - time.monotonic()
         if left_s <= 0:
             ran = Ran.UNKNOWN if self._sent else Ran.NO
--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -21,6 +21,8 @@
 # a backend server that nobody tries can't show that it is well again.
 FAILURE_WEIGHT = 0.5
 FAILURE_DECAY_S = 3.0
+# About five answers decide what a backend server's usual time is.
+TIME_WEIGHT = 0.2
 EJECTED_ABOVE = 0.7
 # A window slightly over the second that limits of cold backend servers count in,
 # since requests may take different times to arrive.
@@ -54,6 +56,8 @@
         How much slower it is than the engine's figures.
     trouble : float
         Recent share of failures, from 0 to 1, as of `trouble_at`.
+    answer_s : float
+        Usual time of an answer of a plain service, 0 while none has come.
     progress_at : float
         Time of the last sign of work, or of the first request since it was idle.
     """
@@ -73,7 +77,6 @@
     in_flight_when_told: int = 0
     trouble: float = 0.0
     trouble_at: float = 0.0
-    closed: bool = False
     cold_until: float = float("-inf")
     starts: deque[float] = field(default_factory=deque)
     exchanges: set = field(default_factory=set)
@@ -106,6 +109,12 @@
         self.trouble = self.trouble_now(now) * (1.0 - FAILURE_WEIGHT)
         self.trouble_at = now
 
+    def note_time(self, answer_s: float) -> None:
+        """Take the time of one answer into the usual one."""
+        if not self.answer_s:
+            self.answer_s = answer_s
+        self.answer_s += (answer_s - self.answer_s) * TIME_WEIGHT
+
     def note_load(self, load: Load | None) -> None:
         """Keep the load that the backend server told."""
         if load is not None:
@@ -195,7 +204,6 @@
 
     def _close(self, target: Target) -> None:
         """Break off what runs in a replica group that is gone."""
-        target.closed = True
         if target.group is not None:
             for exchange in list(target.exchanges):
                 exchange.abort()
--- a/poplarspar/coordination/pools/survey.py
+++ b/poplarspar/coordination/pools/survey.py
@@ -13,6 +13,7 @@
 from poplarspar.state.backends import BackendServer, Hosting, HostReport
 
 REPORT_TIMEOUT_S = 0.3
+RETRY_PERIOD_S = 0.05
 # Reports show the state of some hundred milliseconds ago.
 REPORT_LAG_S = 0.25
 # Members of replica groups are asked this often; a lost one stops its group.
@@ -169,7 +170,7 @@
             if self._ask(heard):
                 self._rest(id, self._period_s(heard))
             else:
-                self._rest(id, 0.05)
+                self._rest(id, RETRY_PERIOD_S)
 
     def _ask(self, heard: Heard) -> bool:
         asked_at = time.monotonic()
