Give up a lease for good when stopping; begin each planner's term anew

Cause: the renewal granted a new lease while the process was stopping, so it could become the planner again and then plan nothing; and a planner that was overtaken kept that for its later terms. Both tests failed first.

--- a/poplarspar/coordination/pools/fences.py
+++ b/poplarspar/coordination/pools/fences.py
@@ -15,15 +15,19 @@
     def __init__(self) -> None:
         self.last = 0
         self.overtaken = False
+        self._revision = 0
 
     def start_term(self, revision: int) -> None:
-        """Begin above all numbers of earlier planners.
+        """Begin above all numbers of earlier planners, unless begun already.
 
         Parameters
         ----------
         revision : int
             Revision at which this node's lease was written.
         """
+        if revision == self._revision:
+            return
+        self._revision = revision
         self.last = revision * ORDERS_PER_TERM
         self.overtaken = False
 
--- a/poplarspar/coordination/session.py
+++ b/poplarspar/coordination/session.py
@@ -61,6 +61,7 @@
         self._ttl_s = ttl_s
         self._changed = changed
         self._lease = ""
+        self._ended = False
         self._ends_at = float("-inf")
         self._planner = Change(PLANNER_KEY, 0, None)
         self._spares = Change(SPARES_KEY, 0, None)
@@ -103,8 +104,8 @@
         return bool(self._lease) and boot_time() < self._ends_at
 
     def run(self) -> None:
-        """Keep the lease for as long as the process lives."""
-        while True:
+        """Keep the lease until it is given up."""
+        while not self._ended:
             try:
                 self._keep()
                 if not self._planner.text:
@@ -137,7 +138,8 @@
             self._changed()
 
     def end(self) -> None:
-        """Give up the lease, so that others need not wait for its end."""
+        """Give up the lease for good, so that others need not wait for its end."""
+        self._ended = True
         lease, self._lease = self._lease, ""
         if not lease:
             return
@@ -185,7 +187,7 @@
             self._lease = ""
 
     def _take_planning(self) -> None:
-        if not self.lease_runs() or self._planner.text:
+        if self._ended or not self.lease_runs() or self._planner.text:
             return
         text = self._own_text()
         try:
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -272,8 +272,9 @@
 
     def _plan_in_turn(self) -> None:
         while True:
-            if self._may_plan():
+            if self._session.is_planner:
                 self._fences.start_term(self._session.planner_revision)
+            if self._may_plan():
                 self._planner.plan_while(self._may_plan)
             eventlet.sleep(PLANNER_POLL_S)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -210,6 +210,15 @@
         self.node.close()
         wait_until(lambda: second._session.is_planner, "second plans")
 
+    def test_planner_that_was_overtaken_plans_again_in_its_next_term(self):
+        wait_until(self.node._may_plan, "plans")
+        first = self.node._fences.last
+        self.node._fences.passed_by()
+        self.assertFalse(self.node._may_plan())
+        self.store.remove("poplarspar/planner")
+        wait_until(self.node._may_plan, "plans again")
+        self.assertGreater(self.node._fences.last, first)
+
     def test_lost_answer_to_the_planners_key(self):
         wait_until(lambda: self.node._session.is_planner, "first plans")
         self.node.close()
@@ -232,6 +241,18 @@
         with self.assertRaises(TransportError):
             send_request(address, "GET", "/", read_timeout_s=WAIT_S)
 
+    def test_stopping_planner_hands_over_at_once(self):
+        wait_until(lambda: self.node._session.is_planner, "first plans")
+        second = self.start_node()
+        wait_until(lambda: len(second._session.address_by_node) == 2, "both known")
+        stopping = eventlet.spawn(self.node.shut_down)
+        with eventlet.Timeout(0.5, AssertionError("not at once")):
+            while not second._session.is_planner:
+                eventlet.sleep(0.01)
+        stopping.wait()
+        self.assertTrue(second._session.is_planner)
+        self.assertEqual({second.name}, set(second._session.address_by_node))
+
     def test_answers_close_their_connections(self):
         self.node.drain.begin()
         self.assertEqual("close", self.send("/pay/7").headers["Connection"])
