--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -202,9 +202,14 @@
                 target.progress_at = now
                 yield (*life, group), target
 
-    def _close(self, target: Target) -> None:
-        """Break off what runs in a replica group that is gone."""
-        if target.group is not None:
+    @staticmethod
+    def _close(target: Target) -> None:
+        """Break off what stands still in a replica group that is gone.
+
+        A group that is closed for a member that leaves ends its requests itself.
+        """
+        stands_still = target.stalled_s(time.monotonic()) > WORKING_PAUSE_S
+        if target.group is not None and (stands_still or target.stalled_elsewhere):
             for exchange in list(target.exchanges):
                 exchange.abort()
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -126,6 +126,7 @@
         self._broken_body = options.get("broken_body", False)
         self._body = body
         self.closed = False
+        self.aborted = False
 
     def read_whole(self):
         if self._broken_body:
@@ -142,7 +143,7 @@
         pass
 
     def abort(self):
-        pass
+        self.aborted = True
 
     def close(self):
         self.closed = True
@@ -367,6 +368,20 @@
             target.note_load(busy)
         self.refused(self.open())
 
+    def test_group_that_is_closed_may_end_its_streams(self):
+        working, stalled = FakeExchange(numbers=(1,)), FakeExchange(numbers=(1,))
+        for exchange in (working, stalled):
+            answer = self.answered(self.open(exchange))
+            self.addCleanup(answer.events.close)
+        for target in self.targets.by_key.values():
+            if stalled in target.exchanges:
+                target.progress_at -= 0.5
+        both = [t for t in self.targets.by_key.values() if t.exchanges]
+        self.assertEqual(2, len(both))
+        self.opened = {}
+        self.update()
+        self.assertEqual((False, True), (working.aborted, stalled.aborted))
+
     def test_places_are_freed(self):
         answer = self.answered(self.open(FakeExchange(numbers=(1,))))
         self.read(answer)
