--- a/poplarspar/coordination/forwarding/resuming.py
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -57,6 +57,7 @@
         self._tried: set[Target] = set()
         self._declined = 0
         self._sent = 0
+        self._streaming = False
 
     def open(self) -> Result[StreamedAnswer | WholeAnswer, Refusal]:
         """Start the answer at a place that has room."""
@@ -66,6 +67,7 @@
             case Result(ok=began):
                 exchange = began.exchange
         if exchange.is_stream:
+            self._streaming = True
             return Ok(StreamedAnswer(exchange.status, exchange.headers, self))
         try:
             body = exchange.read_whole()
@@ -116,6 +118,10 @@
             match self._send(target):
                 case Began() as began:
                     self._sent += 1
+                    if self._is_unfit(began):
+                        began.target.note_failure()
+                        self._sender.finish(began)
+                        continue
                     self._began = began
                     self._events = began.exchange.events()
                     return Ok(began)
@@ -124,6 +130,10 @@
                 case Broke():
                     self._sent += 1
 
+    def _is_unfit(self, began: Began) -> bool:
+        """Return whether an answer can't go on with a stream that has begun."""
+        return self._streaming and not began.exchange.is_stream
+
     def _find(self, wait_s: float) -> Result[Target, Refusal]:
         if self._tried and not self._may_send_again():
             ran = Ran.UNKNOWN if self._sent else Ran.NO
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -62,7 +62,7 @@
 BACKEND_PAUSE_S = 0.9
 BACKEND_WAIT_S = 1.0
 # The balancer asks once a second and needs two refusals to send nobody any more.
-LEAVE_NOTICE_S = 2.2
+LEAVE_NOTICE_S = 2.5
 # Left of the time until SIGKILL to close what still runs.
 STOP_MARGIN_S = 0.7
 # Before a configuration is known, only readiness is asked for.
@@ -157,9 +157,11 @@
         self.drain.begin()
         self._session.end()
         eventlet.sleep(LEAVE_NOTICE_S)
+        # What callers send on kept connections from now on could not be finished
+        # before the process is killed.
+        self._server.stop_accepting()
         left_s = began_at + self._settings.stop_s - STOP_MARGIN_S - time.monotonic()
         finished = self.drain.wait_idle(max(0.0, left_s))
-        self._server.stop_accepting()
         log_event(Event.STOPPED, finished=finished, running=self.drain.running)
 
     def close(self) -> None:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -215,7 +215,7 @@
 
 
 def configuration(version: int, **changes) -> dict:
-    """Return a configuration with one plain service and three routes."""
+    """Return a configuration with one plain service and four routes."""
 
     def route(name: str, kind: str, **fields) -> dict:
         return {
@@ -236,6 +236,7 @@
         "routes": [
             route("pay", "non_idempotent"),
             route("look", "idempotent"),
+            route("long", "idempotent", timeout_ms=9000, max_attempts=1),
             route("quick", "idempotent", timeout_ms=300, max_attempts=1),
         ],
         "services": [
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -351,6 +351,12 @@
         with self.assertRaises(BackendFailed):
             self.read(answer)
 
+    def test_failed_answer_does_not_end_a_stream_that_has_begun(self):
+        first = FakeExchange(numbers=(1, 2, 3), break_after=2)
+        answer = self.answered(self.open(first, FakeExchange(500, b"error")))
+        with self.assertRaises(BackendFailed):
+            self.read(answer)
+
     def test_other_models_groups_are_not_asked(self):
         refusal = self.refused(self.serve(request("/draft/1", model="m9")))
         self.assertEqual((Reason.NO_BACKEND, Ran.NO), (refusal.reason, refusal.ran))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -253,6 +253,25 @@
         self.assertTrue(second._session.is_planner)
         self.assertEqual({second.name}, set(second._session.address_by_node))
 
+    def test_kept_connections_end_before_the_last_requests(self):
+        host, port = self.node.addresses["http"].split(":")
+        caller = socket.create_connection((host, int(port)))
+        self.addCleanup(caller.close)
+        caller.sendall(
+            b"GET /look/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a9\r\n"
+            b"Authorization: Token key-1\r\n\r\n"
+        )
+        self.assertIn(b" 200 ", caller.recv(65536))
+        for worker in self.workers:
+            worker.answers = ["slow"]
+        running = eventlet.spawn(self.send, "/long/2")
+        wait_until(lambda: len(self.ran()) == 2, "runs")
+        stopping = eventlet.spawn(self.node.shut_down)
+        with eventlet.Timeout(4.0, AssertionError("still open")):
+            self.assertEqual(b"", caller.recv(65536))
+        self.assertEqual(200, running.wait().status)
+        stopping.wait()
+
     def test_answers_close_their_connections(self):
         self.node.drain.begin()
         self.assertEqual("close", self.send("/pay/7").headers["Connection"])
