--- a/poplarspar/coordination/following.py
+++ b/poplarspar/coordination/following.py
@@ -12,7 +12,7 @@
 from poplarspar.logs import log_event
 
 FIRST_BACKOFF_S = 0.1
-LAST_BACKOFF_S = 1.0
+LAST_BACKOFF_S = 0.4
 # A watch can miss changes when the store loses its history; the values themselves
 # are read again this often, well before the history of a quiet prefix ends.
 READ_ALL_S = 10.0
@@ -96,6 +96,9 @@
                 self._as_of = None
             except StoreUnavailable as error:
                 self._health.failed(str(error))
+                # A question that waits would be lost with the answer to it, so the
+                # next ones are short ones until the store is back.
+                self._as_of = None
                 eventlet.sleep(self._backoff_s * random.uniform(0.5, 1.0))
                 self._backoff_s = min(2 * self._backoff_s, LAST_BACKOFF_S)
 
--- a/poplarspar/platform/store.py
+++ b/poplarspar/platform/store.py
@@ -19,7 +19,7 @@
 from poplarspar.transport.http import HttpAnswer, HttpClient
 
 # The store answers in milliseconds; a slow one takes up to a quarter of a second.
-ANSWER_TIMEOUT_S = 1.5
+ANSWER_TIMEOUT_S = 0.8
 # Revisions of the first page only: later pages may be newer, so changes between
 # them are seen again by the watch that starts at the first page's revision.
 OK = 200
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -24,6 +24,7 @@
         self.deaf = False
         self.down = False
         self.forgotten = 0
+        self.reads = 0
 
     def put(self, key, text):
         self.revision += 1
@@ -34,6 +35,7 @@
             del self.items[key]
 
     def read_all(self, prefix):
+        self.reads += 1
         if self.down:
             raise StoreUnavailable("down")
         return Changes(tuple(self.items.values()), self.revision)
@@ -104,9 +106,14 @@
     def test_outage(self):
         self.store.put("op/a", "1")
         self.wait_seen("op/a", "1")
+        reads = self.store.reads
         self.store.down = True
         self.store.put("op/a", "2")
         eventlet.sleep(0.05)
+        # Nothing that waits is asked of a store that does not answer.
+        with eventlet.Timeout(5, AssertionError("asked to wait")):
+            while self.store.reads == reads:
+                eventlet.sleep(0.01)
         self.assertEqual(0.0, self.health.steady_s())
         self.store.down = False
         self.wait_seen("op/a", "2")
