--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -25,6 +25,7 @@
         self.down = False
         self.forgotten = 0
         self.reads = 0
+        self.asked = 0
 
     def put(self, key, text):
         self.revision += 1
@@ -36,11 +37,13 @@
 
     def read_all(self, prefix):
         self.reads += 1
+        self.asked += 1
         if self.down:
             raise StoreUnavailable("down")
         return Changes(tuple(self.items.values()), self.revision)
 
     def changes(self, prefix, after, wait_s):
+        self.asked += 1
         if self.down:
             raise StoreUnavailable("down")
         if after < self.forgotten:
@@ -78,6 +81,13 @@
             while self.seen.get(key) != text:
                 eventlet.sleep(0.005)
 
+    def wait_asked(self, times):
+        """Wait until the store was asked so many times more."""
+        until = self.store.asked + times
+        with eventlet.Timeout(5, AssertionError("the store is not asked")):
+            while self.store.asked < until:
+                eventlet.sleep(0)
+
     def test_change_is_seen(self):
         self.store.put("op/a", "1")
         self.wait_seen("op/a", "1")
@@ -88,9 +98,9 @@
         self.store.put("op/a", "1")
         self.wait_seen("op/a", "1")
         self.store.deaf = True
-        eventlet.sleep(0.05)
+        self.wait_asked(2)
         self.store.put("op/a", "2")
-        eventlet.sleep(0.05)
+        self.wait_asked(2)
         self.store.deaf = False
         self.wait_seen("op/a", "2")
 
@@ -109,7 +119,7 @@
         reads = self.store.reads
         self.store.down = True
         self.store.put("op/a", "2")
-        eventlet.sleep(0.05)
+        self.wait_asked(1)
         # Nothing that waits is asked of a store that does not answer.
         with eventlet.Timeout(5, AssertionError("asked to wait")):
             while self.store.reads == reads:
