--- a/poplarspar/coordination/forwarding/demand.py
+++ b/poplarspar/coordination/forwarding/demand.py
@@ -10,21 +10,28 @@
 
 # Long enough to smooth single requests, short enough to follow a change of the mix.
 WINDOW_S = 6.0
+# Before this time has passed, single requests would count for too much.
+YOUNGEST_S = 1.0
 
 
 @dataclass
 class _Rate:
-    """An exponentially fading sum."""
+    """An exponentially fading mean, from its first request on."""
 
-    value: float = 0.0
+    began_at: float
+    total: float = 0.0
     at: float = 0.0
 
     def add(self, amount: float, now: float) -> None:
-        self.value = self.read(now) + amount / WINDOW_S
+        self.total = self._faded(now) + amount / WINDOW_S
         self.at = now
 
     def read(self, now: float) -> float:
-        return self.value * math.exp((self.at - now) / WINDOW_S)
+        age_s = max(YOUNGEST_S, now - self.began_at)
+        return self._faded(now) / (1.0 - math.exp(-age_s / WINDOW_S))
+
+    def _faded(self, now: float) -> float:
+        return self.total * math.exp((self.at - now) / WINDOW_S)
 
 
 class DemandMeter:
@@ -43,7 +50,8 @@
             engine, request.model, request.prompt_tokens, request.answer_tokens
         )
         key = (routed.service.name, request.model)
-        self._rate_by_model.setdefault(key, _Rate()).add(work_s, time.monotonic())
+        now = time.monotonic()
+        self._rate_by_model.setdefault(key, _Rate(now)).add(work_s, now)
 
     def demands(self) -> tuple[ModelDemand, ...]:
         """Return the work of recent requests in replica groups."""
--- a/poplarspar/coordination/pools/forming.py
+++ b/poplarspar/coordination/pools/forming.py
@@ -1,16 +1,23 @@
-"""Choosing the members of new replica groups, and what to stage on spares."""
+"""Choosing which replica groups the backend servers of a fabric domain form."""
 
+import itertools
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
+from poplarspar.coordination.pools.needs import Needs
 from poplarspar.coordination.pools.picture import Group, Worker
 from poplarspar.state.serving import Engine, EngineModel
 
-# A backend server that fits into no group is worth this much more time to load.
-LEFT_OVER_S = 1.0
-# Demand is measured this well only, and a change costs seconds of a group's work.
-CONVERSION_GAIN = 1.15
+# A member that joins with the model on its host has no other one there afterwards,
+# until it is loaded again; see `Needs.worth` for the unit.
+CHANGE_COST = 0.002
+# Groups of one model in a domain can replace each other's lost members.
+MIXED_COST = 0.002
+# A group that is given up serves nobody for two seconds or so.
+CONVERSION_COST = 0.04
+# Groups of one model that may be given up at once for others.
+MOST_CONVERTED = 2
 
 
 @dataclass(frozen=True)
@@ -21,192 +28,192 @@
     members: tuple[Worker, ...]
     load_s: float
 
+    @property
+    def changes(self) -> int:
+        """How many members leave the model that they served last."""
+        return sum(worker.load_s(self.model) > 0.0 for worker in self.members)
 
-def choose_group(
-    engine: Engine,
-    free: Iterable[Worker],
-    count_by_model: Counter[str],
-    weight_by_model: dict[str, float],
-    longest_load_s: float,
-) -> NewGroup | None:
-    """Return the replica group that is missed most and can be formed soon.
+
+@dataclass(frozen=True)
+class Formation:
+    """Replica groups that backend servers of one domain could form.
+
+    Attributes
+    ----------
+    gain : float
+        What they are worth beside all others, less what they cost.
+    """
+
+    groups: tuple[NewGroup, ...]
+    gain: float
+
+
+@dataclass(frozen=True)
+class Conversion:
+    """Groups to give up for others that their members could form."""
+
+    given_up: tuple[Group, ...]
+    gain: float
+
+
+def by_domain(workers: Iterable[Worker]) -> dict[str, list[Worker]]:
+    """Return backend servers by their fabric domain."""
+    found: dict[str, list[Worker]] = defaultdict(list)
+    for worker in workers:
+        found[worker.domain].append(worker)
+    return found
+
+
+class Chooser:
+    """Chooses groups by what they are worth to callers.
 
     Parameters
     ----------
-    free : iterable of Worker
-        Backend servers that are in no replica group.
     count_by_model : Counter
         Replica groups that serve or are being formed.
-    weight_by_model : dict of str to float
-        How many replica groups each model needs, up to a common factor.
+    models_by_domain : dict of str to Counter
+        The same groups in each fabric domain.
     longest_load_s : float
-        Longest time that a member may take to load its model.
+        Longest time that a member of a new group may take to load its model.
+    mixed : bool
+        Whether groups of several models may be formed at once in a domain.
     """
-    by_domain: dict[str, list[Worker]] = defaultdict(list)
-    for worker in free:
-        by_domain[worker.domain].append(worker)
-
-    def fill(name: str) -> float:
-        return count_by_model[name] / weight_by_model[name]
-
-    for name in sorted(engine.models_by_name, key=fill):
-        model = engine.models_by_name[name]
-        found = _best_in_domains(engine, model, by_domain, longest_load_s)
-        if found is not None:
-            return found
-    return None
-
-
-def _best_in_domains(
-    engine: Engine,
-    model: EngineModel,
-    by_domain: dict[str, list[Worker]],
-    longest_load_s: float,
-) -> NewGroup | None:
-    sizes = {other.members for other in engine.models_by_name.values()}
-    best: NewGroup | None = None
-    best_cost = float("inf")
-    for workers in by_domain.values():
-        if len(workers) < model.members:
-            continue
-        quick = sorted(workers, key=lambda worker: worker.load_s(model))
-        members = tuple(quick[: model.members])
-        load_s = max(worker.load_s(model) for worker in members)
-        if load_s > longest_load_s:
-            continue
-        left = _left_over(len(workers) - model.members, sizes)
-        cost = load_s + LEFT_OVER_S * left
-        if cost < best_cost:
-            best, best_cost = NewGroup(model, members, load_s), cost
-    return best
-
-
-def _left_over(count: int, sizes: set[int]) -> int:
-    """Return how many backend servers at least would be in no group."""
-    reachable = {0}
-    for total in range(1, count + 1):
-        if any(total - size in reachable for size in sizes):
-            reachable.add(total)
-    return count - max(reachable)
-
-
-def choose_conversion(
-    engine: Engine,
-    groups: Iterable[Group],
-    free: Iterable[Worker],
-    count_by_model: Counter[str],
-    weight_by_model: dict[str, float],
-) -> Group | None:
-    """Return a group to give up for one or more of another model in its domain.
-
-    That is worth it for a model with too few groups, if the one that gives still
-    has the larger part of what it needs afterwards; or if more groups come of it
-    and no model has less of what it needs than the worst one had before.
-    """
-    spares = defaultdict(list)
-    for worker in free:
-        spares[worker.domain].append(worker)
-
-    def fill(name: str, more: int) -> float:
-        return (count_by_model[name] + more) / weight_by_model[name]
-
-    worst = min(fill(name, 0) for name in engine.models_by_name)
-    for group in groups:
-        left = fill(group.model, -1)
-        members = list(group.members_by_rank.values())
-        found = members + spares[members[0].domain]
-        for model in engine.models_by_name.values():
-            if model.name == group.model:
-                continue
-            quick = [w for w in found if w.load_s(model) <= model.staged_load_s]
-            formed = len(quick) // model.members
-            helps = formed >= 1 and left >= fill(model.name, 1) * CONVERSION_GAIN
-            if helps or (formed >= 2 and left >= worst):
-                return group
-    return None
-
-
-def choose_completions(
-    engine: Engine,
-    free: Iterable[Worker],
-    loading_by_id: dict[str, str],
-    count_by_model: Counter[str],
-    weight_by_model: dict[str, float],
-) -> list[tuple[Worker, EngineModel]]:
-    """Return the loads that let spares form groups, the shortest way first.
 
-    Parameters
-    ----------
-    loading_by_id : dict of str to str
-        Models that are being loaded onto hosts.
-    """
-    by_domain: dict[str, list[Worker]] = defaultdict(list)
-    for worker in free:
-        by_domain[worker.domain].append(worker)
-    plans = []
-    for workers in by_domain.values():
-        ways = [
-            way
-            for model in engine.models_by_name.values()
-            if (way := _way_to_group(model, workers, loading_by_id)) is not None
+    def __init__(
+        self,
+        engine: Engine,
+        needs: Needs,
+        count_by_model: Counter[str],
+        models_by_domain: dict[str, Counter[str]],
+        longest_load_s: float,
+        mixed: bool = True,
+    ) -> None:
+        self._engine = engine
+        self._needs = needs
+        self._count_by_model = count_by_model
+        self._models_by_domain = models_by_domain
+        self._longest_load_s = longest_load_s
+        self._mixed = mixed
+        self._smallest = min(m.members for m in engine.models_by_name.values())
+
+    def choose_formation(self, free: Iterable[Worker]) -> Formation | None:
+        """Return the groups of the domain where new ones are worth most."""
+        found = [
+            formation
+            for domain, workers in by_domain(free).items()
+            if (formation := self._best(domain, workers, self._count_by_model))
         ]
-        if not ways or any(not missing for _, missing in ways):
-            # None is possible, or one will form without more loads.
-            continue
-        model, missing = min(ways, key=lambda way: way[0].load_s * len(way[1]))
-        fill = count_by_model[model.name] / weight_by_model[model.name]
-        plans.append((model.load_s * len(missing), fill, model, missing))
-    plans.sort(key=lambda plan: plan[:2])
-    return [(worker, model) for _, _, model, missing in plans for worker in missing]
-
-
-def _way_to_group(
-    model: EngineModel, workers: list[Worker], loading_by_id: dict[str, str]
-) -> tuple[EngineModel, list[Worker]] | None:
-    """Return who would have to load a model, None if there are too few."""
-    able = [
-        worker
-        for worker in workers
-        if worker.load_s(model) <= model.staged_load_s
-        or loading_by_id.get(worker.id) == model.name
-    ]
-    others = [w for w in workers if w not in able and w.id not in loading_by_id]
-    lacking = model.members - len(able)
-    if lacking > len(others):
-        return None
-    # Those that have nothing yet lose nothing by it.
-    others.sort(key=lambda worker: len(worker.heard.report.hosting.staged))
-    return model, others[: max(0, lacking)]
-
-
-def choose_staging(
-    engine: Engine,
-    worker: Worker,
-    count_by_model: Counter[str],
-    weight_by_model: dict[str, float],
-) -> EngineModel | None:
-    """Return the model that a host should have besides, None if it has all it can.
-
-    A backend server is soon ready for the model that it served last and for those
-    on its host, so the host should have another one.
-    """
-    hosting = worker.heard.report.hosting
-    others = [m for m in engine.models_by_name.values() if m.name != hosting.model]
-    if not others or any(model.name in hosting.staged for model in others):
-        return None
-    return min(
-        others, key=lambda m: (count_by_model[m.name] + 1) / weight_by_model[m.name]
-    )
-
-
-def choose_warming(engine: Engine, worker: Worker) -> EngineModel | None:
-    """Return the model that a spare should get ready and leave again.
-
-    It joins a group of that model sooner then, and its host is free for another.
-    """
-    hosting = worker.heard.report.hosting
-    if hosting.model:
-        return None
-    return next(
-        (m for m in engine.models_by_name.values() if m.name in hosting.staged), None
-    )
+        return max(found, key=lambda formation: formation.gain, default=None)
+
+    def choose_conversion(
+        self, whole: Iterable[Group], free: Iterable[Worker]
+    ) -> Conversion | None:
+        """Return the groups that are best given up for others in their domain."""
+        free_by_domain = by_domain(free)
+        groups_by_place: dict[tuple[str, str], list[Group]] = defaultdict(list)
+        for group in whole:
+            groups_by_place[(group.domain, group.model)].append(group)
+        best: Conversion | None = None
+        for (domain, model), groups in groups_by_place.items():
+            for count in range(1, min(MOST_CONVERTED, len(groups)) + 1):
+                given_up = tuple(groups[:count])
+                gain = self._conversion_gain(
+                    domain, model, given_up, free_by_domain[domain]
+                )
+                if gain > 0.0 and (best is None or gain > best.gain):
+                    best = Conversion(given_up, gain)
+        return best
+
+    def _conversion_gain(
+        self, domain: str, model: str, given_up: tuple[Group, ...], free: list[Worker]
+    ) -> float:
+        lost = Counter({model: -len(given_up)})
+        after = Counter(self._count_by_model)
+        after.update(lost)
+        members = [w for group in given_up for w in group.members_by_rank.values()]
+        formation = self._best(domain, members + free, after)
+        if formation is None:
+            return 0.0
+        loss = self._needs.gain(self._count_by_model, lost)
+        return loss + formation.gain - CONVERSION_COST * len(given_up)
+
+    def _best(
+        self, domain: str, workers: list[Worker], count_by_model: Counter[str]
+    ) -> Formation | None:
+        """Return the groups that some backend servers of a domain form best."""
+        if len(workers) < self._smallest:
+            return None
+        best: Formation | None = None
+        for counts in self._compositions(workers):
+            change = Counter(counts)
+            gain = self._needs.gain(count_by_model, change)
+            present = self._models_by_domain.get(domain, Counter())
+            kinds = len(+change | +present) - 1
+            gain -= MIXED_COST * kinds
+            if gain <= (best.gain if best else 0.0):
+                continue
+            groups = self._assign(counts, workers)
+            if groups is None:
+                continue
+            gain -= CHANGE_COST * sum(group.changes for group in groups)
+            if gain > (best.gain if best else 0.0):
+                best = Formation(groups, gain)
+        return best
+
+    def _compositions(self, workers: Sequence[Worker]) -> Iterator[dict[str, int]]:
+        """Yield numbers of groups by model that may be possible."""
+        names = list(self._engine.models_by_name)
+        ranges = []
+        for name in names:
+            model = self._engine.models_by_name[name]
+            able = sum(w.load_s(model) <= self._longest_load_s for w in workers)
+            ranges.append(range(able // model.members + 1))
+        for counts in itertools.product(*ranges):
+            used = sum(
+                count * self._engine.models_by_name[name].members
+                for name, count in zip(names, counts, strict=True)
+            )
+            if not self._mixed and sum(count > 0 for count in counts) > 1:
+                continue
+            if 0 < used <= len(workers):
+                yield dict(zip(names, counts, strict=True))
+
+    def _assign(
+        self, counts: dict[str, int], workers: Sequence[Worker]
+    ) -> tuple[NewGroup, ...] | None:
+        """Return the members of each group, None if there are not enough."""
+        wanted = [self._engine.models_by_name[n] for n, c in counts.items() if c]
+        left = list(workers)
+        groups = []
+        for model in sorted(wanted, key=lambda m: self._slack(m, counts, workers)):
+            for _ in range(counts[model.name]):
+                members = self._members(model, wanted, left)
+                if members is None:
+                    return None
+                left = [worker for worker in left if worker not in members]
+                load_s = max(worker.load_s(model) for worker in members)
+                groups.append(NewGroup(model, members, load_s))
+        return tuple(groups)
+
+    def _slack(
+        self, model: EngineModel, counts: dict[str, int], workers: Sequence[Worker]
+    ) -> int:
+        able = sum(w.load_s(model) <= self._longest_load_s for w in workers)
+        return able - counts[model.name] * model.members
+
+    def _members(
+        self, model: EngineModel, wanted: list[EngineModel], left: list[Worker]
+    ) -> tuple[Worker, ...] | None:
+        """Return those that are ready soonest and that others miss least."""
+
+        def order(worker: Worker) -> tuple[float, int]:
+            others = sum(
+                worker.load_s(other) <= self._longest_load_s
+                for other in wanted
+                if other is not model
+            )
+            return worker.load_s(model), others
+
+        able = [w for w in left if w.load_s(model) <= self._longest_load_s]
+        members = tuple(sorted(able, key=order)[: model.members])
+        return members if len(members) == model.members else None
--- /dev/null
+++ b/poplarspar/coordination/pools/loading.py
@@ -0,0 +1,143 @@
+"""Choosing what to load onto hosts, so that spares can form groups and replace."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from poplarspar.coordination.pools.forming import by_domain
+from poplarspar.coordination.pools.needs import Needs
+from poplarspar.coordination.pools.picture import Worker
+from poplarspar.state.serving import Engine, EngineModel
+
+
+@dataclass(frozen=True)
+class Completion:
+    """Loads that let spares of one domain form a replica group.
+
+    Attributes
+    ----------
+    rate : float
+        What the group is worth for each second of loading.
+    """
+
+    model: EngineModel
+    members: tuple[Worker, ...]
+    missing: tuple[Worker, ...]
+    rate: float
+
+
+class Loader:
+    """Chooses loads by what they are worth to callers.
+
+    Parameters
+    ----------
+    count_by_model : Counter
+        Replica groups that serve or are being formed.
+    loading_by_id : dict of str to str
+        Models that are being loaded onto hosts.
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        needs: Needs,
+        count_by_model: Counter[str],
+        loading_by_id: dict[str, str],
+    ) -> None:
+        self._engine = engine
+        self._needs = needs
+        self._count_by_model = count_by_model
+        self._loading_by_id = loading_by_id
+
+    def choose_completions(self, free: Iterable[Worker]) -> list[Completion]:
+        """Return loads that let spares form groups, what is worth most first."""
+        found = [
+            completion
+            for workers in by_domain(free).values()
+            for completion in self._completions(workers)
+        ]
+        return sorted(found, key=lambda completion: -completion.rate)
+
+    def _completions(self, workers: list[Worker]) -> list[Completion]:
+        counts = Counter(self._count_by_model)
+        left = list(workers)
+        found = []
+        while True:
+            ways = [
+                way
+                for model in self._engine.models_by_name.values()
+                if (way := self._way(model, left, counts)) is not None
+            ]
+            if not ways:
+                return found
+            best = max(ways, key=lambda way: way.rate)
+            if best.missing:
+                found.append(best)
+            counts[best.model.name] += 1
+            left = [worker for worker in left if worker not in best.members]
+
+    def _way(
+        self, model: EngineModel, workers: list[Worker], counts: Counter[str]
+    ) -> Completion | None:
+        """Return who would have to load a model, None if there are too few."""
+        able = [worker for worker in workers if self._is_able(worker, model)]
+        others = [
+            worker
+            for worker in workers
+            if worker not in able and worker.id not in self._loading_by_id
+        ]
+        lacking = max(0, model.members - len(able))
+        if lacking > len(others):
+            return None
+        # Those that have nothing yet lose nothing by it.
+        others.sort(key=lambda worker: len(worker.ready_models))
+        missing = tuple(others[:lacking])
+        gain = self._needs.gain(counts, Counter({model.name: 1}))
+        loading_s = model.load_s * lacking + model.staged_load_s
+        members = (*able[: model.members], *missing)
+        return Completion(model, members, missing, gain / max(loading_s, 1e-3))
+
+    def _is_able(self, worker: Worker, model: EngineModel) -> bool:
+        if worker.load_s(model) <= model.staged_load_s:
+            return True
+        return self._loading_by_id.get(worker.id) == model.name
+
+    def choose_staging(
+        self, worker: Worker, present: Counter[str]
+    ) -> EngineModel | None:
+        """Return the model that a host should have besides, None if it has all.
+
+        A backend server is soon ready for the model that it served last and for
+        those on its host, so the host should have another one. A fresh one is to
+        replace a member, so it gets what its domain serves.
+
+        Parameters
+        ----------
+        present : Counter
+            Replica groups of its domain, by model.
+        """
+        hosting = worker.heard.report.hosting
+        models = list(self._engine.models_by_name.values())
+        others = [model for model in models if model.name != hosting.model]
+        if not others or any(model.name in hosting.staged for model in others):
+            return None
+        if not hosting.model and +present:
+            return self._engine.models_by_name.get(present.most_common(1)[0][0])
+        one = {model.name: Counter({model.name: 1}) for model in others}
+        return max(
+            others,
+            key=lambda model: self._needs.gain(self._count_by_model, one[model.name]),
+        )
+
+
+def choose_warming(engine: Engine, worker: Worker) -> EngineModel | None:
+    """Return the model that a spare should get ready and leave again.
+
+    It joins a group of that model sooner then, and its host is free for another.
+    """
+    hosting = worker.heard.report.hosting
+    if hosting.model:
+        return None
+    return next(
+        (m for m in engine.models_by_name.values() if m.name in hosting.staged), None
+    )
--- a/poplarspar/coordination/pools/loads.py
+++ b/poplarspar/coordination/pools/loads.py
@@ -11,6 +11,8 @@
 REPORT_MARGIN_S = 0.6
 # Part of the store's rate that is used; its windows count other nodes' loads too.
 RATE_PART = 0.8
+# Part of the loads at once that may only give hosts a second model.
+SECOND_PART = 0.34
 
 
 class LoadBudget:
@@ -29,13 +31,17 @@
         }
         return {id: model for id, (_, model) in self._load_by_id.items()}
 
-    def may_begin(self, engine: Engine, now: float, early: bool) -> bool:
+    def may_begin(
+        self, engine: Engine, now: float, early: bool, urgent: bool = True
+    ) -> bool:
         """Return whether one more load may begin now.
 
         Parameters
         ----------
         early : bool
             Whether there has been no request yet.
+        urgent : bool
+            Whether it is for more than a second model on a host.
         """
         while self._begun and self._begun[0] < now - 1.0:
             self._begun.popleft()
@@ -44,7 +50,8 @@
             return running < EARLY_LOADS_AT_ONCE
         if len(self._begun) >= max(1, int(engine.loads_per_s * RATE_PART)):
             return False
-        return running < engine.loads_at_once
+        part = 1.0 if urgent else SECOND_PART
+        return running < max(1.0, engine.loads_at_once * part)
 
     def begin(self, id: str, model: EngineModel, now: float, early: bool) -> None:
         """Count a load that begins now."""
--- a/poplarspar/coordination/pools/picture.py
+++ b/poplarspar/coordination/pools/picture.py
@@ -53,6 +53,12 @@
         report = self.heard.report
         return report is not None and report.pace >= SLOW_PACE
 
+    @property
+    def ready_models(self) -> set[str]:
+        """Models that it gets ready without the weight store."""
+        hosting = self.heard.report.hosting
+        return {hosting.model, *hosting.staged} - {""}
+
     def load_s(self, model: EngineModel) -> float:
         """Return how long it needs to get a model ready."""
         hosting = self.heard.report.hosting
@@ -88,6 +94,11 @@
         } - {""}
         return next(iter(names)) if len(names) == 1 else ""
 
+    @property
+    def domain(self) -> str:
+        """The fabric domain of its members."""
+        return next(iter(self.members_by_rank.values())).domain
+
     def is_whole(self, engine: Engine) -> bool:
         """Return whether each member is ready and well."""
         model = engine.models_by_name.get(self.model)
--- a/poplarspar/coordination/pools/planner.py
+++ b/poplarspar/coordination/pools/planner.py
@@ -129,7 +129,10 @@
     def _take_result(self, order: Order, result: OrderResult) -> None:
         match order, result:
             case Join(group, epoch), Refused():
-                self._term.forming.pop((group, epoch), None)
+                # A refused member may be ordered again, once a report shows why.
+                begun = self._term.forming.get((group, epoch))
+                if begun is not None and begun.warming:
+                    del self._term.forming[(group, epoch)]
             case Close(group, epoch), Accepted():
                 # The number of this order keeps late ones from opening it again.
                 self._term.closed.add((group, epoch))
@@ -152,7 +155,7 @@
         if now < self._listed_at + quiet_s or not reports:
             return False
         awaited = any(
-            found.report is None and found.failures < START_FAILURES
+            not found.is_settled() and found.failures < START_FAILURES
             for found in heard.values()
         )
         if awaited and now < self._term.began_at + START_UP_S:
--- a/poplarspar/coordination/pools/preparing.py
+++ b/poplarspar/coordination/pools/preparing.py
@@ -3,13 +3,9 @@
 import time
 from collections import Counter
 
-from poplarspar.coordination.pools.forming import (
-    NewGroup,
-    choose_completions,
-    choose_staging,
-    choose_warming,
-)
 from poplarspar.coordination.pools.giving import OrderGiver
+from poplarspar.coordination.pools.loading import Loader, choose_warming
+from poplarspar.coordination.pools.needs import Needs
 from poplarspar.coordination.pools.picture import Worker
 from poplarspar.coordination.pools.term import JOIN_MARGIN_S, Forming, Term
 from poplarspar.state.backends import MemberPhase
@@ -28,16 +24,18 @@
         workers: list[Worker],
         free: list[Worker],
         count_by_model: Counter[str],
-        weight_by_model: dict[str, float],
+        models_by_domain: dict[str, Counter[str]],
+        needs: Needs,
     ) -> None:
         self._engine = engine
         self._term = term
         self._orders = orders
         self._workers = workers
         self._free = free
-        self._count_by_model = count_by_model
-        self._weights = weight_by_model
+        self._models_by_domain = models_by_domain
         self._now = time.monotonic()
+        self._loading = term.loads.loading(self._now)
+        self._loader = Loader(engine, needs, count_by_model, self._loading)
 
     def run(self) -> None:
         """Order all that is due."""
@@ -46,41 +44,36 @@
 
     def _stage(self) -> None:
         """Load models onto hosts, beside all other work."""
-        term = self._term
-        joining = any(_is_joining(worker) for worker in self._workers)
-        if term.before_traffic and joining:
+        if self._term.before_traffic and any(map(_is_joining, self._workers)):
             return
-        for worker, model in self._wanted_loads():
-            early = term.before_traffic
-            if not term.loads.may_begin(self._engine, self._now, early):
-                return
-            if self._orders.give(worker.heard, Stage(model.name)):
-                term.loads.begin(worker.id, model, self._now, early)
-
-    def _wanted_loads(self) -> list[tuple[Worker, EngineModel]]:
-        """Return loads, those that are worth most first."""
-        loading = self._term.loads.loading(self._now)
-        wanted = choose_completions(
-            self._engine, self._free, loading, self._count_by_model, self._weights
-        )
-        spares = {worker.id for worker in self._free}
-        others = [
-            worker
-            for worker in self._workers
-            if not (worker.silent or worker.leaving or worker.out)
-            and not _is_joining(worker)
-            and worker.id not in loading
-        ]
+        for completion in self._loader.choose_completions(self._free):
+            for worker in completion.missing:
+                self._load(worker, completion.model, urgent=True)
         # Then spares, so that they fit more groups, and then members, for the next
         # loss among them.
+        spares = {worker.id for worker in self._free}
+        others = [worker for worker in self._workers if self._may_stage(worker)]
         others.sort(key=lambda worker: worker.id not in spares)
         for worker in others:
-            model = choose_staging(
-                self._engine, worker, self._count_by_model, self._weights
-            )
+            present = self._models_by_domain.get(worker.domain, Counter())
+            model = self._loader.choose_staging(worker, present)
             if model is not None:
-                wanted.append((worker, model))
-        return wanted
+                # One that has nothing can replace nobody.
+                self._load(worker, model, urgent=not worker.ready_models)
+
+    def _may_stage(self, worker: Worker) -> bool:
+        away = worker.silent or worker.leaving or worker.out
+        return not away and not _is_joining(worker)
+
+    def _load(self, worker: Worker, model: EngineModel, urgent: bool) -> None:
+        """Order a load, if one more may run now."""
+        loads, early = self._term.loads, self._term.before_traffic
+        if worker.id in loads.loading(self._now):
+            return
+        if not loads.may_begin(self._engine, self._now, early, urgent):
+            return
+        if self._orders.give(worker.heard, Stage(model.name)):
+            loads.begin(worker.id, model, self._now, early)
 
     def _warm(self) -> None:
         """Let spares get a model ready that is on their host, and leave again."""
@@ -89,13 +82,12 @@
             if model is None or self._orders.is_busy(worker.id):
                 continue
             epoch = self._orders.fences.next()
-            key = (f"warm-{epoch}", epoch)
+            join = Join(f"warm-{epoch}", epoch, model.name, (worker.id,))
             until = self._now + model.staged_load_s + JOIN_MARGIN_S
-            new = NewGroup(model, (worker,), model.staged_load_s)
-            self._term.forming[key] = Forming(new, until, warming=True)
+            begun = Forming(join, worker.domain, until, warming=True)
+            self._term.forming[(join.group, epoch)] = begun
             self._free.remove(worker)
-            order = Join(*key, model.name, (worker.id,))
-            self._orders.give(worker.heard, order, model.staged_load_s)
+            self._orders.give(worker.heard, join, model.staged_load_s)
 
 
 def _is_joining(worker: Worker) -> bool:
--- a/poplarspar/coordination/pools/rounds.py
+++ b/poplarspar/coordination/pools/rounds.py
@@ -4,32 +4,31 @@
 from collections import Counter
 
 from poplarspar.coordination.pools.desk import PlanDesk
-from poplarspar.coordination.pools.forming import (
-    NewGroup,
-    choose_conversion,
-    choose_group,
-)
+from poplarspar.coordination.pools.forming import Chooser, NewGroup, by_domain
 from poplarspar.coordination.pools.giving import OrderGiver
-from poplarspar.coordination.pools.picture import Group, Worker, build_groups
+from poplarspar.coordination.pools.needs import Needs
+from poplarspar.coordination.pools.picture import Worker, build_groups
 from poplarspar.coordination.pools.preparing import Preparation
 from poplarspar.coordination.pools.survey import Heard, Survey
-from poplarspar.coordination.pools.term import JOIN_MARGIN_S, Forming, Term
+from poplarspar.coordination.pools.term import (
+    JOIN_MARGIN_S,
+    Forming,
+    Term,
+    group_name,
+)
+from poplarspar.coordination.pools.upkeep import REJOIN_S, Upkeep
 from poplarspar.events import Event
 from poplarspar.logs import log_event
 from poplarspar.state.backends import MemberPhase
-from poplarspar.state.orders import Close, Join, Leave, Open, Order
+from poplarspar.state.orders import Join
 from poplarspar.state.plan import PlannedGroup, Spare
 from poplarspar.state.serving import Engine, Fleet, ServiceSpec
 
 STATE_LOG_S = 1.0
-# A backend server that served the model last joins again within this time.
-REJOIN_S = 0.2
-# A change of the mix shows in the demand within some seconds.
-CONVERSION_PAUSE_S = 5.0
+# A group that was given up serves as another one after about this time.
+CONVERSION_PAUSE_S = 2.5
 # Demand in replica groups from which on it is measured well enough to plan by.
 MEASURED_GROUPS = 1.0
-# No model is left with less than this part of the most wanted one's groups.
-MOST_UNEVEN = 8.0
 
 
 class Round:
@@ -52,9 +51,7 @@
         self._engine: Engine = service.engine
         self._fleet = fleet
         self._term = term
-        self._survey = survey
         self._orders = orders
-        self._desk = desk
         self._now = time.monotonic()
         self._workers = [
             self._see(heard)
@@ -62,15 +59,19 @@
             if heard.backend.service == service.name and heard.report is not None
         ]
         term.meet(self._workers)
-        if sum(desk.demand(service.name).values()) > 0.0:
+        demand = desk.demand(service.name)
+        if sum(demand.values()) > 0.0:
             term.before_traffic = False
+        self._needs = self._work_out_needs(demand)
         self._groups = build_groups(self._workers)
-        self._count_by_model: Counter[str] = Counter()
+        self._upkeep = Upkeep(
+            self._engine, term, survey, orders, self._workers, self._groups
+        )
         self._free: list[Worker] = []
 
     def run(self) -> None:
         """Order all that is due."""
-        self._look_at_groups()
+        self._upkeep.run()
         self._collect_free()
         self._form()
         self._drop_slow()
@@ -81,30 +82,12 @@
             self._orders,
             self._workers,
             self._free,
-            self._count_by_model,
-            self._weights(),
+            self._upkeep.count_by_model,
+            self._upkeep.models_by_domain,
+            self._needs,
         ).run()
         self._log_state()
 
-    def _log_state(self) -> None:
-        if self._now < self._term.logged_at + STATE_LOG_S:
-            return
-        self._term.logged_at = self._now
-        log_event(
-            Event.POOL_STATE,
-            service=self._service.name,
-            backends=len(self._workers),
-            silent=sum(worker.silent for worker in self._workers),
-            leaving=sum(worker.leaving for worker in self._workers),
-            free=len(self._free),
-            spares=[_spare_text(worker) for worker in self._free],
-            groups=len(self._groups),
-            serving_by_model=dict(Counter(group.model for group in self.serving())),
-            weight_by_model={
-                name: round(weight, 2) for name, weight in self._weights().items()
-            },
-        )
-
     def serving(self) -> list[PlannedGroup]:
         """Return the groups that may be sent requests."""
         return [
@@ -112,7 +95,7 @@
                 group.head.id, *group.key, group.model, pace=round(group.pace, 1)
             )
             for group in self._groups.values()
-            if group.phase is MemberPhase.OPEN and self._is_kept(group)
+            if group.phase is MemberPhase.OPEN and self._upkeep.is_kept(group)
         ]
 
     def spares(self) -> list[Spare]:
@@ -132,126 +115,28 @@
             self._term.before_traffic = False
         return Worker(heard, heard.silent(self._now), leaving, out)
 
-    def _look_at_groups(self) -> None:
-        forming = self._term.forming
-        for group in self._groups.values():
-            begun = forming.get(group.key)
-            if self._is_kept(group):
-                self._count_by_model[group.model] += not group.is_out
-                self._advance(group)
-            elif begun is not None and self._may_still_form(begun, group):
-                self._count_by_model[begun.new.model.name] += not begun.warming
-            else:
-                self._dissolve(group)
-        for key, begun in list(forming.items()):
-            if key in self._groups:
-                continue
-            if self._now < begun.until:
-                self._count_by_model[begun.new.model.name] += not begun.warming
-            else:
-                del forming[key]
-
-    def _is_kept(self, group: Group) -> bool:
-        """Return whether a group is whole and is to serve on."""
-        given_up = group.key in self._term.given_up
-        return group.is_whole(self._engine) and not given_up
-
-    def _may_still_form(self, begun: Forming, group: Group) -> bool:
-        if self._now > begun.until:
-            return False
-        if begun.warming and group.phase is MemberPhase.READY:
-            return False
-        silent = {worker.id for worker in self._workers if worker.silent}
-        return not silent & {member.id for member in begun.new.members}
-
-    def _advance(self, group: Group) -> None:
-        """Open a whole group as soon as its head is ready."""
-        name, epoch = group.key
-        match group.phase:
-            case MemberPhase.READY:
-                self._order(group.head, Open(name, epoch), self._engine.open_s)
-            case MemberPhase.OPEN:
-                if self._term.forming.pop(group.key, None) is not None:
-                    log_event(
-                        Event.GROUP_OPENED,
-                        group=name,
-                        epoch=epoch,
-                        model=group.model,
-                        head=group.head.id,
-                    )
-
-    def _dissolve(self, group: Group) -> None:
-        """Take a broken group apart, the head first."""
-        name, epoch = group.key
-        begun = self._term.forming.pop(group.key, None)
-        if begun is not None and not begun.warming:
-            log_event(Event.GROUP_ABANDONED, group=name, epoch=epoch)
-        head = group.head
-        if head is None and group.key in self._survey.ended_groups:
-            self._release(group)
-        elif head is None or head.silent:
-            self._leave_silent_head(group)
-        elif group.phase in (MemberPhase.OPEN, MemberPhase.CLOSING):
-            self._close(group)
-        elif group.key in self._term.closed:
-            self._release(group)
-        else:
-            # Once it has left, no late order can open this group any more.
-            self._order(head, Leave(name, epoch))
-
-    def _close(self, group: Group) -> None:
-        name, epoch = group.key
-        evict = bool(group.silent_members()) or not self._is_complete(group)
-        if group.key not in self._term.broken:
-            self._term.broken.add(group.key)
-            log_event(
-                Event.GROUP_BROKEN,
-                group=name,
-                epoch=epoch,
-                silent=[worker.id for worker in group.silent_members()],
-                evict=evict,
+    def _work_out_needs(self, demand: dict[str, float]) -> Needs:
+        models = self._engine.models_by_name.values()
+        if sum(demand.values()) < MEASURED_GROUPS:
+            return Needs.expected(
+                {model.name: model.members for model in models},
+                {model.name: model.share for model in models},
+                len(self._workers),
             )
-        if group.key in self._term.closed:
-            # Running requests may end first, unless nothing moves any more.
-            ending = group.phase is MemberPhase.CLOSING and not evict
-            if ending or not group.head.heard.is_settled():
-                return
-        self._order(group.head, Close(name, epoch, evict), 0.0 if evict else None)
-
-    def _is_complete(self, group: Group) -> bool:
-        model = self._engine.models_by_name.get(group.model)
-        return model is not None and len(group.members_by_rank) == model.members
-
-    def _release(self, group: Group) -> None:
-        """Free the members of a group that can serve no more."""
-        for worker in group.members_by_rank.values():
-            if not worker.silent:
-                self._free.append(worker)
-
-    def _leave_silent_head(self, group: Group) -> None:
-        """Take the members out of a group whose head can't be asked to close.
-
-        If it lives, out of our sight, it stands still without them.
-        """
-        if group.key not in self._term.headless:
-            self._term.headless.add(group.key)
-            log_event(Event.HEAD_SILENT, group=group.key[0], epoch=group.key[1])
-        for worker in group.members_by_rank.values():
-            if not worker.silent and worker is not group.head:
-                self._order(worker, Leave(*group.key))
+        return Needs.measured({m.name: demand.get(m.name, 0.0) for m in models})
 
     def _collect_free(self) -> None:
-        for worker in self._workers:
-            if worker.membership is None and not worker.silent:
-                self._free.append(worker)
+        free = self._upkeep.released + [
+            worker
+            for worker in self._workers
+            if worker.membership is None and not worker.silent
+        ]
         forming = {
-            member.id
-            for begun in self._term.forming.values()
-            for member in begun.new.members
+            id for begun in self._term.forming.values() for id in begun.join.members
         }
         self._free = [
             worker
-            for worker in self._free
+            for worker in free
             if not worker.leaving
             and not worker.out
             and not worker.slow
@@ -259,19 +144,28 @@
             and not self._orders.is_busy(worker.id)
         ]
 
+    def _chooser(self, longest_load_s: float, mixed: bool = True) -> Chooser:
+        return Chooser(
+            self._engine,
+            self._needs,
+            self._upkeep.count_by_model,
+            self._upkeep.models_by_domain,
+            longest_load_s,
+            mixed,
+        )
+
     def _form(self) -> None:
-        weights = self._weights()
+        # Domains that are all free get one model each, as far as there are enough.
+        fresh = self._term.before_traffic
         while True:
-            new = choose_group(
-                self._engine,
-                self._free,
-                self._count_by_model,
-                weights,
-                self._longest_load_s(),
-            )
-            if new is None:
+            domains = len(by_domain(self._free))
+            mixed = not fresh or domains < len(self._engine.models_by_name)
+            chooser = self._chooser(self._longest_load_s(), mixed)
+            formation = chooser.choose_formation(self._free)
+            if formation is None:
                 return
-            self._join(new, weights)
+            for new in formation.groups:
+                self._join(new)
 
     def _convert(self) -> None:
         """Give up a group of a model with plenty for one with too few."""
@@ -286,85 +180,76 @@
             group
             for group in self._groups.values()
             if group.phase is MemberPhase.OPEN
-            and group.is_whole(self._engine)
+            and self._upkeep.is_kept(group)
             and not group.is_out
         ]
-        group = choose_conversion(
-            self._engine, whole, self._free, self._count_by_model, self._weights()
-        )
-        if group is None:
+        chooser = self._chooser(self._longest_staged_load_s())
+        conversion = chooser.choose_conversion(whole, self._free)
+        if conversion is None:
             return
         term.converted_at = self._now
-        term.given_up.add(group.key)
-        log_event(
-            Event.GROUP_GIVEN_UP,
-            group=group.key[0],
-            epoch=group.key[1],
-            count_by_model=dict(self._count_by_model),
-        )
-        self._dissolve(group)
+        for group in conversion.given_up:
+            log_event(
+                Event.GROUP_GIVEN_UP,
+                group=group.key[0],
+                epoch=group.key[1],
+                gain=round(conversion.gain, 3),
+                **self._balance(),
+            )
+            self._upkeep.give_up(group)
 
     def _drop_slow(self) -> None:
         """Give up a group with a slow member if a spare can take its place."""
         spares = Counter(worker.domain for worker in self._free)
         for group in self._groups.values():
             slow = [w for w in group.members_by_rank.values() if w.slow]
-            if not slow or not self._is_kept(group):
+            if not slow or not self._upkeep.is_kept(group):
                 continue
-            if group.phase is MemberPhase.OPEN and spares[slow[0].domain] >= len(slow):
-                spares[slow[0].domain] -= len(slow)
-                self._term.given_up.add(group.key)
+            if group.phase is MemberPhase.OPEN and spares[group.domain] >= len(slow):
+                spares[group.domain] -= len(slow)
                 log_event(
                     Event.GROUP_SLOW,
                     group=group.key[0],
                     epoch=group.key[1],
                     slow=[worker.id for worker in slow],
                 )
-                self._dissolve(group)
-
-    def _weights(self) -> dict[str, float]:
-        """Return how many replica groups each model needs, the least being 1."""
-        demand = self._desk.demand(self._service.name)
-        models = self._engine.models_by_name.values()
-        if sum(demand.values()) < MEASURED_GROUPS:
-            demand = {model.name: model.share / model.members for model in models}
-        floor = max([*demand.values(), 1e-6]) / MOST_UNEVEN
-        weights = {m.name: max(floor, demand.get(m.name, 0.0)) for m in models}
-        least = min(weights.values())
-        return {name: weight / least for name, weight in weights.items()}
+                self._upkeep.give_up(group)
 
     def _longest_load_s(self) -> float:
         """Return how long members of a new group may load.
 
         Before the first request there is time to load from the weight store.
         """
-        models = self._engine.models_by_name.values()
         if self._term.before_traffic:
-            return max(model.load_s for model in models)
-        return max(model.staged_load_s for model in models)
+            return max(m.load_s for m in self._engine.models_by_name.values())
+        return self._longest_staged_load_s()
 
-    def _join(self, new: NewGroup, weights: dict[str, float]) -> None:
+    def _longest_staged_load_s(self) -> float:
+        return max(m.staged_load_s for m in self._engine.models_by_name.values())
+
+    def _join(self, new: NewGroup) -> None:
         epoch = self._orders.fences.next()
-        name = f"{new.model.name}-{epoch}"
-        until = self._now + new.load_s + self._load_margin_s(new) + JOIN_MARGIN_S
-        self._term.forming[(name, epoch)] = Forming(new, until)
         ids = tuple(worker.id for worker in new.members)
+        join = Join(group_name(new.model.name, epoch), epoch, new.model.name, ids)
+        until = self._now + new.load_s + self._load_margin_s(new) + JOIN_MARGIN_S
+        domain = new.members[0].domain
+        self._term.forming[(join.group, epoch)] = Forming(join, domain, until)
         log_event(
             Event.GROUP_FORMING,
-            group=name,
+            group=join.group,
             epoch=epoch,
             members=ids,
             load_s=new.load_s,
-            count_by_model=dict(self._count_by_model),
-            weight_by_model={name: round(w, 2) for name, w in weights.items()},
             free=len(self._free),
+            **self._balance(),
         )
-        self._count_by_model[new.model.name] += 1
+        self._upkeep.count_by_model[new.model.name] += 1
+        self._upkeep.models_by_domain[domain][new.model.name] += 1
         for worker in new.members:
             self._free.remove(worker)
             load_s = worker.load_s(new.model)
             due_s = None if load_s >= new.model.load_s else load_s or REJOIN_S
-            self._order(worker, Join(name, epoch, new.model.name, ids), due_s)
+            self._orders.give(worker.heard, join, due_s)
 
     def _load_margin_s(self, new: NewGroup) -> float:
         """Return how much longer loads may take since many run at once."""
@@ -372,8 +257,32 @@
             return 0.0
         return new.model.load_s * len(self._workers) / self._engine.loads_at_once
 
-    def _order(self, worker: Worker, order: Order, due_s: float | None = None) -> bool:
-        return self._orders.give(worker.heard, order, due_s)
+    def _balance(self) -> dict[str, dict]:
+        """Return groups by model, had and needed, for the log."""
+        return {
+            "count_by_model": dict(+self._upkeep.count_by_model),
+            "needed_by_model": {
+                model: round(groups, 2)
+                for model, groups in self._needs.groups_by_model.items()
+            },
+        }
+
+    def _log_state(self) -> None:
+        if self._now < self._term.logged_at + STATE_LOG_S:
+            return
+        self._term.logged_at = self._now
+        log_event(
+            Event.POOL_STATE,
+            service=self._service.name,
+            backends=len(self._workers),
+            silent=sum(worker.silent for worker in self._workers),
+            leaving=sum(worker.leaving for worker in self._workers),
+            spares_by_kind=dict(Counter(_spare_text(w) for w in self._free)),
+            groups=len(self._groups),
+            serving_by_model=dict(Counter(group.model for group in self.serving())),
+            loading=len(self._term.loads.loading(self._now)),
+            **self._balance(),
+        )
 
 
 def _spare_text(worker: Worker) -> str:
--- a/poplarspar/coordination/pools/survey.py
+++ b/poplarspar/coordination/pools/survey.py
@@ -133,7 +133,8 @@
             if heard is not None:
                 heard.backend = backend
                 continue
-            self.by_id[id] = Heard(backend)
+            # The last planner's orders show in reports only after a while.
+            self.by_id[id] = Heard(backend, ordered_at=now)
             self._hurry_by_id[id] = Signal()
             self._task_by_id[id] = eventlet.spawn(self._ask_forever, id)
 
--- a/poplarspar/coordination/pools/term.py
+++ b/poplarspar/coordination/pools/term.py
@@ -3,12 +3,24 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from poplarspar.coordination.pools.forming import NewGroup
 from poplarspar.coordination.pools.loads import LoadBudget
 from poplarspar.coordination.pools.picture import GroupKey, Worker
+from poplarspar.state.orders import Join
 
 # Reports of members that are ready lag, and orders may be lost and given again.
 JOIN_MARGIN_S = 2.0
+# Orders to join that are given again for one group, when others than these are lost.
+JOIN_REPEATS = 8
+
+
+def group_name(model: str, epoch: int) -> str:
+    """Return the name of a replica group of a model."""
+    return f"{model}-{epoch}"
+
+
+def model_of_name(name: str) -> str:
+    """Return the model that a group's name begins with."""
+    return name.rpartition("-")[0]
 
 
 @dataclass
@@ -17,13 +29,19 @@
 
     Attributes
     ----------
+    until : float
+        Monotonic time after which it is given up.
     warming : bool
         Whether it is of one spare only, which leaves it again.
+    repeats : int
+        Orders to join that may still be given again.
     """
 
-    new: NewGroup
+    join: Join
+    domain: str
     until: float
     warming: bool = False
+    repeats: int = JOIN_REPEATS
 
 
 @dataclass
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized runs of real node processes under faults from outside them."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,134 @@
+"""Randomized runs of real nodes under faults: ``python -m soak --help``."""
+
+import standins.common  # noqa: F401  # isort: skip
+
+import os
+import random
+import subprocess
+import sys
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from pathlib import Path
+
+import eventlet
+import fire
+
+from soak.callers import Callers
+from soak.faults import Injector, draw_faults
+from soak.nodes import Node
+from soak.probes import Prober
+from soak.promises import Evidence, breaches, summary
+from soak.surroundings import Surroundings
+from standins.cluster import wait_for
+
+NODES = 4
+CALLERS_OF_EACH_KIND = 3
+FAULTS_PER_S = 0.8
+READY_TIMEOUT_S = 40.0
+WARM_UP_S = 2.0
+# All kinds of requests are to be served this long after the last fault.
+RECOVER_S = 12.0
+LAST_LOOK_S = 3.0
+
+
+class Soak:
+    """Runs soaks from the command line."""
+
+    def one(self, seed: int, seconds: float = 14.0, logs: str = "") -> None:
+        """Run the soak of one SEED with faults for SECONDS, and exit 1 on a breach.
+
+        With --logs DIRECTORY the nodes' logs are kept there.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            lines = run_soak(int(seed), float(seconds), Path(logs or folder))
+        for line in lines:
+            print(f"seed {seed}: {line}")
+        print(f"seed {seed}: {len(lines)} breaches", flush=True)
+        os._exit(1 if lines else 0)
+
+    def many(
+        self, first: int = 0, count: int = 50, jobs: int = 3, seconds: float = 14.0
+    ) -> None:
+        """Run COUNT seeds from FIRST on, JOBS at a time; 0 draws a first one."""
+        first = int(first) or random.SystemRandom().randrange(1, 1 << 31)
+        with ThreadPoolExecutor(int(jobs)) as pool:
+            seeds = range(first, first + int(count))
+            results = list(pool.map(lambda seed: _run_apart(seed, seconds), seeds))
+        failed = [seed for seed, passed in zip(seeds, results, strict=True) if passed]
+        print(f"{len(results) - len(failed)} seeds passed, {len(failed)} failed")
+        if failed:
+            print(f"failed: {' '.join(map(str, failed))}")
+        sys.exit(bool(failed))
+
+
+def _run_apart(seed: int, seconds: float) -> int:
+    """Run one seed in a process of its own and return its exit status."""
+    command = [sys.executable, "-m", "soak", "one", str(seed), f"--seconds={seconds}"]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    print(done.stdout + done.stderr[-2000:], end="", flush=True)
+    return done.returncode
+
+
+def run_soak(seed: int, seconds: float, folder: Path) -> list[str]:
+    """Run one soak and return a line for each breach.
+
+    Parameters
+    ----------
+    seconds : float
+        Time in which faults begin.
+    folder : Path
+        Where settings and logs of the nodes are written.
+    """
+    # Addresses of its own on the loopback network, for runs side by side.
+    host = f"127.{1 + os.getpid() % 200}.{1 + os.getpid() // 200 % 200}"
+    with ExitStack() as stack:
+        outside = Surroundings()
+        stack.callback(outside.close)
+        nodes = []
+        for index in range(NODES):
+            node = Node(index, f"{host}.{index + 1}", folder, outside.store_path())
+            stack.callback(node.end)
+            nodes.append(node)
+            watcher = eventlet.spawn(node.watch)
+            stack.callback(watcher.kill)
+        wait_for(lambda: all(n.in_rotation for n in nodes), "ready", READY_TIMEOUT_S)
+        wait_for(lambda: len(outside.pool.serving()) >= 4, "groups", READY_TIMEOUT_S)
+        seen = _play(seed, seconds, nodes, outside, stack)
+        lines = breaches(seen)
+        print(f"seed {seed}: {summary(seen)}")
+    return lines
+
+
+def _play(
+    seed: int,
+    seconds: float,
+    nodes: list[Node],
+    outside: Surroundings,
+    stack: ExitStack,
+) -> Evidence:
+    callers = Callers(nodes, outside, random.Random(seed), CALLERS_OF_EACH_KIND)
+    prober = Prober(nodes, outside)
+    stack.callback(prober.close)
+    eventlet.sleep(WARM_UP_S)
+    injector = Injector(nodes, outside, seed)
+    injector.run(draw_faults(seed, seconds, int(seconds * FAULTS_PER_S)))
+    recovered_by = time.monotonic() + RECOVER_S
+    eventlet.sleep(RECOVER_S + LAST_LOOK_S)
+    callers.stop()
+    for line in injector.lines:
+        print(f"seed {seed}: {line}")
+    return Evidence(
+        callers.sent,
+        prober.probes,
+        outside,
+        nodes,
+        injector.spans,
+        injector.stops,
+        recovered_by,
+    )
+
+
+if __name__ == "__main__":
+    fire.Fire(Soak, name="soak")
--- /dev/null
+++ b/standins/engines.py
@@ -0,0 +1,240 @@
+"""Workers of a model service that speak the platform's protocol over HTTP."""
+
+import json
+import time
+from collections.abc import Iterator
+
+import eventlet
+
+from poplarspar.exceptions import BackendFailed
+from poplarspar.state.backends import Hosting, MemberPhase
+from poplarspar.state.orders import (
+    Accepted,
+    Close,
+    Join,
+    Leave,
+    Open,
+    Order,
+    Refused,
+    Stage,
+)
+from poplarspar.state.serving import Engine
+from poplarspar.transport.server import Request, Response, json_response
+from standins.platform import PlatformServer, Run
+from standins.pool import STALL_S, Pool
+
+READ_S = 0.03
+EVENT_S = 0.03
+ORDER_TIMEOUT_S = 5.0
+STREAM = "text/event-stream"
+
+
+def engine_document(engine: Engine) -> dict:
+    """Return an engine's figures as the configuration has them."""
+    return {
+        "slots": engine.slots,
+        "step_ms": engine.step_s * 1000,
+        "per_seq_ms": engine.step_per_request_s * 1000,
+        "read_per_s": engine.tokens_read_per_s,
+        "stride": engine.tokens_per_event,
+        "loads_per_s": engine.loads_per_s,
+        "loads_at_once": engine.loads_at_once,
+        "form_ms": engine.open_s * 1000,
+        "models": [
+            {
+                "name": model.name,
+                "size": model.members,
+                "pace": model.pace,
+                "share": model.share,
+                "load_s": model.load_s,
+                "warm_s": model.staged_load_s,
+            }
+            for model in engine.models_by_name.values()
+        ],
+    }
+
+
+def event_text(attempt: str, number: int) -> bytes:
+    """Return one event of a request's stream."""
+    return f"id: {number}\ndata: {attempt}.{number}\n\n".encode()
+
+
+class ModelWorker(PlatformServer):
+    """HTTP face of one virtual backend server of a `Pool`.
+
+    Parameters
+    ----------
+    runs : list of Run
+        Where requests are noted that begin to run.
+    """
+
+    def __init__(self, id: str, pool: Pool, engine: Engine, runs: list[Run]) -> None:
+        self.id = id
+        self._pool = pool
+        self._engine = engine
+        self._runs = runs
+        self.running = 0
+        super().__init__()
+
+    def entry(self, service: str, address: str, zone: str) -> dict:
+        """Return its entry in the store."""
+        worker = self._pool.by_id[self.id]
+        worker.advance(time.monotonic())
+        return {
+            "service": service,
+            "address": address,
+            "zone": zone,
+            "version": "v1",
+            "slots": self._engine.slots,
+            "state": "draining" if worker.draining else "ready",
+            "cold_ms": 0,
+            "born": worker.started_ms,
+            **_hosting_document(worker.hosting),
+        }
+
+    def handle(self, request: Request) -> Response:
+        """Answer a report, an order or a request."""
+        backend = self._pool.entries()[self.id]
+        headers = {"Attempt-Id": request.headers.get("Attempt-Id", "")}
+        if request.headers.get("Expect-Instance") != self.id:
+            return Response(421, b"", None, headers)
+        try:
+            match request.path:
+                case "/poplarspar/report":
+                    return self._report(self._pool.read(backend, ORDER_TIMEOUT_S))
+                case "/poplarspar/order":
+                    return self._order(backend, json.loads(request.body))
+        except BackendFailed:
+            return json_response(500, {})
+        return self._serve(request, headers)
+
+    def _report(self, report) -> Response:
+        document = {
+            "stage": "combined",
+            "busy": False,
+            "waiting": 0,
+            "running": self.running,
+            "kv_used": 0,
+            "kv_total": 1,
+            "handles": 0,
+            "pace": 1.0,
+            "born": report.started_ms,
+            **_hosting_document(report.hosting),
+        }
+        return json_response(200, document)
+
+    def _order(self, backend, body: dict) -> Response:
+        result = self._pool.give(
+            backend,
+            _parse_order(body),
+            fence=body["fencing_token"],
+            accepted_before=body.get("expected"),
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+        match result:
+            case Accepted(done):
+                return json_response(200 if done else 202, {})
+            case Refused(status):
+                return json_response(status, {})
+        return json_response(500, {})
+
+    def _serve(self, request: Request, headers: dict) -> Response:
+        worker = self._pool.by_id[self.id]
+        worker.advance(time.monotonic())
+        place = worker.hosting.membership
+        if place is None or place.rank != 0 or worker.silent:
+            return Response(421, b"", None, headers)
+        if place.phase is not MemberPhase.OPEN or self.running >= self._engine.slots:
+            return Response(503, b"", None, {**headers, "Not-Executed": "1"})
+        answer = {
+            **headers,
+            "Response-Signature": f"s.{self.id}",
+            "Content-Type": STREAM,
+        }
+        return Response(200, _Stream(self, request, place.key), None, answer)
+
+    def stands_still(self, key) -> bool:
+        """Return whether a group lacks a member, or does not serve any more."""
+        worker = self._pool.by_id[self.id]
+        place = worker.hosting.membership
+        if worker.silent or place is None or place.key != key:
+            return True
+        if place.phase is not MemberPhase.OPEN:
+            return True
+        return any(
+            other.silent
+            or other.hosting.membership is None
+            or other.hosting.membership.key != key
+            for other in (self._pool.by_id[id] for id in worker.members)
+        )
+
+    def note_run(self, request: Request) -> None:
+        """Keep that a request began to run here."""
+        self._runs.append(Run.of(self.id, request))
+
+
+class _Stream:
+    """Events of one request; stands still while its group lacks a member."""
+
+    def __init__(self, worker: ModelWorker, request: Request, key) -> None:
+        self._worker = worker
+        self._request = request
+        self._key = key
+        self._open = True
+        worker.running += 1
+
+    def __iter__(self) -> Iterator[bytes]:
+        request = self._request
+        attempt = request.headers["Attempt-Id"]
+        answer_tokens = int(request.headers["Token-Count"].split(",")[1])
+        begin = int(request.headers.get("Last-Event-Id", 0)) + 1
+        self._wait(READ_S)
+        self._worker.note_run(request)
+        for number in range(begin, answer_tokens + 1):
+            yield event_text(attempt, number)
+            self._wait(EVENT_S)
+
+    def _wait(self, time_s: float) -> None:
+        eventlet.sleep(time_s)
+        ends_at = time.monotonic() + STALL_S
+        while self._worker.stands_still(self._key):
+            if time.monotonic() > ends_at:
+                raise BackendFailed("the group is broken", sent=True)
+            eventlet.sleep(EVENT_S)
+
+    def close(self) -> None:
+        if self._open:
+            self._open = False
+            self._worker.running -= 1
+
+
+def _hosting_document(hosting: Hosting) -> dict:
+    place = hosting.membership
+    document = {
+        "seq": hosting.orders,
+        "models": [{"name": hosting.model}] if hosting.model and place else [],
+        "staged": list(hosting.staged),
+        "domain": hosting.domain,
+    }
+    if place is not None:
+        document["group"] = {
+            "name": place.group,
+            "epoch": place.epoch,
+            "rank": place.rank,
+            "state": place.phase.value,
+        }
+    return document
+
+
+def _parse_order(body: dict) -> Order:
+    group, epoch = body.get("group", ""), body.get("epoch", 0)
+    match body["op"]:
+        case "join":
+            return Join(group, epoch, body["model"], tuple(body["members"]))
+        case "open":
+            return Open(group, epoch)
+        case "close":
+            return Close(group, epoch, body["close_mode"] == "evict")
+        case "leave":
+            return Leave(group, epoch)
+    return Stage(body["model"])
