--- a/poplarspar/coordination/following.py
+++ b/poplarspar/coordination/following.py
@@ -6,16 +6,13 @@
 
 import eventlet
 
-from poplarspar.coordination.ports import Change, WatchedStore
+from poplarspar.coordination.ports import Change, Changes, WatchedStore
 from poplarspar.events import Event
 from poplarspar.exceptions import HistoryLost, StoreUnavailable
 from poplarspar.logs import log_event
 
 FIRST_BACKOFF_S = 0.1
 LAST_BACKOFF_S = 0.4
-# A watch can miss changes when the store loses its history; the values themselves
-# are read again this often, well before the history of a quiet prefix ends.
-READ_ALL_S = 10.0
 # While a fleet starts, changes come close upon one another and all of them matter.
 EARLY_S = 5.0
 EARLY_PAUSE_S = 0.25
@@ -55,10 +52,13 @@
 
     Parameters
     ----------
-    wait_s : float
-        Longest time that one question waits at the store for a change.
+    wait_s : callable
+        Returns the longest time that one question waits at the store for a change.
     pause_s : float
         Time between two questions, which bounds the calls where changes are many.
+    read_all_s : float
+        Time after which all values are read again, since a watch can miss changes
+        when the store loses its history.
     replace, apply : callable
         Take all values, and later changes in order.
     """
@@ -69,8 +69,9 @@
         prefix: str,
         health: StoreHealth,
         *,
-        wait_s: float,
+        wait_s: Callable[[], float],
         pause_s: float,
+        read_all_s: float,
         replace: Callable[[tuple[Change, ...]], None],
         apply: Callable[[tuple[Change, ...]], None],
     ) -> None:
@@ -79,12 +80,37 @@
         self._health = health
         self._wait_s = wait_s
         self._pause_s = pause_s
+        self._read_all_s = read_all_s
         self._replace = replace
         self._apply = apply
         self._as_of: int | None = None
         self._backoff_s = FIRST_BACKOFF_S
         self._began_at = time.monotonic()
         self._read_all_at = float("-inf")
+        self._catching_up = False
+        self.newest = 0
+
+    def note_newest(self, revision: int) -> None:
+        """Read all values at once if another node has seen a newer one.
+
+        Parameters
+        ----------
+        revision : int
+            The `newest` of that node's follower.
+        """
+        if revision > self.newest and not self._catching_up:
+            self._catching_up = True
+            eventlet.spawn(self._catch_up, revision)
+
+    def _catch_up(self, revision: int) -> None:
+        try:
+            self._read_all()
+            self.newest = max(self.newest, revision)
+        except StoreUnavailable as error:
+            # The other node asks the same store; its next word starts this again.
+            self._health.failed(str(error))
+        finally:
+            self._catching_up = False
 
     def follow(self) -> None:
         """Follow for as long as the process lives."""
@@ -103,21 +129,36 @@
                 self._backoff_s = min(2 * self._backoff_s, LAST_BACKOFF_S)
 
     def _step(self) -> None:
-        now = time.monotonic()
-        if self._as_of is None or now > self._read_all_at + READ_ALL_S:
-            found = self._store.read_all(self._prefix)
-            self._replace(found.items)
-            self._as_of = found.as_of
-            self._read_all_at = now
+        due_at = self._read_all_at + self._read_all_s
+        if self._as_of is None or time.monotonic() > due_at:
+            self._read_all()
         else:
-            found = self._store.changes(self._prefix, self._as_of, self._wait_s)
-            self._apply(found.items)
-            if found.items:
-                # A watch that heard nothing may have missed something, so the next
-                # one begins where this one did.
-                self._as_of = found.as_of
+            self._ask(self._as_of)
         self._health.succeeded()
         self._backoff_s = FIRST_BACKOFF_S
         if self._pause_s:
             early = time.monotonic() < self._began_at + EARLY_S
             eventlet.sleep(EARLY_PAUSE_S if early else self._pause_s)
+
+    def _read_all(self) -> None:
+        self._read_all_at = time.monotonic()
+        found = self._store.read_all(self._prefix)
+        if self._as_of is not None and found.as_of < self._as_of:
+            return
+        self._note(found)
+        self._replace(found.items)
+
+    def _ask(self, after: int) -> None:
+        found = self._store.changes(self._prefix, after, self._wait_s())
+        # While the question waited, all values may have been read.
+        items = tuple(item for item in found.items if item.revision > self._as_of)
+        if items:
+            # A watch that heard nothing may have missed something, so the next one
+            # begins where this one did.
+            self._note(found)
+        self._apply(items)
+
+    def _note(self, found: Changes) -> None:
+        self._as_of = found.as_of
+        revisions = [item.revision for item in found.items]
+        self.newest = max([self.newest, *revisions])
--- a/poplarspar/coordination/forwarding/__init__.py
+++ b/poplarspar/coordination/forwarding/__init__.py
@@ -11,9 +11,12 @@
     Upstream,
 )
 from poplarspar.coordination.forwarding.repeats import RepeatBudget
-from poplarspar.coordination.forwarding.targets import Target, Targets
+from poplarspar.coordination.forwarding.stalls import STALL_PERIOD_S, StallWatch
+from poplarspar.coordination.forwarding.target import Target
+from poplarspar.coordination.forwarding.targets import Targets
 
 __all__ = [
+    "STALL_PERIOD_S",
     "Answer",
     "Attempt",
     "DemandMeter",
@@ -22,6 +25,7 @@
     "RepeatBudget",
     "RoutedRequest",
     "Sender",
+    "StallWatch",
     "StreamEvent",
     "Target",
     "Targets",
--- a/poplarspar/coordination/forwarding/attempts.py
+++ b/poplarspar/coordination/forwarding/attempts.py
@@ -5,7 +5,8 @@
 
 from poplarspar.coordination.forwarding.lookup import RoutedRequest
 from poplarspar.coordination.forwarding.ports import Attempt, Exchange, Upstream
-from poplarspar.coordination.forwarding.targets import Target, Targets
+from poplarspar.coordination.forwarding.target import Target
+from poplarspar.coordination.forwarding.targets import Targets
 from poplarspar.events import Event
 from poplarspar.exceptions import BackendFailed
 from poplarspar.logs import log_event
--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -21,7 +21,8 @@
     FindPlace,
     ResumableAnswer,
 )
-from poplarspar.coordination.forwarding.targets import Target, Targets
+from poplarspar.coordination.forwarding.target import Target
+from poplarspar.coordination.forwarding.targets import Targets
 from poplarspar.events import Event
 from poplarspar.exceptions import BackendFailed
 from poplarspar.logs import log_event
--- a/poplarspar/coordination/forwarding/resuming.py
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -15,7 +15,8 @@
 from poplarspar.coordination.forwarding.lookup import RoutedRequest
 from poplarspar.coordination.forwarding.ports import StreamEvent
 from poplarspar.coordination.forwarding.repeats import RepeatBudget
-from poplarspar.coordination.forwarding.targets import Target, Targets
+from poplarspar.coordination.forwarding.target import Target
+from poplarspar.coordination.forwarding.targets import Targets
 from poplarspar.events import Event
 from poplarspar.exceptions import BackendFailed
 from poplarspar.logs import log_event
@@ -30,8 +31,9 @@
 # Callers leave a stream after two seconds without an event.
 FIRST_EVENT_SILENCE_S = 1.2
 RESUME_WAIT_S = 1.0
-# A place becomes free about this often; see `Refusal.retry_after_s`.
-COME_BACK_S = 0.1
+# A replica group that was lost serves again after about this time; see
+# `Refusal.retry_after_s`.
+COME_BACK_S = 0.6
 FindPlace = Callable[[RoutedRequest, set[Target], float], Result[Target, Refusal]]
 
 
@@ -101,10 +103,22 @@
         """Backend server that produces the answer now, empty for none."""
         return self._began.target.backend.id if self._began else ""
 
+    def move(self) -> bool:
+        """Go on elsewhere, if that may be, and return whether it does."""
+        may_run_again = self._sent < self._routed.route.max_attempts
+        if not self._routed.route.repeatable or not may_run_again:
+            return False
+        if self._budget.left(self._routed.service.name) <= 0:
+            return False
+        # The task that reads the events goes on with the next group.
+        self._began.exchange.abort()
+        return True
+
     def close(self) -> None:
         """End the answer, whatever is left of it."""
         began, self._began = self._began, None
         if began is not None:
+            began.target.streams.discard(self)
             self._sender.finish(began)
 
     def _start(self, wait_s: float) -> Result[Began, Refusal]:
@@ -124,6 +138,8 @@
                         continue
                     self._began = began
                     self._events = began.exchange.events()
+                    if began.exchange.is_stream:
+                        began.target.streams.add(self)
                     return Ok(began)
                 case NotReached() | Rejected():
                     self._declined += 1
--- /dev/null
+++ b/poplarspar/coordination/forwarding/stalls.py
@@ -0,0 +1,58 @@
+"""Streams whose replica group stands still go on in another one."""
+
+import time
+
+from poplarspar.coordination.forwarding.target import Target
+from poplarspar.coordination.forwarding.targets import Targets
+from poplarspar.events import Event
+from poplarspar.logs import log_event
+
+# Beyond the time of a pass, a group that works shows it within this time, though
+# prompts may have come that this node has not been told of.
+STALL_MARGIN_S = 0.1
+# How often stalled streams are looked for. A round that comes later than twice that
+# has itself been held up, with events that have come but are not yet read.
+STALL_PERIOD_S = 0.03
+
+
+class StallWatch:
+    """Looks for replica groups that stand still, and moves their streams."""
+
+    def __init__(self, targets: Targets) -> None:
+        self._targets = targets
+        self._looked_at = float("-inf")
+
+    def look(self) -> None:
+        """Move the streams of stalled groups; to be called every `STALL_PERIOD_S`."""
+        now = time.monotonic()
+        held_up = now > self._looked_at + 2 * STALL_PERIOD_S
+        self._looked_at = now
+        if held_up:
+            return
+        for target in list(self._targets.by_key.values()):
+            if target.streams and target.stalled_s(now) > self._patience_s(target):
+                self._move(target, now)
+
+    def _move(self, target: Target, now: float) -> None:
+        if self._targets.room_beside(target, now) < len(target.streams):
+            return
+        moved = [stream for stream in list(target.streams) if stream.move()]
+        if moved:
+            target.note_failure()
+            log_event(
+                Event.STREAMS_MOVED,
+                backend=target.backend.id,
+                streams=len(moved),
+                stalled_ms=int(target.stalled_s(now) * 1000),
+                reading=target.reading,
+            )
+
+    def _patience_s(self, target: Target) -> float:
+        """Return how long a group that works may show nothing."""
+        engine = self._targets.engine_of(target)
+        if engine is None:
+            return float("inf")
+        step_s = engine.step_s + engine.step_per_request_s * engine.slots
+        pace = engine.models_by_name[target.model].pace * target.pace
+        pass_s = engine.tokens_per_event * step_s * pace
+        return pass_s + target.reading_s(engine) + STALL_MARGIN_S
--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -1,28 +1,22 @@
 """Where requests may be sent, and which place suits one best."""
 
+import math
 import random
 import time
-from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
 
 import eventlet
 from eventlet.event import Event as Signal
 
 from poplarspar.coordination.forwarding.lookup import RoutedRequest
-from poplarspar.state.backends import BackendServer, Load
+from poplarspar.coordination.forwarding.target import (
+    FAILURE_WEIGHT,
+    WORKING_PAUSE_S,
+    Target,
+)
 from poplarspar.state.plan import FleetPlan, GroupLoad
-from poplarspar.state.serving import Fleet, ServiceSpec
+from poplarspar.state.serving import Engine, Fleet, ServiceSpec
 
-# A load that a backend server told is a guide for about this long: with ten
-# requests a second at each node, most of what ran then has ended.
-LOAD_AGE_S = 1.0
-# A failure weighs half of all that is known, and is forgotten within seconds, since
-# a backend server that nobody tries can't show that it is well again.
-FAILURE_WEIGHT = 0.5
-FAILURE_DECAY_S = 3.0
-# About five answers decide what a backend server's usual time is.
-TIME_WEIGHT = 0.2
 EJECTED_ABOVE = 0.7
 # A window slightly over the second that limits of cold backend servers count in,
 # since requests may take different times to arrive.
@@ -32,107 +26,18 @@
 # Expected work beyond the slots, in requests, that still starts soon enough.
 QUEUE_ALLOWANCE = 1
 REMOTE_DELAY_S = 0.002
-# A replica group that works shows it at least this often, unless it reads several
-# long prompts; beyond, each moment makes its loss more likely.
-WORKING_PAUSE_S = 0.1
+# Part of a request's aim that reading prompts before it, and its own, may take; the
+# rest is for what the node does not know of, and for the first step.
+READING_PART = 0.6
+# So few nodes may each take the best of all places. The more there are, the older is
+# what they know of each other's work, and the more would choose the same place.
+FEW_NODES = 10
+LEAST_COMPARED = 2
 STALLED_DELAY_S = 0.3
 # Each multiple of the usual pace adds this much to a stream's pauses.
 SLOW_DELAY_S = 0.1
 
 
-@dataclass(eq=False)
-class Target:
-    """A backend server, or the head of an open replica group.
-
-    Attributes
-    ----------
-    in_flight, reading_tokens : int
-        Own requests there, and prompt tokens of those without a first event.
-    others, others_reading : int
-        The same of all other nodes, as far as they have told.
-    stalled_elsewhere : bool
-        Whether another node sees no sign of work there.
-    pace : float
-        How much slower it is than the engine's figures.
-    trouble : float
-        Recent share of failures, from 0 to 1, as of `trouble_at`.
-    answer_s : float
-        Usual time of an answer of a plain service, 0 while none has come.
-    progress_at : float
-        Time of the last sign of work, or of the first request since it was idle.
-    """
-
-    backend: BackendServer
-    slots: int
-    model: str
-    group: tuple[str, int] | None
-    in_flight: int = 0
-    reading_tokens: int = 0
-    others: int = 0
-    others_reading: int = 0
-    stalled_elsewhere: bool = False
-    pace: float = 1.0
-    told: Load | None = None
-    told_at: float = float("-inf")
-    in_flight_when_told: int = 0
-    trouble: float = 0.0
-    trouble_at: float = 0.0
-    cold_until: float = float("-inf")
-    starts: deque[float] = field(default_factory=deque)
-    exchanges: set = field(default_factory=set)
-    progress_at: float = float("-inf")
-    answer_s: float = 0.0
-
-    def expected(self, now: float) -> int:
-        """Return how many requests are expected to be there."""
-        others = self.others
-        if now - self.told_at < LOAD_AGE_S and self.told is not None:
-            told = self.told.running + self.told.waiting
-            others = max(others, told - self.in_flight_when_told)
-        return self.in_flight + others
-
-    def trouble_now(self, now: float) -> float:
-        """Return the share of failures, faded by the time since then."""
-        age_s = now - self.trouble_at
-        return self.trouble * max(0.0, 1.0 - age_s / FAILURE_DECAY_S)
-
-    def note_failure(self) -> None:
-        """Count an attempt that failed."""
-        now = time.monotonic()
-        trouble = self.trouble_now(now)
-        self.trouble = trouble + (1.0 - trouble) * FAILURE_WEIGHT
-        self.trouble_at = now
-
-    def note_success(self) -> None:
-        """Count an attempt that succeeded."""
-        now = time.monotonic()
-        self.trouble = self.trouble_now(now) * (1.0 - FAILURE_WEIGHT)
-        self.trouble_at = now
-
-    def note_time(self, answer_s: float) -> None:
-        """Take the time of one answer into the usual one."""
-        if not self.answer_s:
-            self.answer_s = answer_s
-        self.answer_s += (answer_s - self.answer_s) * TIME_WEIGHT
-
-    def note_load(self, load: Load | None) -> None:
-        """Keep the load that the backend server told."""
-        if load is not None:
-            self.told = load
-            self.told_at = time.monotonic()
-            self.in_flight_when_told = self.in_flight
-
-    def note_progress(self) -> None:
-        """Keep the time of the last sign of work."""
-        self.progress_at = time.monotonic()
-
-    def stalled_s(self, now: float) -> float:
-        """Return for how long own requests have seen no sign of work."""
-        if self.group is None or not self.in_flight:
-            return 0.0
-        return max(0.0, now - self.progress_at)
-
-
 class Targets:
     """The places that a node may send requests to.
 
@@ -143,10 +48,18 @@
     cold_limit : callable
         Returns the requests in a second that this node may send to a cold backend
         server of a service.
+    nodes : callable
+        Returns how many nodes choose at the same time.
     """
 
-    def __init__(self, zone: str, cold_limit: Callable[[ServiceSpec], float]) -> None:
+    def __init__(
+        self,
+        zone: str,
+        cold_limit: Callable[[ServiceSpec, str], int],
+        nodes: Callable[[], int] = lambda: 1,
+    ) -> None:
         self._zone = zone
+        self._nodes = nodes
         self._cold_limit = cold_limit
         self._fleet = Fleet()
         self._by_service: dict[str, list[Target]] = {}
@@ -214,19 +127,29 @@
                 exchange.abort()
 
     def choose(self, routed: RoutedRequest, tried: set[Target]) -> Target | None:
-        """Return the place with the least expected delay, None if all are full."""
+        """Return a place with little expected delay, None if all are full."""
         now = time.monotonic()
-        best: list[tuple[float, Target]] = []
-        for target in self._usable(routed, tried, now):
-            if self._is_full(target, now):
-                continue
-            best.append((self._delay_s(routed.service, target, now), target))
-        if not best:
+        found = [
+            target
+            for target in self._usable(routed, tried, now)
+            if not self._is_full(routed, target, now)
+        ]
+        compared = [
+            (self._delay_s(routed.service, target, now), target)
+            for target in self._sample(found)
+        ]
+        if not compared:
             return None
-        least = min(delay for delay, _ in best)
-        equal = [target for delay, target in best if delay <= least + EQUAL_DELAY_S]
+        least = min(delay for delay, _ in compared)
+        equal = [t for delay, t in compared if delay <= least + EQUAL_DELAY_S]
         return random.choice(equal)
 
+    def _sample(self, found: list[Target]) -> list[Target]:
+        """Return the places to compare: all with few nodes, some at random else."""
+        part = min(1.0, FEW_NODES / self._nodes())
+        count = max(LEAST_COMPARED, math.ceil(len(found) * part))
+        return found if count >= len(found) else random.sample(found, count)
+
     def has_any(self, routed: RoutedRequest, tried: set[Target]) -> bool:
         """Return whether any place could take the request, now or later."""
         now = time.monotonic()
@@ -252,16 +175,23 @@
         # With nothing sound left, one that failed may serve better than none.
         yield from sound or found
 
-    def _is_full(self, target: Target, now: float) -> bool:
+    def _is_full(self, routed: RoutedRequest, target: Target, now: float) -> bool:
         if target.expected(now) >= target.slots + QUEUE_ALLOWANCE:
             return True
+        if routed.service.engine is not None and target.reading:
+            own = routed.request.prompt_tokens
+            reading_s = target.reading_s(routed.service.engine, own)
+            if reading_s > routed.route.aim_s * READING_PART:
+                return True
         return now < target.cold_until and not self._cold_left(target, now)
 
     def _cold_left(self, target: Target, now: float) -> bool:
         while target.starts and target.starts[0] < now - COLD_WINDOW_S:
             target.starts.popleft()
         service = self._fleet.configuration.services_by_name.get(target.backend.service)
-        return service is not None and len(target.starts) < self._cold_limit(service)
+        if service is None:
+            return False
+        return len(target.starts) < self._cold_limit(service, target.backend.id)
 
     def _delay_s(self, service: ServiceSpec, target: Target, now: float) -> float:
         """Return the expected time until an answer begins."""
@@ -273,8 +203,7 @@
             busy = (expected + 1) / max(1, target.slots)
             return target.answer_s * (1.0 + busy) + 0.01 * busy + penalty_s + remote_s
         pace = engine.models_by_name[target.model].pace * target.pace
-        reading = target.reading_tokens + target.others_reading
-        reading_s = reading / engine.tokens_read_per_s * pace
+        reading_s = target.reading_s(engine)
         step_s = (engine.step_s + engine.step_per_request_s * expected) * pace
         slow_s = SLOW_DELAY_S * (target.pace - 1.0)
         crowd_s = 0.1 * expected / target.slots
@@ -284,6 +213,27 @@
         waiting_s = reading_s + step_s + crowd_s + slow_s
         return waiting_s + stalled_s + penalty_s + remote_s
 
+    def engine_of(self, target: Target) -> Engine | None:
+        """Return the engine of a place's service, None for a plain one."""
+        configuration = self._fleet.configuration
+        if configuration is None:
+            return None
+        service = configuration.services_by_name.get(target.backend.service)
+        return service.engine if service else None
+
+    def room_beside(self, target: Target, now: float) -> int:
+        """Return how many requests other groups of the same model could take."""
+        return sum(
+            max(0, other.slots - other.expected(now))
+            for other in self._by_service.get(target.backend.service, ())
+            if other is not target
+            and other.model == target.model
+            and other.backend.zone not in self._fleet.evacuated_zones
+            and other.stalled_s(now) < WORKING_PAUSE_S
+            and not other.stalled_elsewhere
+            and other.trouble_now(now) < FAILURE_WEIGHT
+        )
+
     def start(self, target: Target, tokens: int) -> None:
         """Count a request that is sent."""
         if not target.in_flight:
--- a/poplarspar/coordination/pools/desk.py
+++ b/poplarspar/coordination/pools/desk.py
@@ -10,9 +10,10 @@
 
 from poplarspar.state.plan import FleetPlan, NodeLoad, PlannedGroup, Spare
 
-# Nodes are answered at once when the plan changes, else after this time for each
-# node, so that the planner's own work stays bounded in a large fleet.
-HOLD_PER_NODE_S = 0.02
+# Nodes are answered at once when the plan changes, else after a time that grows with
+# their number, so that the planner's own work stays bounded in a large fleet.
+SHORTEST_HOLD_S = 0.15
+HOLD_PER_NODE_S = 0.006
 LONGEST_HOLD_S = 1.0
 # The work of a node that stopped asking is over or unknown.
 LOAD_AGE_S = 3.0
@@ -44,8 +45,11 @@
         )
         serial = self._plan.serial + (changes or not self._plan.serial)
         self._plan = FleetPlan(serial, 0, groups, spares)
-        if not changes:
-            return
+        if changes:
+            self.wake()
+
+    def wake(self) -> None:
+        """Answer all nodes that wait for a change."""
         changed, self._changed = self._changed, Signal()
         changed.send()
 
@@ -74,7 +78,7 @@
         return dict(total)
 
     def _wait_for_change(self) -> None:
-        hold_s = HOLD_PER_NODE_S * max(1, len(self._load_by_node))
+        hold_s = max(SHORTEST_HOLD_S, HOLD_PER_NODE_S * len(self._load_by_node))
         with eventlet.Timeout(min(hold_s, LONGEST_HOLD_S), False):
             self._changed.wait()
 
--- a/poplarspar/coordination/pools/loading.py
+++ b/poplarspar/coordination/pools/loading.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from poplarspar.coordination.pools.forming import by_domain
+from poplarspar.coordination.pools.forming import CONVERSION_COST, by_domain
 from poplarspar.coordination.pools.needs import Needs
-from poplarspar.coordination.pools.picture import Worker
+from poplarspar.coordination.pools.picture import Group, Worker
 from poplarspar.state.serving import Engine, EngineModel
 
 
@@ -58,6 +58,30 @@
         ]
         return sorted(found, key=lambda completion: -completion.rate)
 
+    def choose_conversions(
+        self, whole: Iterable[Group], free: Iterable[Worker]
+    ) -> list[Completion]:
+        """Return loads that let members of a group form one of another model.
+
+        The group serves on while its members load.
+        """
+        free_by_domain = by_domain(free)
+        found = []
+        for group in whole:
+            members = list(group.members_by_rank.values())
+            given_up = Counter(self._count_by_model)
+            given_up[group.model] -= 1
+            loss = self._needs.gain(self._count_by_model, Counter({group.model: -1}))
+            for model in self._engine.models_by_name.values():
+                if model.name == group.model:
+                    continue
+                way = self._way(
+                    model, members + free_by_domain[group.domain], given_up, loss
+                )
+                if way is not None and way.missing and way.rate > 0.0:
+                    found.append(way)
+        return sorted(found, key=lambda completion: -completion.rate)
+
     def _completions(self, workers: list[Worker]) -> list[Completion]:
         counts = Counter(self._count_by_model)
         left = list(workers)
@@ -77,9 +101,19 @@
             left = [worker for worker in left if worker not in best.members]
 
     def _way(
-        self, model: EngineModel, workers: list[Worker], counts: Counter[str]
+        self,
+        model: EngineModel,
+        workers: list[Worker],
+        counts: Counter[str],
+        loss: float = 0.0,
     ) -> Completion | None:
-        """Return who would have to load a model, None if there are too few."""
+        """Return who would have to load a model, None if there are too few.
+
+        Parameters
+        ----------
+        loss : float
+            What a group is worth that is given up for it, negative; 0 for none.
+        """
         able = [worker for worker in workers if self._is_able(worker, model)]
         others = [
             worker
@@ -92,7 +126,9 @@
         # Those that have nothing yet lose nothing by it.
         others.sort(key=lambda worker: len(worker.ready_models))
         missing = tuple(others[:lacking])
-        gain = self._needs.gain(counts, Counter({model.name: 1}))
+        gain = self._needs.gain(counts, Counter({model.name: 1})) + loss
+        if loss:
+            gain -= CONVERSION_COST
         loading_s = model.load_s * lacking + model.staged_load_s
         members = (*able[: model.members], *missing)
         return Completion(model, members, missing, gain / max(loading_s, 1e-3))
--- a/poplarspar/coordination/pools/loads.py
+++ b/poplarspar/coordination/pools/loads.py
@@ -15,21 +15,39 @@
 SECOND_PART = 0.34
 
 
+# A backend server from one start to the next: its identifier and the start.
+Life = tuple[str, int]
+
+
 class LoadBudget:
     """Bounds the loads that begin in a second and that run at once."""
 
     def __init__(self) -> None:
         self._begun: deque[float] = deque()
-        self._load_by_id: dict[str, tuple[float, str]] = {}
+        self._load_by_life: dict[Life, tuple[float, str]] = {}
 
     def loading(self, now: float) -> dict[str, str]:
         """Return the models of loads that still run, by backend server."""
-        self._load_by_id = {
-            id: (end, model)
-            for id, (end, model) in self._load_by_id.items()
+        self._load_by_life = {
+            life: (end, model)
+            for life, (end, model) in self._load_by_life.items()
             if end > now
         }
-        return {id: model for id, (_, model) in self._load_by_id.items()}
+        return {id: model for (id, _), (_, model) in self._load_by_life.items()}
+
+    def look_at(self, ready_by_life: dict[Life, set[str]]) -> None:
+        """Forget loads that are done, or that ended with their backend server.
+
+        Parameters
+        ----------
+        ready_by_life : dict of Life to set of str
+            Models that each backend server that answers has.
+        """
+        self._load_by_life = {
+            life: (end, model)
+            for life, (end, model) in self._load_by_life.items()
+            if life in ready_by_life and model not in ready_by_life[life]
+        }
 
     def may_begin(
         self, engine: Engine, now: float, early: bool, urgent: bool = True
@@ -53,8 +71,12 @@
         part = 1.0 if urgent else SECOND_PART
         return running < max(1.0, engine.loads_at_once * part)
 
-    def begin(self, id: str, model: EngineModel, now: float, early: bool) -> None:
+    def resume(self, life: Life, model: EngineModel, now: float) -> None:
+        """Count a load that the last planner began, for its longest time left."""
+        self._load_by_life[life] = (now + model.load_s, model.name)
+
+    def begin(self, life: Life, model: EngineModel, now: float, early: bool) -> None:
         """Count a load that begins now."""
         self._begun.append(now)
         load_s = model.load_s * EARLY_PART if early else model.load_s
-        self._load_by_id[id] = (now + load_s + REPORT_MARGIN_S, model.name)
+        self._load_by_life[life] = (now + load_s + REPORT_MARGIN_S, model.name)
--- a/poplarspar/coordination/pools/picture.py
+++ b/poplarspar/coordination/pools/picture.py
@@ -20,15 +20,18 @@
 
     Attributes
     ----------
-    leaving : bool
-        Whether it is about to stop.
+    draining : bool
+        Whether it says that it is about to stop.
+    gone : bool
+        Whether it is listed no more.
     out : bool
         Whether its zone is evacuated.
     """
 
     heard: Heard
     silent: bool
-    leaving: bool
+    draining: bool
+    gone: bool
     out: bool
 
     @property
@@ -36,6 +39,16 @@
         """Its identifier."""
         return self.heard.backend.id
 
+    @property
+    def life(self) -> tuple[str, int]:
+        """Its identifier and start."""
+        return self.id, self.heard.report.started_ms
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it will stop soon."""
+        return self.draining or self.gone
+
     @property
     def domain(self) -> str:
         """Its fabric domain."""
@@ -100,16 +113,21 @@
         return next(iter(self.members_by_rank.values())).domain
 
     def is_whole(self, engine: Engine) -> bool:
-        """Return whether each member is ready and well."""
+        """Return whether each member is ready and well.
+
+        A member that drains stays for as long as its group works, but the head
+        may be sent nothing more.
+        """
         model = engine.models_by_name.get(self.model)
         if model is None or set(self.members_by_rank) != set(range(model.members)):
             return False
         return all(
             not worker.silent
-            and not worker.leaving
+            and not worker.gone
+            and not (worker.draining and rank == 0)
             and worker.membership.phase is not MemberPhase.JOINING
             and worker.membership.phase is not MemberPhase.BROKEN
-            for worker in self.members_by_rank.values()
+            for rank, worker in self.members_by_rank.items()
         )
 
     @property
@@ -122,6 +140,11 @@
         """How much slower the slowest member is than the engine's figures."""
         return max(w.heard.report.pace for w in self.members_by_rank.values())
 
+    @property
+    def draining(self) -> int:
+        """How many members are about to stop."""
+        return sum(worker.draining for worker in self.members_by_rank.values())
+
     def silent_members(self) -> list[Worker]:
         """Return the members that do not answer."""
         return [worker for worker in self.members_by_rank.values() if worker.silent]
--- a/poplarspar/coordination/pools/planner.py
+++ b/poplarspar/coordination/pools/planner.py
@@ -14,6 +14,7 @@
 from poplarspar.events import Event
 from poplarspar.logs import log_event
 from poplarspar.state.orders import Accepted, Close, Join, Order, OrderResult, Refused
+from poplarspar.state.plan import Spare
 from poplarspar.state.serving import Fleet, ServiceSpec
 
 ROUND_S = 0.25
@@ -29,8 +30,8 @@
 
     Parameters
     ----------
-    last_models : callable
-        Returns the models that spares served last, as the last planner told.
+    told : callable
+        Returns what the last planner told of backend servers.
     """
 
     def __init__(
@@ -39,14 +40,14 @@
         orders: OrderGiver,
         desk: PlanDesk,
         fleet: Callable[[], Fleet],
-        last_models: Callable[[], dict[tuple[str, int], str]],
+        told: Callable[[], tuple[Spare, ...]],
     ) -> None:
         self._survey = survey
         self._orders = orders
         orders.on_result = self._take_result
         self._desk = desk
         self._fleet = fleet
-        self._last_models = last_models
+        self._told = told
         self._term = Term(float("-inf"))
         self._started = False
         self._listed = 0
@@ -60,13 +61,14 @@
 
     def plan_while(self, may_plan: Callable[[], bool]) -> None:
         """Plan for as long as this node is the planner."""
-        self._term = Term(time.monotonic(), self._last_models())
+        told = {(spare.backend, spare.started_ms): spare for spare in self._told()}
+        self._term = Term(time.monotonic(), told)
         self._started = False
         self._listed = 0
         log_event(
             Event.PLANNER_STARTED,
             fence=self._orders.fences.last,
-            spares_told=len(self._term.models),
+            spares_told=len(told),
         )
         while may_plan():
             self._plan()
--- a/poplarspar/coordination/pools/preparing.py
+++ b/poplarspar/coordination/pools/preparing.py
@@ -6,7 +6,7 @@
 from poplarspar.coordination.pools.giving import OrderGiver
 from poplarspar.coordination.pools.loading import Loader, choose_warming
 from poplarspar.coordination.pools.needs import Needs
-from poplarspar.coordination.pools.picture import Worker
+from poplarspar.coordination.pools.picture import Group, Worker
 from poplarspar.coordination.pools.term import JOIN_MARGIN_S, Forming, Term
 from poplarspar.state.backends import MemberPhase
 from poplarspar.state.orders import Join, Stage
@@ -22,6 +22,7 @@
         term: Term,
         orders: OrderGiver,
         workers: list[Worker],
+        whole: list[Group],
         free: list[Worker],
         count_by_model: Counter[str],
         models_by_domain: dict[str, Counter[str]],
@@ -31,11 +32,13 @@
         self._term = term
         self._orders = orders
         self._workers = workers
+        self._whole = whole
         self._free = free
         self._models_by_domain = models_by_domain
         self._now = time.monotonic()
-        self._loading = term.loads.loading(self._now)
-        self._loader = Loader(engine, needs, count_by_model, self._loading)
+        term.loads.look_at({w.life: w.ready_models for w in workers if not w.silent})
+        loading = term.loads.loading(self._now)
+        self._loader = Loader(engine, needs, count_by_model, loading)
 
     def run(self) -> None:
         """Order all that is due."""
@@ -46,7 +49,10 @@
         """Load models onto hosts, beside all other work."""
         if self._term.before_traffic and any(map(_is_joining, self._workers)):
             return
-        for completion in self._loader.choose_completions(self._free):
+        completions = self._loader.choose_completions(self._free)
+        if not self._term.before_traffic:
+            completions += self._loader.choose_conversions(self._whole, self._free)
+        for completion in sorted(completions, key=lambda one: -one.rate):
             for worker in completion.missing:
                 self._load(worker, completion.model, urgent=True)
         # Then spares, so that they fit more groups, and then members, for the next
@@ -73,7 +79,7 @@
         if not loads.may_begin(self._engine, self._now, early, urgent):
             return
         if self._orders.give(worker.heard, Stage(model.name)):
-            loads.begin(worker.id, model, self._now, early)
+            loads.begin(worker.life, model, self._now, early)
 
     def _warm(self) -> None:
         """Let spares get a model ready that is on their host, and leave again."""
--- a/poplarspar/coordination/pools/rounds.py
+++ b/poplarspar/coordination/pools/rounds.py
@@ -7,7 +7,7 @@
 from poplarspar.coordination.pools.forming import Chooser, NewGroup, by_domain
 from poplarspar.coordination.pools.giving import OrderGiver
 from poplarspar.coordination.pools.needs import Needs
-from poplarspar.coordination.pools.picture import Worker, build_groups
+from poplarspar.coordination.pools.picture import Group, Worker, build_groups
 from poplarspar.coordination.pools.preparing import Preparation
 from poplarspar.coordination.pools.survey import Heard, Survey
 from poplarspar.coordination.pools.term import (
@@ -58,7 +58,7 @@
             for heard in survey.by_id.values()
             if heard.backend.service == service.name and heard.report is not None
         ]
-        term.meet(self._workers)
+        term.meet(self._workers, self._engine)
         demand = desk.demand(service.name)
         if sum(demand.values()) > 0.0:
             term.before_traffic = False
@@ -81,6 +81,7 @@
             self._term,
             self._orders,
             self._workers,
+            self._whole(),
             self._free,
             self._upkeep.count_by_model,
             self._upkeep.models_by_domain,
@@ -99,21 +100,31 @@
         ]
 
     def spares(self) -> list[Spare]:
-        """Return the backend servers in no group that were in one before."""
-        reports = [w.heard.report for w in self._workers if w.membership is None]
-        return [
-            Spare(report.id, report.started_ms, report.hosting.model)
-            for report in reports
-            if report.hosting.model
-        ]
+        """Return what a next planner would not learn from reports."""
+        loading = self._term.loads.loading(self._now)
+        found = []
+        for worker in self._workers:
+            report = worker.heard.report
+            last = report.hosting.model if worker.membership is None else ""
+            spare = Spare(
+                report.id, report.started_ms, last, loading.get(report.id, "")
+            )
+            if spare.model or spare.loading:
+                found.append(spare)
+        return found
 
     def _see(self, heard: Heard) -> Worker:
         backend = heard.backend
-        leaving = backend.draining or not heard.listed
         out = backend.zone in self._fleet.evacuated_zones
         if heard.report.running or heard.report.waiting:
             self._term.before_traffic = False
-        return Worker(heard, heard.silent(self._now), leaving, out)
+        return Worker(
+            heard,
+            silent=heard.silent(self._now),
+            draining=backend.draining,
+            gone=not heard.listed,
+            out=out,
+        )
 
     def _work_out_needs(self, demand: dict[str, float]) -> Needs:
         models = self._engine.models_by_name.values()
@@ -176,15 +187,8 @@
         forming = any(not begun.warming for begun in term.forming.values())
         if self._now < term.converted_at + CONVERSION_PAUSE_S or forming:
             return
-        whole = [
-            group
-            for group in self._groups.values()
-            if group.phase is MemberPhase.OPEN
-            and self._upkeep.is_kept(group)
-            and not group.is_out
-        ]
         chooser = self._chooser(self._longest_staged_load_s())
-        conversion = chooser.choose_conversion(whole, self._free)
+        conversion = chooser.choose_conversion(self._whole(), self._free)
         if conversion is None:
             return
         term.converted_at = self._now
@@ -198,6 +202,16 @@
             )
             self._upkeep.give_up(group)
 
+    def _whole(self) -> list[Group]:
+        """Return the groups that serve and may be given up."""
+        return [
+            group
+            for group in self._groups.values()
+            if group.phase is MemberPhase.OPEN
+            and self._upkeep.is_kept(group)
+            and not group.is_out
+        ]
+
     def _drop_slow(self) -> None:
         """Give up a group with a slow member if a spare can take its place."""
         spares = Counter(worker.domain for worker in self._free)
--- a/poplarspar/coordination/pools/survey.py
+++ b/poplarspar/coordination/pools/survey.py
@@ -19,12 +19,15 @@
 # Members of replica groups are asked this often; a lost one stops its group.
 MEMBER_PERIOD_S = 0.3
 SPARE_PERIOD_S = 0.8
+# In a large fleet all are asked less often; nodes that see no work tell of losses.
+MOST_QUESTIONS_PER_S = 250.0
 # While a report may be older than the last order, the next one is due soon.
 UNSETTLED_PERIOD_S = 0.26
 # A backend server that is no longer listed may still serve its replica group; it is
 # forgotten when it has been silent for longer than any group outlives its loss.
 FORGET_S = 8.0
 # Two answers lost in a row, each with a time-out, are no accident of one packet.
+SILENT_FAILURES = 2
 SILENT_S = 0.75
 # With a node's suspicion, shorter time-outs decide.
 SUSPECT_TIMEOUT_S = 0.1
@@ -60,6 +63,8 @@
         Time since when a node misses signs of its work.
     failed_since_suspected : int
         Questions without an answer since then.
+    draining_at : float
+        Time since when it says that it is about to stop.
     """
 
     backend: BackendServer
@@ -70,12 +75,15 @@
     failures: int = 0
     suspected_at: float = float("-inf")
     failed_since_suspected: int = 0
+    draining_at: float = float("inf")
 
     def silent(self, now: float) -> bool:
         """Return whether the backend server has stopped to answer."""
         if self.failed_since_suspected >= SUSPECT_FAILURES:
             return True
-        return self.failures > 0 and now - self.heard_at > SILENT_S
+        if self.failures < SILENT_FAILURES:
+            return False
+        return now - self.heard_at > SILENT_S
 
     def note_order(self, hosting: Hosting | None) -> None:
         """Keep the time of an order, and the state that it brought about.
@@ -132,6 +140,8 @@
                 heard = None
             if heard is not None:
                 heard.backend = backend
+                if backend.draining:
+                    heard.draining_at = min(heard.draining_at, now)
                 continue
             # The last planner's orders show in reports only after a while.
             self.by_id[id] = Heard(backend, ordered_at=now)
@@ -237,11 +247,12 @@
         if signal.ready():
             self._hurry_by_id[id] = Signal()
 
-    @staticmethod
-    def _period_s(heard: Heard) -> float:
+    def _period_s(self, heard: Heard) -> float:
         if not heard.is_settled():
             return UNSETTLED_PERIOD_S
+        asked_per_s = len(self.by_id) / MEMBER_PERIOD_S
+        stretch = max(1.0, asked_per_s / MOST_QUESTIONS_PER_S)
         report = heard.report
         if report is not None and report.hosting.membership is not None:
-            return MEMBER_PERIOD_S
-        return SPARE_PERIOD_S
+            return MEMBER_PERIOD_S * stretch
+        return SPARE_PERIOD_S * stretch
--- a/poplarspar/coordination/pools/term.py
+++ b/poplarspar/coordination/pools/term.py
@@ -1,11 +1,14 @@
 """What one planner remembers from its beginning to its end."""
 
+import time
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from poplarspar.coordination.pools.loads import LoadBudget
 from poplarspar.coordination.pools.picture import GroupKey, Worker
 from poplarspar.state.orders import Join
+from poplarspar.state.plan import Spare
+from poplarspar.state.serving import Engine
 
 # Reports of members that are ready lag, and orders may be lost and given again.
 JOIN_MARGIN_S = 2.0
@@ -52,9 +55,8 @@
     ----------
     began_at : float
         Monotonic time at which this node became the planner.
-    models : dict of (str, int) to str
-        Models that spares served last, as the last planner told, by identifier
-        and start.
+    told : dict of (str, int) to Spare
+        What the last planner told of backend servers, by identifier and start.
     before_traffic : bool
         Whether there has been no request yet; loads are quick then.
     closed : set of GroupKey
@@ -62,7 +64,7 @@
     """
 
     began_at: float
-    models: dict[tuple[str, int], str] = field(default_factory=dict)
+    told: dict[tuple[str, int], Spare] = field(default_factory=dict)
     before_traffic: bool = False
     forming: dict[GroupKey, Forming] = field(default_factory=dict)
     headless: set[GroupKey] = field(default_factory=set)
@@ -73,10 +75,14 @@
     loads: LoadBudget = field(default_factory=LoadBudget)
     logged_at: float = float("-inf")
 
-    def meet(self, workers: Iterable[Worker]) -> None:
-        """Add what the last planner told of spares to their reports."""
+    def meet(self, workers: Iterable[Worker], engine: Engine) -> None:
+        """Add what the last planner told of backend servers to their reports."""
         for worker in workers:
-            report = worker.heard.report
-            key = (worker.id, report.started_ms)
-            if key in self.models:
-                worker.heard.note_model(self.models[key])
+            told = self.told.get(worker.life)
+            if told is None:
+                continue
+            worker.heard.note_model(told.model)
+            model = engine.models_by_name.get(told.loading)
+            if model is not None:
+                self.loads.resume(worker.life, model, time.monotonic())
+                self.told[worker.life] = replace(told, loading="")
--- a/poplarspar/coordination/pools/upkeep.py
+++ b/poplarspar/coordination/pools/upkeep.py
@@ -20,6 +20,8 @@
 
 # A backend server that served the model last joins again within this time.
 REJOIN_S = 0.2
+# A backend server that is about to stop gets new work for no longer than this.
+DRAINING_WORKS_S = 2.0
 # Groups that another planner was forming are finished within this time of a term.
 ADOPTION_S = 2.0
 
@@ -52,6 +54,12 @@
         self._orders = orders
         self._workers_by_id = {worker.id: worker for worker in workers}
         self._groups = groups
+        self._spares = [
+            worker
+            for worker in workers
+            if worker.membership is None
+            and not (worker.silent or worker.leaving or worker.out or worker.slow)
+        ]
         self._now = time.monotonic()
         self.count_by_model: Counter[str] = Counter()
         self.models_by_domain: dict[str, Counter[str]] = defaultdict(Counter)
@@ -75,8 +83,21 @@
 
     def is_kept(self, group: Group) -> bool:
         """Return whether a group is whole and is to serve on."""
-        given_up = group.key in self._term.given_up
-        return group.is_whole(self._engine) and not given_up
+        if group.key in self._term.given_up or not group.is_whole(self._engine):
+            return False
+        return not group.draining or not self._is_due(group)
+
+    def _is_due(self, group: Group) -> bool:
+        """Return whether draining members are to be replaced, or spared more work."""
+        since = min(w.heard.draining_at for w in group.members_by_rank.values())
+        if self._now > since + DRAINING_WORKS_S:
+            return True
+        model = self._engine.models_by_name[group.model]
+        ready = sum(
+            worker.domain == group.domain and worker.load_s(model) == 0.0
+            for worker in self._spares
+        )
+        return ready >= group.draining
 
     def give_up(self, group: Group) -> None:
         """Take a group that could serve on apart."""
--- a/poplarspar/coordination/session.py
+++ b/poplarspar/coordination/session.py
@@ -14,15 +14,25 @@
     StoreUnavailable,
 )
 from poplarspar.logs import log_event
+from poplarspar.state.snapshot import StoredValue
 
 NODE_PREFIX = "poplarspar/"
 PLANNER_KEY = NODE_PREFIX + "planner"
 MEMBER_PREFIX = NODE_PREFIX + "nodes/"
-# What planners know of spares, for when all nodes were lost at once.
-SPARES_KEY = NODE_PREFIX + "spares"
+# What planners know of spares, for when all nodes were lost at once; nobody follows
+# it, so that its changes wake no other node.
+SPARES_KEY = "poplarspar-spares"
 # A lost planner is replaced after this time at the latest.
-LEASE_TTL_S = 1.5
+PLANNER_TTL_S = 1.5
+# Other nodes are missed by nobody at once; their number shares bounds.
+MEMBER_TTL_S = 6.0
 RENEWAL_S = 0.4
+MEMBER_RENEWAL_S = 2.0
+# Nodes start within some tenths of a second, and the planner is best chosen among all.
+START_S = 0.4
+# The strongest node takes an empty place first, each other one this much later.
+STAGGER_S = 0.1
+LONGEST_STAGGER_S = 1.0
 
 
 def boot_time() -> float:
@@ -30,8 +40,43 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class Lease:
+    """A lease in the store that is renewed for as long as it is wanted."""
+
+    def __init__(self, store: WatchedStore, ttl_s: float) -> None:
+        self._store = store
+        self._ttl_s = ttl_s
+        self._ends_at = float("-inf")
+        self.id = ""
+
+    def runs(self) -> bool:
+        """Return whether the store still keeps the keys of this lease."""
+        return bool(self.id) and boot_time() < self._ends_at
+
+    def hold(self) -> bool:
+        """Renew the lease, or take a new one, and return whether it is new."""
+        asked_at = boot_time()
+        if self.id and self._store.renew_lease(self.id):
+            self._ends_at = asked_at + self._ttl_s
+            return False
+        self.id = ""
+        self.id = self._store.grant_lease(self._ttl_s)
+        self._ends_at = asked_at + self._ttl_s
+        return True
+
+    def end(self) -> None:
+        """Give the lease up, which deletes its keys."""
+        id, self.id = self.id, ""
+        if not id:
+            return
+        try:
+            self._store.end_lease(id)
+        except StoreUnavailable as error:
+            log_event(Event.LEASE_NOT_ENDED, cause=str(error))
+
+
 class Session:
-    """Keeps one lease, with which this node's keys in the store live.
+    """A node's place in the list of nodes, and its turn as the planner.
 
     Parameters
     ----------
@@ -41,8 +86,10 @@
         Where other nodes reach it.
     secret : str
         What other nodes show there; the store keeps it from everybody else.
-    ttl_s : float
-        Time after which the lease of a silent node ends.
+    capacity : float
+        Processor cores; the strongest node plans, if it can.
+    ttl_min_s : float
+        Shortest lease that the store grants.
     """
 
     def __init__(
@@ -51,21 +98,25 @@
         name: str,
         address: str,
         secret: str,
-        ttl_s: float,
+        capacity: float,
+        ttl_min_s: float,
         changed: Callable[[], None],
     ) -> None:
         self._store = store
         self._name = name
         self._address = address
         self._secret = secret
-        self._ttl_s = ttl_s
+        self._capacity = capacity
         self._changed = changed
-        self._lease = ""
+        self._member_lease = Lease(store, max(MEMBER_TTL_S, ttl_min_s))
+        self._planner_lease = Lease(store, max(PLANNER_TTL_S, ttl_min_s))
+        self._member_due = float("-inf")
+        self._listed = False
+        self._vacant_since = time.monotonic() + START_S
         self._ended = False
-        self._ends_at = float("-inf")
         self._planner = Change(PLANNER_KEY, 0, None)
-        self._spares = Change(SPARES_KEY, 0, None)
-        self.address_by_node: dict[str, str] = {}
+        self._spares = StoredValue(SPARES_KEY, 0, "")
+        self.capacity_by_node: dict[str, float] = {}
 
     @property
     def is_planner(self) -> bool:
@@ -82,29 +133,36 @@
         """Revision at which the planner took its place."""
         return self._planner.revision
 
-    @property
-    def spares(self) -> str:
-        """What the last planner wrote of spares."""
-        return self._spares.text or ""
+    def read_spares(self) -> str:
+        """Return what the last planner wrote of spares, empty if it can't be had."""
+        try:
+            self._spares = self._store.read(SPARES_KEY)
+        except StoreUnavailable as error:
+            # What reports tell is enough to plan by.
+            log_event(Event.SPARES_NOT_KEPT, cause=str(error))
+        return self._spares.text
 
     def write_spares(self, text: str) -> None:
         """Keep what this planner knows of spares."""
-        if text == self.spares:
+        if text == self._spares.text:
             return
         try:
             revision = self._store.swap(SPARES_KEY, self._spares.revision, text)
-        except (StoreUnavailable, RevisionConflict) as error:
+        except StoreUnavailable as error:
             # It is written again with the next change, and only saves time.
             log_event(Event.SPARES_NOT_KEPT, cause=str(error))
-            return
-        self._spares = Change(SPARES_KEY, revision, text)
+        except RevisionConflict:
+            # Another planner wrote it, or an answer of the store was lost.
+            self.read_spares()
+        else:
+            self._spares = StoredValue(SPARES_KEY, revision, text)
 
     def lease_runs(self) -> bool:
-        """Return whether the store still keeps this node's keys."""
-        return bool(self._lease) and boot_time() < self._ends_at
+        """Return whether the store still keeps this node's place as the planner."""
+        return self._planner_lease.runs()
 
     def run(self) -> None:
-        """Keep the lease until it is given up."""
+        """Keep the leases until they are given up."""
         while not self._ended:
             try:
                 self._keep()
@@ -117,7 +175,7 @@
 
     def replace(self, items: tuple[Change, ...]) -> None:
         """Take all keys of nodes."""
-        self.address_by_node = {}
+        self.capacity_by_node = {}
         self._planner = Change(PLANNER_KEY, 0, None)
         self.apply(items)
 
@@ -127,26 +185,18 @@
             node = item.key.removeprefix(MEMBER_PREFIX)
             if item.key == PLANNER_KEY:
                 self._set_planner(item)
-            elif item.key == SPARES_KEY:
-                if item.revision > self._spares.revision:
-                    self._spares = item
             elif item.key.startswith(MEMBER_PREFIX) and item.text is not None:
-                self.address_by_node[node] = item.text
+                self.capacity_by_node[node] = _capacity(item.text)
             else:
-                self.address_by_node.pop(node, None)
+                self.capacity_by_node.pop(node, None)
         if items:
             self._changed()
 
     def end(self) -> None:
-        """Give up the lease for good, so that others need not wait for its end."""
+        """Give up all leases for good, so that others need not wait for their ends."""
         self._ended = True
-        lease, self._lease = self._lease, ""
-        if not lease:
-            return
-        try:
-            self._store.end_lease(lease)
-        except StoreUnavailable as error:
-            log_event(Event.LEASE_NOT_ENDED, cause=str(error))
+        self._planner_lease.end()
+        self._member_lease.end()
 
     def _own_text(self) -> str:
         return f"{self._name} {self._address} {self._secret}"
@@ -160,8 +210,17 @@
             planner=(item.text or "").partition(" ")[0],
             revision=item.revision,
         )
-        if item.text is None and self._lease:
-            eventlet.spawn(self._try_planning)
+        if item.text is None:
+            self._vacant_since = time.monotonic()
+            eventlet.spawn_after(self._stagger_s(), self._try_planning)
+
+    def _stagger_s(self) -> float:
+        """Return for how long an empty place is left to stronger nodes."""
+        own = (-self._capacity, self._name)
+        stronger = sum(
+            (-capacity, name) < own for name, capacity in self.capacity_by_node.items()
+        )
+        return min(LONGEST_STAGGER_S, STAGGER_S * stronger)
 
     def _try_planning(self) -> None:
         try:
@@ -175,23 +234,38 @@
         log_event(Event.LEASE_NOT_HELD, cause=cause, runs=self.lease_runs())
 
     def _keep(self) -> None:
-        asked_at = boot_time()
-        if not self._lease:
-            self._lease = self._store.grant_lease(self._ttl_s)
-            self._ends_at = asked_at + self._ttl_s
-            key = MEMBER_PREFIX + self._name
-            self._store.swap(key, 0, self._address, self._lease)
-        elif self._store.renew_lease(self._lease):
-            self._ends_at = asked_at + self._ttl_s
-        else:
-            self._lease = ""
+        if self.is_planner and self._planner_lease.hold():
+            # The last lease has ended, and the planner's key with it.
+            self._planner = Change(PLANNER_KEY, self._planner.revision, None)
+            self._vacant_since = time.monotonic()
+        now = time.monotonic()
+        if now < self._member_due:
+            return
+        if self._member_lease.hold():
+            self._listed = False
+        if not self._listed:
+            self._enter()
+        self._member_due = now + MEMBER_RENEWAL_S
+
+    def _enter(self) -> None:
+        """Write this node's key."""
+        key, capacity = MEMBER_PREFIX + self._name, f"{self._capacity:.2f}"
+        try:
+            self._store.swap(key, 0, capacity, self._member_lease.id)
+        except RevisionConflict:
+            # It was written before, and the answer was lost; no other node has it.
+            pass
+        self._listed = True
 
     def _take_planning(self) -> None:
-        if self._ended or not self.lease_runs() or self._planner.text:
+        left_s = self._vacant_since + self._stagger_s() - time.monotonic()
+        if self._ended or left_s > 0 or self._planner.text:
             return
+        self._planner_lease.hold()
         text = self._own_text()
         try:
-            revision = self._store.swap(PLANNER_KEY, 0, text, self._lease)
+            lease = self._planner_lease.id
+            revision = self._store.swap(PLANNER_KEY, 0, text, lease)
         except StoreUnavailable:
             # The write may have taken effect without an answer.
             found = self._store.read(PLANNER_KEY)
@@ -200,3 +274,11 @@
             revision = found.revision
         self._set_planner(Change(PLANNER_KEY, revision, text))
         self._changed()
+
+
+def _capacity(text: str) -> float:
+    """Return the cores that a node's entry tells, 0 if it is of another version."""
+    try:
+        return float(text)
+    except ValueError:
+        return 0.0
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -301,6 +301,12 @@
         "The replica group of `backend` was lost in mid-answer.",
         "Nothing, unless event 411 follows for the same id.",
     )
+    STREAMS_MOVED = (
+        417,
+        "streams go on elsewhere, since their group stands still",
+        "Nothing came from the replica group of `backend` for `stalled_ms`.",
+        "Nothing; look at that backend server if it stands out.",
+    )
     NO_PLACE = (
         416,
         "no place for a request",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -5,7 +5,7 @@
 import uuid
 from collections.abc import Callable
 from contextlib import ExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import eventlet
 
@@ -13,10 +13,12 @@
 from poplarspar.coordination.fleet import FleetDocuments, FleetKeeper
 from poplarspar.coordination.following import PrefixFollower, StoreHealth
 from poplarspar.coordination.forwarding import (
+    STALL_PERIOD_S,
     DemandMeter,
     Forwarder,
     RepeatBudget,
     Sender,
+    StallWatch,
     Targets,
     Upstream,
 )
@@ -30,7 +32,9 @@
     Survey,
 )
 from poplarspar.coordination.ports import WatchedStore
-from poplarspar.coordination.session import LEASE_TTL_S, NODE_PREFIX, Session
+from poplarspar.coordination.session import NODE_PREFIX, Session
+from poplarspar.coordination.sharing import even_part
+from poplarspar.coordination.timers import TimerService
 from poplarspar.daemon import keep_running
 from poplarspar.events import Event
 from poplarspar.exceptions import InvalidSettings
@@ -38,7 +42,7 @@
 from poplarspar.protocol.spares import read_spares, spares_text
 from poplarspar.state.metrics import Metrics
 from poplarspar.state.node import NodeSettings
-from poplarspar.state.plan import FleetPlan, NodeLoad
+from poplarspar.state.plan import FleetPlan, NodeLoad, Spare
 from poplarspar.state.serving import ServiceSpec
 from poplarspar.transport.addresses import bound_address, listen
 from poplarspar.transport.links import LinkServer
@@ -54,13 +58,19 @@
 )
 
 # A watch that went deaf is found when it is asked anew, and a configuration is to be
-# in force within two seconds.
+# in force within two seconds. One node does so for all: the planner, which tells the
+# others when they have missed something.
 OPERATOR_WAIT_S = 1.4
+TOLD_OPERATOR_WAIT_S = 8.0
+OPERATOR_READ_ALL_S = 10.0
 # Where another node is missed for a while, little is lost.
-NODES_WAIT_S = 4.0
-# Entries of backend servers change all the time; they are read about once a second.
-BACKEND_PAUSE_S = 0.9
+NODES_WAIT_S = 8.0
+NODES_READ_ALL_S = 30.0
+# Entries of backend servers change all the time, so their changes are gathered for a
+# while; with the wait at the store, one that leaves is noticed in time.
 BACKEND_WAIT_S = 1.0
+BACKEND_MARGIN_S = 1.1
+BACKEND_READ_ALL_S = 60.0
 # The balancer asks once a second and needs two refusals to send nobody any more.
 LEAVE_NOTICE_S = 2.5
 # Left of the time until SIGKILL to close what still runs.
@@ -105,7 +115,7 @@
         self.drain = Drain()
         self._health = StoreHealth()
         self._keeper = FleetKeeper(outside.documents, self._health, self._fleet_changed)
-        self._targets = Targets(settings.zone, self._cold_limit)
+        self._targets = Targets(settings.zone, self._cold_limit, self._nodes)
         self._budget = RepeatBudget(
             settings.retry_share, settings.retry_slack, settings.retry_window_s
         )
@@ -183,6 +193,9 @@
             self._budget,
             self._demand,
         )
+        timers = TimerService()
+        self._stack.callback(timers.close)
+        timers.every(STALL_PERIOD_S, StallWatch(self._targets).look)
         handler = self._outside.caller_handler(forwarder, self.drain, self.metrics)
         self._caller_listener = listen(settings.caller_listen)
         self._server = HttpServer(
@@ -211,46 +224,66 @@
         self._stack.callback(metrics.close)
 
     def _start_following(self) -> None:
-        outside = self._outside
+        outside, settings = self._outside, self._settings
         keeper = self._keeper
-        self._follow(
+        self._operator = self._follow(
             outside.operator_prefix,
-            OPERATOR_WAIT_S,
+            self._operator_wait_s,
             0.0,
+            OPERATOR_READ_ALL_S,
             keeper.replace_operator,
             keeper.apply_operator,
         )
         self._follow(
             outside.backend_prefix,
-            BACKEND_WAIT_S,
-            BACKEND_PAUSE_S,
+            lambda: BACKEND_WAIT_S,
+            max(0.0, settings.drain_s - BACKEND_MARGIN_S),
+            BACKEND_READ_ALL_S,
             keeper.replace_backends,
             keeper.apply_backends,
         )
         self._session = Session(
             outside.store,
             self.name,
-            self._settings.peer_listen,
+            settings.peer_listen,
             self._secret,
-            max(LEASE_TTL_S, self._settings.lease_min_s),
+            settings.capacity,
+            settings.lease_min_s,
             self._nodes_changed,
         )
         self._follow(
-            NODE_PREFIX, NODES_WAIT_S, 0.0, self._session.replace, self._session.apply
+            NODE_PREFIX,
+            lambda: NODES_WAIT_S,
+            0.0,
+            NODES_READ_ALL_S,
+            self._session.replace,
+            self._session.apply,
         )
         self._stack.callback(keep_running(self._session.run).kill)
 
-    def _follow(self, prefix, wait_s, pause_s, replace, apply) -> None:
+    def _follow(
+        self, prefix, wait_s, pause_s, read_all_s, replace, apply
+    ) -> PrefixFollower:
         follower = PrefixFollower(
             self._outside.store,
             prefix,
             self._health,
             wait_s=wait_s,
             pause_s=pause_s,
+            read_all_s=read_all_s,
             replace=replace,
             apply=apply,
         )
         self._stack.callback(keep_running(follower.follow).kill)
+        return follower
+
+    def _operator_wait_s(self) -> float:
+        """Return how long a question for the operator's changes may wait."""
+        told = self._has_plan() and not self._session.is_planner
+        return TOLD_OPERATOR_WAIT_S if told else OPERATOR_WAIT_S
+
+    def _has_plan(self) -> bool:
+        return time.monotonic() - self._plan_at < PLAN_AGE_S
 
     def _start_planning(self) -> None:
         settings = self._settings
@@ -261,17 +294,22 @@
             OrderGiver(survey, self._outside.orders, self._fences),
             desk,
             lambda: self._keeper.fleet,
-            self._last_models,
+            self._told,
         )
         self._stack.callback(self._planner.stop)
         self._stack.callback(keep_running(self._plan_in_turn).kill)
         self._stack.callback(keep_running(self._keep_spares).kill)
-        server = PlanServer(desk.answer)
+        self._desk = desk
+        server = PlanServer(self._answer_node)
         links = LinkServer(listen(settings.peer_listen), self._secret, server.serve)
         self._stack.callback(links.close)
         link = PlanLink(self.name, self._session.planner, self._load, self._apply_plan)
         self._stack.callback(keep_running(link.follow).kill)
 
+    def _answer_node(self, name: str, load: NodeLoad) -> FleetPlan:
+        plan = self._desk.answer(name, load)
+        return replace(plan, operator_revision=self._operator.newest)
+
     def _plan_in_turn(self) -> None:
         while True:
             if self._session.is_planner:
@@ -289,10 +327,9 @@
         # does no harm; elsewhere only its lease keeps two from giving orders.
         return self._settings.orders_fenced or self._session.lease_runs()
 
-    def _last_models(self) -> dict[tuple[str, int], str]:
-        """Return the models that spares served last, as the last planner told."""
-        spares = self._plan.spares or read_spares(self._session.spares)
-        return {(s.backend, s.started_ms): s.model for s in spares}
+    def _told(self) -> tuple[Spare, ...]:
+        """Return what the last planner told of backend servers."""
+        return self._plan.spares or read_spares(self._session.read_spares())
 
     def _keep_spares(self) -> None:
         while True:
@@ -306,6 +343,7 @@
         )
 
     def _apply_plan(self, plan: FleetPlan) -> None:
+        self._operator.note_newest(plan.operator_revision)
         if not plan.serial:
             # A new planner knows nothing yet; what the last one told still holds.
             return
@@ -320,7 +358,7 @@
 
     def _fleet_changed(self) -> None:
         fleet = self._keeper.fleet
-        if time.monotonic() - self._plan_at < PLAN_AGE_S:
+        if self._has_plan():
             opened = {g.head: ((g.name, g.epoch), g.model) for g in self._plan.groups}
         else:
             # Without the planner, the entries of the heads tell what is open.
@@ -333,15 +371,17 @@
 
     def _nodes(self) -> int:
         """Return how many nodes share the bounds; too many rather than too few."""
-        return max(1, len(self._session.address_by_node), self._plan.nodes)
+        return max(1, len(self._session.capacity_by_node), self._plan.nodes)
 
     def _nodes_changed(self) -> None:
         self._budget.share_among(self._nodes())
 
-    def _cold_limit(self, service: ServiceSpec) -> float:
+    def _cold_limit(self, service: ServiceSpec, backend_id: str) -> int:
+        """Return this node's part of what a cold backend server may get a second."""
         settings = self._settings
         bound = service.cold_requests_per_s * settings.cold_factor + settings.cold_slack
-        return bound / self._nodes()
+        names = self._session.capacity_by_node
+        return even_part(int(bound), self.name, names, self._nodes(), backend_id)
 
     def _limits(self) -> ServerLimits:
         configuration = self._keeper.fleet.configuration
--- a/poplarspar/platform/settings.py
+++ b/poplarspar/platform/settings.py
@@ -29,6 +29,7 @@
 
 class _Bounds(_Table):
     grace_s: float = 8
+    drain_ms: float = 2000
     require_fencing: bool = False
     retry_budget: float = 0.2
     budget_window_s: float = 10
@@ -44,6 +45,9 @@
 
 class _Limits(_Table):
     max_fds: int = 1024
+    # Part of each core's time, and how many cores.
+    cpu_share: float = 1.0
+    cores: int = 1
 
 
 class _Settings(_Table):
@@ -126,6 +130,7 @@
         metrics_listen=f"{found.ip}:{METRICS_PORT}",
         store=found.platform.address,
         connection_limit=found.limits.max_fds,
+        capacity=found.limits.cpu_share * found.limits.cores,
         stop_s=bounds.grace_s,
         orders_fenced=bounds.require_fencing,
         retry_share=bounds.retry_budget,
@@ -133,5 +138,6 @@
         retry_window_s=bounds.budget_window_s,
         cold_factor=bounds.cold_over,
         cold_slack=bounds.cold_slack,
+        drain_s=bounds.drain_ms / 1000,
         lease_min_s=found.platform.ttl_min_ms / 1000,
     )
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -108,6 +108,7 @@
   backend @0 :Text;
   startedMs @1 :UInt64;
   model @2 :Text;
+  loading @3 :Text;
 }
 
 # The planner's answer.
@@ -116,6 +117,7 @@
   nodes @1 :UInt32;
   groups @2 :List(PlannedGroup);
   spares @3 :List(Spare);
+  operatorRevision @4 :UInt64;
 }
 
 struct Message {
--- a/poplarspar/protocol/plans.py
+++ b/poplarspar/protocol/plans.py
@@ -51,7 +51,12 @@
 
 def set_plan(builder, plan: FleetPlan) -> None:
     """Encode a plan."""
-    set_fields(builder, serial=plan.serial, nodes=plan.nodes)
+    set_fields(
+        builder,
+        serial=plan.serial,
+        nodes=plan.nodes,
+        operatorRevision=plan.operator_revision,
+    )
     groups = builder.init("groups", len(plan.groups))
     for item, group in zip(groups, plan.groups, strict=True):
         set_fields(
@@ -72,6 +77,7 @@
             backend=spare.backend,
             startedMs=spare.started_ms,
             model=spare.model,
+            loading=spare.loading,
         )
 
 
@@ -93,5 +99,5 @@
             )
             for g in fields.groups
         ),
-        tuple(Spare(s.backend, s.startedMs, s.model) for s in fields.spares),
+        tuple(Spare(s.backend, s.startedMs, s.model, s.loading) for s in fields.spares),
     )
--- a/poplarspar/protocol/spares.py
+++ b/poplarspar/protocol/spares.py
@@ -6,12 +6,12 @@
 
 from poplarspar.state.plan import Spare
 
-_ROWS = TypeAdapter(list[tuple[str, int, str]])
+_ROWS = TypeAdapter(list[tuple[str, int, str, str]])
 
 
 def spares_text(spares: tuple[Spare, ...]) -> str:
     """Return the document of spares."""
-    rows = sorted((s.backend, s.started_ms, s.model) for s in spares)
+    rows = sorted((s.backend, s.started_ms, s.model, s.loading) for s in spares)
     return json.dumps(rows, separators=(",", ":"))
 
 
--- a/poplarspar/state/node.py
+++ b/poplarspar/state/node.py
@@ -9,6 +9,8 @@
 
     Attributes
     ----------
+    capacity : float
+        Processor cores that it has.
     stop_s : float
         Time from SIGTERM until the process is killed.
     orders_fenced : bool
@@ -19,6 +21,8 @@
     cold_factor, cold_slack : float
         Requests to a cold backend server allowed in a second: a factor on what it
         says that it bears, and some more, over all nodes.
+    drain_s : float
+        Time within which a backend server that leaves gets nothing more.
     """
 
     name: str
@@ -29,6 +33,7 @@
     metrics_listen: str
     store: str
     connection_limit: int
+    capacity: float
     stop_s: float
     orders_fenced: bool
     retry_share: float
@@ -36,4 +41,5 @@
     retry_window_s: float
     cold_factor: float
     cold_slack: float
+    drain_s: float
     lease_min_s: float
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -72,17 +72,20 @@
 
 @dataclass(frozen=True)
 class Spare:
-    """A backend server in no replica group.
+    """What reports don't tell of a backend server, for the next planner.
 
     Attributes
     ----------
     model : str
-        Model that it served last.
+        Model that it served last, if it is in no replica group now.
+    loading : str
+        Model that is being loaded onto its host.
     """
 
     backend: str
     started_ms: int
     model: str
+    loading: str = ""
 
 
 @dataclass(frozen=True)
@@ -95,9 +98,12 @@
         Rises whenever the groups change; 0 while the planner knows too little.
     nodes : int
         Nodes that have told their work lately.
+    operator_revision : int
+        Newest revision of what the operator wrote that the planner has seen.
     """
 
     serial: int = 0
     nodes: int = 0
     groups: tuple[PlannedGroup, ...] = ()
     spares: tuple[Spare, ...] = ()
+    operator_revision: int = 0
--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -91,6 +91,7 @@
         self._connection = connection
         self._sock = sock
         self._answer = answer
+        self._aborted = False
         self.status = answer.status
         self.headers = answer.headers
 
@@ -101,6 +102,9 @@
                 data = self._answer.read1(READ_BYTES)
             except (HTTPError, HTTPException, OSError) as error:
                 raise ConnectionLost(f"the answer broke off: {error}") from error
+            if self._aborted:
+                # The end of the data is this end's own, also without a length.
+                raise ConnectionLost("the answer was broken off here")
             if not data:
                 return
             yield data
@@ -111,6 +115,7 @@
 
     def abort(self) -> None:
         """End the connection under a task that reads from it."""
+        self._aborted = True
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -66,7 +66,11 @@
 
 
 class Store(PlatformServer):
-    """The key-value store; `down` makes it refuse, `lose_answers` do and not say."""
+    """The key-value store.
+
+    `down` makes it refuse all calls, `refuse_writes` conditional writes only, and
+    `lose_answers` do these and not say so.
+    """
 
     def __init__(self) -> None:
         self.revision = 1
@@ -74,6 +78,7 @@
         self.log: list[dict] = []
         self.leases: dict[int, tuple[float, float]] = {}
         self.down = False
+        self.refuse_writes = False
         self.lose_answers = False
         self.oldest = 0
         super().__init__()
@@ -164,6 +169,8 @@
             self._end_leases()
 
     def _commit(self, body: dict) -> Response:
+        if self.refuse_writes:
+            return json_response(503, {"error": "busy"})
         for row in body["expected"]:
             held = self.items.get(row["key"], {"revision": 0})
             if held["revision"] != row["revision"]:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -58,13 +58,15 @@
     def setUp(self):
         self.store = FakeStore()
         self.seen = {}
+        self.wait_s = 0.01
         self.health = StoreHealth()
-        follower = PrefixFollower(
+        self.follower = follower = PrefixFollower(
             self.store,
             "op/",
             self.health,
-            wait_s=0.01,
+            wait_s=lambda: self.wait_s,
             pause_s=0.0,
+            read_all_s=10.0,
             replace=self.replace,
             apply=self.apply,
         )
@@ -104,6 +106,20 @@
         self.store.deaf = False
         self.wait_seen("op/a", "2")
 
+    def test_word_of_another_node_ends_deafness(self):
+        self.store.put("op/a", "1")
+        self.wait_seen("op/a", "1")
+        self.store.deaf, self.wait_s = True, 60.0
+        self.wait_asked(1)
+        self.store.put("op/a", "2")
+        reads = self.store.reads
+        self.follower.note_newest(self.store.revision)
+        self.wait_seen("op/a", "2")
+        # The same word again is no news.
+        self.follower.note_newest(self.store.revision)
+        eventlet.sleep(0)
+        self.assertEqual(reads + 1, self.store.reads)
+
     def test_lost_history_is_read_anew(self):
         self.store.put("op/a", "1")
         self.wait_seen("op/a", "1")
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -10,6 +10,7 @@
     Forwarder,
     RepeatBudget,
     Sender,
+    StallWatch,
     StreamEvent,
     Targets,
 )
@@ -181,7 +182,10 @@
             self.fleet.backends_by_id[id] = backend(id, "llm")
         self.opened = {"h1": (("g1", 1), "m0"), "h2": (("g2", 2), "m0")}
         self.budget = RepeatBudget(0.2, 100, 10.0)
-        self.targets = Targets("a", lambda service: service.cold_requests_per_s)
+        self.nodes = 1
+        self.targets = Targets(
+            "a", lambda service, id: service.cold_requests_per_s, lambda: self.nodes
+        )
         self.update()
 
     def update(self):
@@ -300,6 +304,13 @@
             self.answered(self.serve(request(), FakeExchange()))
             self.assertEqual("s3", self.upstream.attempts[0].backend_id)
 
+    def test_many_nodes_do_not_all_choose_the_same_place(self):
+        found = [self.targets.by_key[key] for key in self.targets.by_key]
+        places = found * 10
+        self.assertEqual(places, self.targets._sample(places))
+        self.nodes = 1000
+        self.assertEqual(2, len(self.targets._sample(places)))
+
     def test_cold_backend_server_gets_what_it_bears(self):
         for id in ("s1", "s2", "s3"):
             self.fleet.cold_until_by_id[id] = time.monotonic() + 10
@@ -368,6 +379,68 @@
         self.assertEqual((Reason.QUEUE_FULL, Ran.NO), (refusal.reason, refusal.ran))
         self.assertIsNotNone(refusal.retry_after_s)
 
+    def stalled_stream(self, path="/draft/1"):
+        """Return the group of a stream that has shown nothing for a while."""
+        answer = self.answered(
+            self.open(FakeExchange(numbers=(1, 2), break_after=1), path=path)
+        )
+        self.addCleanup(answer.events.close)
+        (target,) = [t for t in self.targets.by_key.values() if t.streams]
+        target.progress_at -= 0.4
+        return target
+
+    def look_for_stalled(self, seconds=0.0):
+        watch = StallWatch(self.targets)
+        watch._looked_at = time.monotonic() - seconds
+        watch.look()
+
+    def aborted(self, target):
+        return any(exchange.aborted for exchange in target.exchanges)
+
+    def test_stream_of_a_stalled_group_goes_on_elsewhere(self):
+        target = self.stalled_stream()
+        self.look_for_stalled()
+        self.assertTrue(self.aborted(target))
+
+    def test_late_look_proves_no_stall(self):
+        target = self.stalled_stream()
+        self.look_for_stalled(seconds=1.0)
+        self.assertFalse(self.aborted(target))
+
+    def test_stalled_stream_stays_where_no_other_group_has_room(self):
+        target = self.stalled_stream()
+        for other in self.targets.by_key.values():
+            if other is not target:
+                other.others = other.slots
+        self.look_for_stalled()
+        self.assertFalse(self.aborted(target))
+
+    def test_reading_prompts_is_no_stall(self):
+        target = self.stalled_stream()
+        engine = self.fleet.configuration.services_by_name["llm"].engine
+        target.others_reading = int(0.5 * engine.tokens_read_per_s)
+        self.look_for_stalled()
+        self.assertFalse(self.aborted(target))
+
+    def test_stream_that_may_not_be_resumed_is_not_moved(self):
+        target = self.stalled_stream("/draft/once/1")
+        self.look_for_stalled()
+        self.assertFalse(self.aborted(target))
+
+    def test_group_that_still_reads_for_long_is_full(self):
+        engine = self.fleet.configuration.services_by_name["llm"].engine
+        aim_tokens = int(0.1 * engine.tokens_read_per_s)
+        first, second = [
+            target for target in self.targets.by_key.values() if target.group
+        ]
+        first.others_reading = aim_tokens
+        for _ in range(4):
+            self.answered(self.open(FakeExchange(numbers=(1,))))
+            self.assertEqual("h2", self.upstream.attempts[-1].backend_id)
+        second.others_reading = aim_tokens
+        refusal = self.refused(self.open())
+        self.assertEqual((Reason.QUEUE_FULL, Ran.NO), (refusal.reason, refusal.ran))
+
     def test_told_load_of_others_counts(self):
         busy = Load(running=5, waiting=0, slots=4)
         for target in self.targets.by_key.values():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -206,10 +206,19 @@
     def test_next_node_plans_when_the_planner_ends(self):
         wait_until(lambda: self.node._session.is_planner, "first plans")
         second = self.start_node()
-        wait_until(lambda: len(second._session.address_by_node) == 2, "both known")
+        wait_until(lambda: len(second._session.capacity_by_node) == 2, "both known")
         self.node.close()
         wait_until(lambda: second._session.is_planner, "second plans")
 
+    def test_node_whose_first_write_was_refused_is_listed_later(self):
+        wait_until(lambda: self.node._session.is_planner, "first plans")
+        self.store.refuse_writes = True
+        second = self.start_node()
+        wait_until(lambda: len(self.store.leases) > 2, "has its lease")
+        eventlet.sleep(0.1)
+        self.store.refuse_writes = False
+        wait_until(lambda: second.name in self.node._session.capacity_by_node, "listed")
+
     def test_planner_that_was_overtaken_plans_again_in_its_next_term(self):
         wait_until(self.node._may_plan, "plans")
         first = self.node._fences.last
@@ -244,14 +253,14 @@
     def test_stopping_planner_hands_over_at_once(self):
         wait_until(lambda: self.node._session.is_planner, "first plans")
         second = self.start_node()
-        wait_until(lambda: len(second._session.address_by_node) == 2, "both known")
+        wait_until(lambda: len(second._session.capacity_by_node) == 2, "both known")
         stopping = eventlet.spawn(self.node.shut_down)
         with eventlet.Timeout(0.5, AssertionError("not at once")):
             while not second._session.is_planner:
                 eventlet.sleep(0.01)
         stopping.wait()
         self.assertTrue(second._session.is_planner)
-        self.assertEqual({second.name}, set(second._session.address_by_node))
+        self.assertEqual({second.name}, set(second._session.capacity_by_node))
 
     def test_kept_connections_end_before_the_last_requests(self):
         host, port = self.node.addresses["http"].split(":")
@@ -279,7 +288,7 @@
 
 class SparesTest(unittest.TestCase):
     def test_document(self):
-        spares = (Spare("i-1", 17, "m0"), Spare("i-2", 18, "m1"))
+        spares = (Spare("i-1", 17, "m0"), Spare("i-2", 18, "", "m1"))
         self.assertEqual(spares, read_spares(spares_text(spares)))
         self.assertEqual((), read_spares("not a document"))
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -16,6 +16,7 @@
 )
 from poplarspar.coordination.pools.forming import Chooser
 from poplarspar.coordination.pools.loading import Loader
+from poplarspar.coordination.pools.loads import LoadBudget
 from poplarspar.coordination.pools.needs import Needs
 from poplarspar.coordination.pools.picture import Group, Worker
 from poplarspar.coordination.pools.survey import Heard
@@ -76,7 +77,7 @@
             OrderGiver(survey, pool, self.fences),
             self.desk,
             self.fleet,
-            lambda: {},
+            lambda: (),
         )
         self.task = eventlet.spawn(self.planner.plan_while, self.may_plan)
 
@@ -314,7 +315,7 @@
     hosting = Hosting(model, staged, domain, None, 1)
     report = HostReport(id, 1, hosting, 0, 0, False, 1.0)
     backend = BackendServer(id, 1, "llm", "10.0.0.1:80", "a", False, 13, 0.0, hosting)
-    return Worker(Heard(backend, report), False, False, False)
+    return Worker(Heard(backend, report), False, False, False, False)
 
 
 def chooser(needs, counts, longest_s=0.2, mixed=True):
@@ -366,6 +367,15 @@
         self.assertEqual(("c",), tuple(w.id for w in first.missing))
         self.assertEqual("m0", first.model.name)
 
+    def test_loads_end_with_their_backend_server(self):
+        loads = LoadBudget()
+        model = ENGINE.models_by_name["m0"]
+        for id in ("a", "b", "c"):
+            loads.begin((id, 1), model, 10.0, early=False)
+        # One has restarted, one is done.
+        loads.look_at({("a", 2): set(), ("b", 1): {"m0"}, ("c", 1): {"m1"}})
+        self.assertEqual({"c": "m0"}, loads.loading(10.1))
+
     def test_fresh_spare_gets_what_its_domain_serves(self):
         loader = Loader(ENGINE, Needs({"m0": 9.0, "m1": 1.0}), Counter(), {})
         model = loader.choose_staging(worker("a"), Counter(m1=2))
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -51,6 +51,15 @@
         with self.assertRaises(ConnectionLost):
             self.read(reset=True)
 
+    def test_broken_off_here_is_not_complete(self):
+        stream = open_stream(self.serve_once(False), "GET", "/", read_timeout_s=5.0)
+        self.addCleanup(stream.close)
+        chunks = stream.chunks()
+        next(chunks)
+        stream.abort()
+        with self.assertRaises(ConnectionLost):
+            next(chunks)
+
     def test_reset_before_the_body_is_read(self):
         stream = open_stream(self.serve_once(True), "GET", "/", read_timeout_s=5.0)
         self.addCleanup(stream.close)
