Give the node's part in planning a module; divide free slots in large fleets only

Cause: a slot that a node without waiting callers keeps is lost for 0.15 s. So up to ten nodes take slots as they see them.

A plan is taken as changed by its groups, since two planners may use the same serial. node.py is split: planning.py links to the planner and takes turns.

--- a/poplarspar/coordination/forwarding/resuming.py
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -31,9 +31,8 @@
 # Callers leave a stream after two seconds without an event.
 FIRST_EVENT_SILENCE_S = 1.2
 RESUME_WAIT_S = 1.0
-# A replica group that was lost serves again after about this time; see
-# `Refusal.retry_after_s`.
-COME_BACK_S = 0.6
+# A place becomes free about this often; see `Refusal.retry_after_s`.
+COME_BACK_S = 0.1
 FindPlace = Callable[[RoutedRequest, set[Target], float], Result[Target, Refusal]]
 
 
--- a/poplarspar/coordination/forwarding/target.py
+++ b/poplarspar/coordination/forwarding/target.py
@@ -39,6 +39,9 @@
         Own requests there, and prompt tokens of those without a first event.
     others, others_reading : int
         The same of all other nodes, as far as they have told.
+    quota : int or None
+        Own requests that may be there until more is told of the others', so that
+        nodes don't all take the same free slot.
     stalled_elsewhere : bool
         Whether another node sees no sign of work there.
     pace : float
@@ -59,6 +62,7 @@
     reading_tokens: int = 0
     others: int = 0
     others_reading: int = 0
+    quota: int | None = None
     stalled_elsewhere: bool = False
     pace: float = 1.0
     told: Load | None = None
--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -50,6 +50,9 @@
         server of a service.
     nodes : callable
         Returns how many nodes choose at the same time.
+    share : callable
+        Returns this node's part of a number that all nodes divide, given also what
+        it is for.
     """
 
     def __init__(
@@ -57,8 +60,10 @@
         zone: str,
         cold_limit: Callable[[ServiceSpec, str], int],
         nodes: Callable[[], int] = lambda: 1,
+        share: Callable[[int, str], int] = lambda bound, subject: bound,
     ) -> None:
         self._zone = zone
+        self._share = share
         self._nodes = nodes
         self._cold_limit = cold_limit
         self._fleet = Fleet()
@@ -81,6 +86,7 @@
             known = self.by_key.get(key)
             if known is not None:
                 known.backend = target.backend
+                known.quota = None
                 known.cold_until = target.cold_until
                 target = known
             kept[key] = target
@@ -178,6 +184,8 @@
     def _is_full(self, routed: RoutedRequest, target: Target, now: float) -> bool:
         if target.expected(now) >= target.slots + QUEUE_ALLOWANCE:
             return True
+        if target.quota is not None and target.in_flight >= target.quota:
+            return True
         if routed.service.engine is not None and target.reading:
             own = routed.request.prompt_tokens
             reading_s = target.reading_s(routed.service.engine, own)
@@ -265,8 +273,22 @@
                 target.others_reading = group.reading_tokens
                 target.stalled_elsewhere = group.stalled
                 target.pace = group.pace
+                target.quota = self._quota(target)
         self.wake()
 
+    def _quota(self, target: Target) -> int | None:
+        """Return how many own requests may be there until the next plan."""
+        if self._nodes() <= FEW_NODES:
+            # A slot that another node keeps free for nobody costs more than two
+            # requests for one slot.
+            return None
+        taken = target.others + target.in_flight
+        free = max(0, target.slots + QUEUE_ALLOWANCE - taken)
+        # Who gets what can't be divided changes from second to second; clocks that
+        # differ make the parts uneven for a moment, nothing more.
+        subject = f"{target.backend.id} {int(time.time())}"
+        return target.in_flight + self._share(free, subject)
+
     def loads(self) -> tuple[GroupLoad, ...]:
         """Return this node's own work at replica groups."""
         now = time.monotonic()
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -5,7 +5,7 @@
 import uuid
 from collections.abc import Callable
 from contextlib import ExitStack
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 import eventlet
 
@@ -23,13 +23,8 @@
     Upstream,
 )
 from poplarspar.coordination.pools import (
-    Fences,
-    OrderGiver,
     OrderPort,
-    PlanDesk,
-    PoolPlanner,
     ReportPort,
-    Survey,
 )
 from poplarspar.coordination.ports import WatchedStore
 from poplarspar.coordination.session import NODE_PREFIX, Session
@@ -39,15 +34,12 @@
 from poplarspar.events import Event
 from poplarspar.exceptions import InvalidSettings
 from poplarspar.logs import log_event
-from poplarspar.protocol.spares import read_spares, spares_text
+from poplarspar.planning import PlanningPart
 from poplarspar.state.metrics import Metrics
 from poplarspar.state.node import NodeSettings
-from poplarspar.state.plan import FleetPlan, NodeLoad, Spare
 from poplarspar.state.serving import ServiceSpec
 from poplarspar.transport.addresses import bound_address, listen
-from poplarspar.transport.links import LinkServer
 from poplarspar.transport.metrics import MetricsPage
-from poplarspar.transport.plan_links import PlanLink, PlanServer
 from poplarspar.transport.server import (
     Handler,
     HttpServer,
@@ -78,11 +70,6 @@
 # Before a configuration is known, only readiness is asked for.
 FIRST_LIMITS = ServerLimits(65_536, header_timeout_s=3.0, idle_timeout_s=15.0)
 READY_LIMITS = ServerLimits(4_096, header_timeout_s=3.0, idle_timeout_s=30.0)
-PLANNER_POLL_S = 0.2
-# Spares change every few seconds; what is kept of them saves loads, nothing more.
-SPARES_PERIOD_S = 2.0
-# The planner answers within a second; a plan that is older may be out of date.
-PLAN_AGE_S = 1.5
 # Callers that read nothing for this long hold a connection for nobody.
 WRITE_TIMEOUT_S = 15.0
 
@@ -115,14 +102,14 @@
         self.drain = Drain()
         self._health = StoreHealth()
         self._keeper = FleetKeeper(outside.documents, self._health, self._fleet_changed)
-        self._targets = Targets(settings.zone, self._cold_limit, self._nodes)
+        self._targets = Targets(
+            settings.zone, self._cold_limit, self._nodes, self._share
+        )
         self._budget = RepeatBudget(
             settings.retry_share, settings.retry_slack, settings.retry_window_s
         )
         self._demand = DemandMeter()
-        self._fences = Fences()
-        self._plan = FleetPlan()
-        self._plan_at = float("-inf")
+        self._planning: PlanningPart | None = None
         self._secret = uuid.uuid4().hex
         self._start()
 
@@ -279,87 +266,35 @@
 
     def _operator_wait_s(self) -> float:
         """Return how long a question for the operator's changes may wait."""
-        told = self._has_plan() and not self._session.is_planner
-        return TOLD_OPERATOR_WAIT_S if told else OPERATOR_WAIT_S
-
-    def _has_plan(self) -> bool:
-        return time.monotonic() - self._plan_at < PLAN_AGE_S
+        planning = self._planning
+        told = planning is not None and planning.is_fresh()
+        if told and not self._session.is_planner:
+            return TOLD_OPERATOR_WAIT_S
+        return OPERATOR_WAIT_S
 
     def _start_planning(self) -> None:
-        settings = self._settings
-        survey = Survey(self._outside.reports, lambda: self._planner.wake())
-        desk = PlanDesk(lambda head: self._planner.suspect(head))
-        self._planner = PoolPlanner(
-            survey,
-            OrderGiver(survey, self._outside.orders, self._fences),
-            desk,
+        outside = self._outside
+        self._planning = PlanningPart(
+            self.name,
+            self._settings,
+            self._session,
+            self._operator,
             lambda: self._keeper.fleet,
-            self._told,
-        )
-        self._stack.callback(self._planner.stop)
-        self._stack.callback(keep_running(self._plan_in_turn).kill)
-        self._stack.callback(keep_running(self._keep_spares).kill)
-        self._desk = desk
-        server = PlanServer(self._answer_node)
-        links = LinkServer(listen(settings.peer_listen), self._secret, server.serve)
-        self._stack.callback(links.close)
-        link = PlanLink(self.name, self._session.planner, self._load, self._apply_plan)
-        self._stack.callback(keep_running(link.follow).kill)
-
-    def _answer_node(self, name: str, load: NodeLoad) -> FleetPlan:
-        plan = self._desk.answer(name, load)
-        return replace(plan, operator_revision=self._operator.newest)
-
-    def _plan_in_turn(self) -> None:
-        while True:
-            if self._session.is_planner:
-                self._fences.start_term(self._session.planner_revision)
-            if self._may_plan():
-                self._planner.plan_while(self._may_plan)
-            eventlet.sleep(PLANNER_POLL_S)
-
-    def _may_plan(self) -> bool:
-        if not self._session.is_planner or self._fences.overtaken:
-            return False
-        if self.drain.draining:
-            return False
-        # Where old orders are refused, a planner that the store does not reach
-        # does no harm; elsewhere only its lease keeps two from giving orders.
-        return self._settings.orders_fenced or self._session.lease_runs()
-
-    def _told(self) -> tuple[Spare, ...]:
-        """Return what the last planner told of backend servers."""
-        return self._plan.spares or read_spares(self._session.read_spares())
-
-    def _keep_spares(self) -> None:
-        while True:
-            if self._may_plan() and self._plan.serial:
-                self._session.write_spares(spares_text(self._plan.spares))
-            eventlet.sleep(SPARES_PERIOD_S)
-
-    def _load(self) -> NodeLoad:
-        return NodeLoad(
-            self._plan.serial, self._targets.loads(), self._demand.demands()
+            self.drain,
+            self._targets,
+            self._demand,
+            self._plan_changed,
         )
+        self._planning.start(outside.reports, outside.orders, self._secret, self._stack)
 
-    def _apply_plan(self, plan: FleetPlan) -> None:
-        self._operator.note_newest(plan.operator_revision)
-        if not plan.serial:
-            # A new planner knows nothing yet; what the last one told still holds.
-            return
-        changed = plan.serial != self._plan.serial
-        self._plan = plan
-        self._plan_at = time.monotonic()
-        if plan.nodes:
-            self._budget.share_among(self._nodes())
-        if changed:
-            self._fleet_changed()
-        self._targets.note_plan(plan)
+    def _plan_changed(self) -> None:
+        self._nodes_changed()
+        self._fleet_changed()
 
     def _fleet_changed(self) -> None:
         fleet = self._keeper.fleet
-        if self._has_plan():
-            opened = {g.head: ((g.name, g.epoch), g.model) for g in self._plan.groups}
+        if self._planning is not None and self._planning.is_fresh():
+            opened = self._planning.plan.opened()
         else:
             # Without the planner, the entries of the heads tell what is open.
             opened = {
@@ -371,7 +306,8 @@
 
     def _nodes(self) -> int:
         """Return how many nodes share the bounds; too many rather than too few."""
-        return max(1, len(self._session.capacity_by_node), self._plan.nodes)
+        told = self._planning.plan.nodes if self._planning else 0
+        return max(1, len(self._session.capacity_by_node), told)
 
     def _nodes_changed(self) -> None:
         self._budget.share_among(self._nodes())
@@ -380,8 +316,12 @@
         """Return this node's part of what a cold backend server may get a second."""
         settings = self._settings
         bound = service.cold_requests_per_s * settings.cold_factor + settings.cold_slack
+        return self._share(int(bound), backend_id)
+
+    def _share(self, bound: int, subject: str) -> int:
+        """Return this node's part of what all nodes divide."""
         names = self._session.capacity_by_node
-        return even_part(int(bound), self.name, names, self._nodes(), backend_id)
+        return even_part(bound, self.name, names, self._nodes(), subject)
 
     def _limits(self) -> ServerLimits:
         configuration = self._keeper.fleet.configuration
@@ -407,9 +347,9 @@
             "configuration_version": configuration.version if configuration else 0,
             "configuration_age_seconds": self._keeper.configuration_age_s(),
             "store_steady_seconds": self._health.steady_s(),
-            "plan_age_seconds": min(time.monotonic() - self._plan_at, 1e9),
+            "plan_age_seconds": min(self._planning.age_s(), 1e9),
             "backend_servers": len(self._keeper.fleet.backends_by_id),
-            "replica_groups_serving": len(self._plan.groups),
+            "replica_groups_serving": len(self._planning.plan.groups),
             "evacuated_zones": len(self._keeper.fleet.evacuated_zones),
             "memory_peak_bytes": usage.ru_maxrss * 1024,
             "processor_seconds": usage.ru_utime + usage.ru_stime,
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -107,3 +107,7 @@
     groups: tuple[PlannedGroup, ...] = ()
     spares: tuple[Spare, ...] = ()
     operator_revision: int = 0
+
+    def opened(self) -> dict[str, tuple[tuple[str, int], str]]:
+        """Return key and model of each replica group that serves, by its head."""
+        return {g.head: ((g.name, g.epoch), g.model) for g in self.groups}
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -17,6 +17,7 @@
 from poplarspar.exceptions import BackendFailed
 from poplarspar.state.backends import BackendServer, Hosting, Load
 from poplarspar.state.callers import CallerRequest, StreamedAnswer, WholeAnswer
+from poplarspar.state.plan import FleetPlan, PlannedGroup
 from poplarspar.state.refusals import Ran, Reason
 from poplarspar.state.serving import (
     CallerLimits,
@@ -379,6 +380,29 @@
         self.assertEqual((Reason.QUEUE_FULL, Ran.NO), (refusal.reason, refusal.ran))
         self.assertIsNotNone(refusal.retry_after_s)
 
+    def test_nodes_divide_free_slots(self):
+        groups = tuple(
+            PlannedGroup(id, group, epoch, model)
+            for id, ((group, epoch), model) in self.opened.items()
+        )
+        taken = 0
+        for part in (2, 0):
+            targets = Targets(
+                "a",
+                lambda service, id: 0,
+                lambda: 20,
+                lambda free, head, part=part: min(part, free),
+            )
+            targets.update(self.fleet, self.opened)
+            targets.note_plan(FleetPlan(1, 20, groups))
+            self.targets = targets
+            while self.serve(
+                request("/draft/1", model="m0", prompt_tokens=0),
+                FakeExchange(numbers=(1,)),
+            ).is_ok():
+                taken += 1
+        self.assertEqual(2 * len(groups), taken)
+
     def stalled_stream(self, path="/draft/1"):
         """Return the group of a stream that has shown nothing for a while."""
         answer = self.answered(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -220,13 +220,13 @@
         wait_until(lambda: second.name in self.node._session.capacity_by_node, "listed")
 
     def test_planner_that_was_overtaken_plans_again_in_its_next_term(self):
-        wait_until(self.node._may_plan, "plans")
-        first = self.node._fences.last
-        self.node._fences.passed_by()
-        self.assertFalse(self.node._may_plan())
+        wait_until(self.node._planning.may_plan, "plans")
+        first = self.node._planning.fences.last
+        self.node._planning.fences.passed_by()
+        self.assertFalse(self.node._planning.may_plan())
         self.store.remove("poplarspar/planner")
-        wait_until(self.node._may_plan, "plans again")
-        self.assertGreater(self.node._fences.last, first)
+        wait_until(self.node._planning.may_plan, "plans again")
+        self.assertGreater(self.node._planning.fences.last, first)
 
     def test_lost_answer_to_the_planners_key(self):
         wait_until(lambda: self.node._session.is_planner, "first plans")
