--- a/soak/surroundings.py
+++ b/soak/surroundings.py
@@ -6,26 +6,12 @@
 
 import eventlet
 
-from poplarspar.state.serving import Engine, EngineModel
 from standins.engines import ModelWorker, engine_document
 from standins.faultproxy import FaultProxy
 from standins.platform import PlainWorker, Run, Store, configuration
-from standins.pool import Pool
-
-ENGINE = Engine(
-    slots=6,
-    models_by_name={
-        "m0": EngineModel("m0", 3, 1.0, 0.6, 2.0, 0.2),
-        "m1": EngineModel("m1", 2, 0.6, 0.4, 1.5, 0.15),
-    },
-    step_s=0.004,
-    step_per_request_s=0.0001,
-    tokens_read_per_s=50_000.0,
-    tokens_per_event=7,
-    loads_per_s=10.0,
-    loads_at_once=6,
-    open_s=0.1,
-)
+from standins.pool import Pool, small_engine
+
+ENGINE = small_engine(slots=6)
 DOMAINS = {"d0": 6, "d1": 6}
 PLAIN_WORKERS = 3
 PLAIN_WORK_S = 0.02
--- a/standins/pool.py
+++ b/standins/pool.py
@@ -28,13 +28,31 @@
     Stage,
     Unanswered,
 )
-from poplarspar.state.serving import Engine
+from poplarspar.state.serving import Engine, EngineModel
 
 REPORT_LAG_S = 0.2
 REJOIN_S = 0.05
 STALL_S = 2.0
 
 
+def small_engine(slots: int) -> Engine:
+    """Return an engine with two models of quick loads and small groups."""
+    return Engine(
+        slots=slots,
+        models_by_name={
+            "m0": EngineModel("m0", 3, 1.0, 0.6, 2.0, 0.2),
+            "m1": EngineModel("m1", 2, 0.6, 0.4, 1.5, 0.15),
+        },
+        step_s=0.006,
+        step_per_request_s=0.0001,
+        tokens_read_per_s=50_000.0,
+        tokens_per_event=7,
+        loads_per_s=10.0,
+        loads_at_once=6,
+        open_s=0.1,
+    )
+
+
 @dataclass
 class Worker:
     """One virtual backend server.
