Don't free members of a group that may be opening; one order at a time to a server

Cause: a group that had been closed for a member that seemed lost, and was whole again, was opened anew but still counted as closed; when the member seemed lost once more while the order to open was on its way, its members were freed at once (test_orders failed first). Also: a repeated order could meet the next one; if it came second it was refused for its lower number, and the planner took itself to be overtaken, for as long as it held the planner's key. Orders are given one at a time now, a refusal by an own newer order does not count, and a planner that was overtaken gives up the key. Ruled out: orders carried out late (the soak has none).

--- a/poplarspar/coordination/pools/giving.py
+++ b/poplarspar/coordination/pools/giving.py
@@ -79,6 +79,7 @@
         self.fences = fences
         self._busy_until: dict[str, float] = {}
         self._last_order: dict[str, Order] = {}
+        self._last_fence: dict[str, int] = {}
         self.on_result: Callable[[Order, OrderResult], None] = lambda *_: None
 
     def is_busy(self, id: str) -> bool:
@@ -126,7 +127,12 @@
             eventlet.sleep(pause_s)
             if self._last_order.get(id) is not order:
                 return
+            # The next order waits, since the older of two might be refused, or undo
+            # what the newer one did.
+            busy_until = self._busy_until[id]
+            self._busy_until[id] = time.monotonic() + ORDER_TIMEOUT_S
             result = self._send(heard, order, None)
+            self._busy_until[id] = busy_until
             if result == Accepted(done=True):
                 after = _effect(id, heard.report.hosting, order, result, repeat=True)
                 self._survey.note_order(id, after)
@@ -136,6 +142,7 @@
 
     def _send(self, heard: Heard, order: Order, expected: int | None) -> OrderResult:
         fence = self.fences.next()
+        self._last_fence[heard.backend.id] = fence
         result = self._port.give(
             heard.backend,
             order,
@@ -167,7 +174,8 @@
                     status=status,
                     fence=fence,
                 )
-                if fenced:
+                if fenced and fence >= self._last_fence.get(backend.id, 0):
+                    # No order of this planner is newer, so another one gave some.
                     self.fences.passed_by()
             case Unanswered():
                 log_event(
--- a/poplarspar/coordination/pools/upkeep.py
+++ b/poplarspar/coordination/pools/upkeep.py
@@ -169,6 +169,8 @@
         name, epoch = group.key
         match group.phase:
             case MemberPhase.READY:
+                # It may have been closed before, for a member that seemed lost.
+                self._term.closed.discard(group.key)
                 self._order(group.head, Open(name, epoch), self._engine.open_s)
             case MemberPhase.OPEN:
                 if self._term.forming.pop(group.key, None) is not None:
--- a/poplarspar/coordination/session.py
+++ b/poplarspar/coordination/session.py
@@ -192,6 +192,12 @@
         if items:
             self._changed()
 
+    def resign(self) -> None:
+        """Give up planning, so that the next planner's term is a newer one."""
+        self._planner_lease.end()
+        self._planner = Change(PLANNER_KEY, self._planner.revision, None)
+        self._vacant_since = time.monotonic()
+
     def end(self) -> None:
         """Give up all leases for good, so that others need not wait for their ends."""
         self._ended = True
--- a/poplarspar/planning.py
+++ b/poplarspar/planning.py
@@ -121,6 +121,9 @@
         while True:
             if self._session.is_planner:
                 self.fences.start_term(self._session.planner_revision)
+                if self.fences.overtaken:
+                    # The store's word of another planner is late, or there is none.
+                    self._session.resign()
             if self.may_plan():
                 self._planner.plan_while(self.may_plan)
             eventlet.sleep(PLANNER_POLL_S)
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,129 @@
+"""Orders to backend servers: one at a time, and none that opens what was released."""
+
+import standins.common  # noqa: F401  # isort: skip
+
+import unittest
+
+import eventlet
+
+from poplarspar.coordination.pools import Fences, OrderGiver, Survey
+from poplarspar.coordination.pools.picture import Worker, build_groups
+from poplarspar.coordination.pools.survey import Heard
+from poplarspar.coordination.pools.term import Term
+from poplarspar.coordination.pools.upkeep import Upkeep
+from poplarspar.state.backends import (
+    BackendServer,
+    Hosting,
+    HostReport,
+    MemberPhase,
+    Membership,
+)
+from poplarspar.state.orders import Accepted, Close, Leave, Open, Refused
+from standins.pool import small_engine
+
+ENGINE = small_engine(slots=13)
+KEY = ("m1-5", 5)
+
+
+def heard(id, rank, phase=MemberPhase.READY):
+    hosting = Hosting("m1", (), "d0", Membership(*KEY, rank, phase), 1)
+    backend = BackendServer(id, 1, "llm", "10.0.0.1:80", "a", False, 13, 0.0, hosting)
+    return Heard(backend, HostReport(id, 1, hosting, 0, 0, False, 1.0))
+
+
+class RecordedOrders:
+    """Takes orders and carries none out."""
+
+    def __init__(self):
+        self.given = []
+
+    def is_busy(self, id):
+        return False
+
+    def give(self, heard, order, due_s=None):
+        self.given.append((heard.backend.id, order))
+        return True
+
+
+class ReopenedGroupTest(unittest.TestCase):
+    def look(self, term, silent):
+        members = [
+            Worker(heard(id, rank), id in silent, False, False, False)
+            for rank, id in enumerate(("h", "m"))
+        ]
+        orders = RecordedOrders()
+        upkeep = Upkeep(
+            ENGINE,
+            term,
+            Survey(None, lambda: None),
+            orders,
+            members,
+            build_groups(members),
+        )
+        upkeep.run()
+        return upkeep, orders.given
+
+    def test_members_of_a_group_that_may_be_opening_are_not_free(self):
+        # It was closed for a member that seemed lost, and is whole again.
+        term = Term(began_at=0.0, closed={KEY})
+        _, given = self.look(term, silent=())
+        self.assertEqual([("h", Open(*KEY))], given)
+        # The order is on its way when the member seems lost once more.
+        upkeep, given = self.look(term, silent=("m",))
+        self.assertEqual([], upkeep.released)
+        self.assertEqual([("h", Leave(*KEY))], given)
+
+
+class Port:
+    """Answers orders as the test says, each after a while."""
+
+    def __init__(self, *results):
+        self.results = list(results)
+        self.fences = []
+        self.running = 0
+        self.most = 0
+
+    def give(self, backend, order, *, fence, accepted_before, timeout_s):
+        self.fences.append(fence)
+        self.running += 1
+        self.most = max(self.most, self.running)
+        eventlet.sleep(0.05)
+        self.running -= 1
+        return self.results.pop(0)
+
+
+class OneOrderAtATimeTest(unittest.TestCase):
+    def setUp(self):
+        self.fences = Fences()
+        self.fences.start_term(1)
+
+    def giver(self, *results):
+        self.port = Port(*results)
+        return OrderGiver(Survey(None, lambda: None), self.port, self.fences)
+
+    def test_repeated_order_does_not_meet_the_next_one(self):
+        begun, done = Accepted(done=False), Accepted(done=True)
+        giver = self.giver(begun, done, done, done)
+        head = heard("h", 0)
+        giver.give(head, Close(*KEY, True), 0.0)
+        with eventlet.Timeout(2.0, AssertionError("never free")):
+            while len(self.port.fences) < 2:
+                eventlet.sleep(0.005)
+            # The first order is being repeated now.
+            while len(self.port.fences) < 3:
+                giver.give(head, Open(*KEY), 0.0)
+                eventlet.sleep(0.005)
+        self.assertEqual(1, self.port.most)
+
+    def test_own_newer_order_does_not_overtake(self):
+        giver = self.giver(Refused(412, fenced=True))
+        giver._note(heard("h", 0).backend, Open(*KEY), Refused(412, True), 7)
+        self.assertTrue(self.fences.overtaken)
+        self.fences.overtaken = False
+        giver._last_fence["h"] = 9
+        giver._note(heard("h", 0).backend, Open(*KEY), Refused(412, True), 7)
+        self.assertFalse(self.fences.overtaken)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -228,6 +228,13 @@
         wait_until(self.node._planning.may_plan, "plans again")
         self.assertGreater(self.node._planning.fences.last, first)
 
+    def test_planner_that_was_overtaken_by_nobody_does_not_keep_its_place(self):
+        wait_until(self.node._planning.may_plan, "plans")
+        first = self.node._planning.fences.last
+        self.node._planning.fences.passed_by()
+        wait_until(self.node._planning.may_plan, "plans again")
+        self.assertGreater(self.node._planning.fences.last, first)
+
     def test_lost_answer_to_the_planners_key(self):
         wait_until(lambda: self.node._session.is_planner, "first plans")
         self.node.close()
