Compare a bounded number of sets of groups; wait on events in test_platform

Cause: the sets of groups of all models were multiplied, which two models hide: six models of two members in a domain of 37 make 47,045,881 (computed), and a round would not end. Above 500 sets one model is looked at at a time.

--- a/poplarspar/coordination/pools/forming.py
+++ b/poplarspar/coordination/pools/forming.py
@@ -1,6 +1,7 @@
 """Choosing which replica groups the backend servers of a fabric domain form."""
 
 import itertools
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
@@ -16,6 +17,8 @@
 MIXED_COST = 0.002
 # A group that is given up serves nobody for two seconds or so.
 CONVERSION_COST = 0.04
+# With more sets of groups to compare, a round would hold up a node's callers.
+MOST_COMPOSITIONS = 500
 # Groups of one model that may be given up at once for others.
 MOST_CONVERTED = 2
 
@@ -164,21 +167,29 @@
 
     def _compositions(self, workers: Sequence[Worker]) -> Iterator[dict[str, int]]:
         """Yield numbers of groups by model that may be possible."""
-        names = list(self._engine.models_by_name)
-        ranges = []
-        for name in names:
-            model = self._engine.models_by_name[name]
-            able = sum(w.load_s(model) <= self._longest_load_s for w in workers)
-            ranges.append(range(able // model.members + 1))
+        most = {
+            name: self._able(model, workers) // model.members
+            for name, model in self._engine.models_by_name.items()
+        }
+        ranges = [range(count + 1) for count in most.values()]
+        if not self._mixed or math.prod(map(len, ranges)) > MOST_COMPOSITIONS:
+            # Other models have their turn with what these groups leave.
+            for name, count in most.items():
+                yield from ({name: number} for number in range(1, count + 1))
+            return
         for counts in itertools.product(*ranges):
-            used = sum(
-                count * self._engine.models_by_name[name].members
-                for name, count in zip(names, counts, strict=True)
-            )
-            if not self._mixed and sum(count > 0 for count in counts) > 1:
-                continue
-            if 0 < used <= len(workers):
-                yield dict(zip(names, counts, strict=True))
+            composition = dict(zip(most, counts, strict=True))
+            if 0 < self._members_of(composition) <= len(workers):
+                yield composition
+
+    def _able(self, model: EngineModel, workers: Sequence[Worker]) -> int:
+        """Return how many backend servers get a model ready in time."""
+        return sum(w.load_s(model) <= self._longest_load_s for w in workers)
+
+    def _members_of(self, composition: dict[str, int]) -> int:
+        """Return how many backend servers some groups take."""
+        models = self._engine.models_by_name
+        return sum(models[name].members * n for name, n in composition.items())
 
     def _assign(
         self, counts: dict[str, int], workers: Sequence[Worker]
@@ -200,8 +211,7 @@
     def _slack(
         self, model: EngineModel, counts: dict[str, int], workers: Sequence[Worker]
     ) -> int:
-        able = sum(w.load_s(model) <= self._longest_load_s for w in workers)
-        return able - counts[model.name] * model.members
+        return self._able(model, workers) - counts[model.name] * model.members
 
     def _members(
         self, model: EngineModel, wanted: list[EngineModel], left: list[Worker]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -79,6 +79,7 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.down = False
         self.refuse_writes = False
+        self.refused = 0
         self.lose_answers = False
         self.oldest = 0
         super().__init__()
@@ -170,6 +171,7 @@
 
     def _commit(self, body: dict) -> Response:
         if self.refuse_writes:
+            self.refused += 1
             return json_response(503, {"error": "busy"})
         for row in body["expected"]:
             held = self.items.get(row["key"], {"revision": 0})
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -186,7 +186,7 @@
 
     def test_outage_of_the_store(self):
         self.store.down = True
-        eventlet.sleep(0.5)
+        wait_until(lambda: not self.node._health.steady_s(), "outage noticed")
         self.assertEqual(200, self.send("/pay/7").status)
         self.store.put("op/config", configuration(9, tenants=[]))
         self.store.down = False
@@ -214,8 +214,7 @@
         wait_until(lambda: self.node._session.is_planner, "first plans")
         self.store.refuse_writes = True
         second = self.start_node()
-        wait_until(lambda: len(self.store.leases) > 2, "has its lease")
-        eventlet.sleep(0.1)
+        wait_until(lambda: self.store.refused, "its write was refused")
         self.store.refuse_writes = False
         wait_until(lambda: second.name in self.node._session.capacity_by_node, "listed")
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -4,6 +4,7 @@
 
 import unittest
 from collections import Counter
+from dataclasses import replace
 
 import eventlet
 
@@ -14,7 +15,7 @@
     PoolPlanner,
     Survey,
 )
-from poplarspar.coordination.pools.forming import Chooser
+from poplarspar.coordination.pools.forming import MOST_COMPOSITIONS, Chooser
 from poplarspar.coordination.pools.loading import Loader
 from poplarspar.coordination.pools.loads import LoadBudget
 from poplarspar.coordination.pools.needs import Needs
@@ -29,6 +30,7 @@
 from poplarspar.state.plan import ModelDemand, NodeLoad
 from poplarspar.state.serving import (
     CallerLimits,
+    EngineModel,
     Fleet,
     ServiceSpec,
     ServingConfiguration,
@@ -342,6 +344,21 @@
         groups = found.choose_formation(free).groups
         self.assertEqual(7, sum(len(group.members) for group in groups))
 
+    def test_many_models_take_no_longer_than_few(self):
+        models = {
+            f"m{i}": EngineModel(f"m{i}", 2, 1.0, 0.1, 2.0, 0.2) for i in range(6)
+        }
+        engine = replace(ENGINE, models_by_name=models)
+        needs = Needs(dict.fromkeys(models, 2.0))
+        found = Chooser(engine, needs, Counter(), {}, longest_load_s=9.0)
+        workers = [worker(f"w{i}") for i in range(37)]
+        compositions = list(found._compositions(workers))
+        self.assertLessEqual(len(compositions), MOST_COMPOSITIONS)
+        self.assertEqual(
+            set(models), {name for c in compositions for name in +Counter(c)}
+        )
+        self.assertIsNotNone(found.choose_formation(workers))
+
     def test_loads_go_where_a_group_comes_of_them_soonest(self):
         free = [
             worker("a", "d0", "m0", ("m0",)),
