Log the prompt parts of attempts whose backend server disconnected

Events 414 and 415 could not distinguish a backend server that crashed on a kind of request from one that failed by chance: no line named the parts of a prompt, and a reset looked like a time-out. Both events now have `parts` (ids of the parts that prompts share) and `disconnected`.

An answer that this process aborts itself is no disconnection; before, an aborted chunked answer was reported as one that the peer broke off.

--- a/poplarspar/coordination/forwarding/attempts.py
+++ b/poplarspar/coordination/forwarding/attempts.py
@@ -47,10 +47,17 @@
 
 @dataclass(frozen=True)
 class Broke:
-    """The request was sent and may have run, but no valid answer arrived."""
+    """The request was sent and may have run, but no valid answer arrived.
+
+    Attributes
+    ----------
+    disconnected : bool
+        Whether the backend server closed or reset the connection.
+    """
 
     target: Target
     cause: str
+    disconnected: bool = False
 
 
 AttemptResult = Began | NotReached | Rejected | Broke
@@ -111,7 +118,7 @@
         except BackendFailed as failure:
             target.record_failure()
             if failure.sent:
-                return Broke(target, str(failure))
+                return Broke(target, str(failure), failure.disconnected)
             return NotReached(target)
         target.record_load(exchange.load)
         target.record_progress()
@@ -133,5 +140,7 @@
         backend=attempt.backend_id,
         result=type(result).__name__.lower(),
         cause=result.cause if isinstance(result, Broke) else "",
+        disconnected=isinstance(result, Broke) and result.disconnected,
+        parts=attempt.request.prompt_parts,
         left_ms=int(attempt.remaining_s * 1000),
     )
--- a/poplarspar/coordination/forwarding/resuming.py
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -207,6 +207,8 @@
             backend=self._began.target.backend.id,
             last_event=self._last_event,
             cause=str(failure),
+            disconnected=failure.disconnected,
+            parts=self._routed.request.prompt_parts,
         )
         self._began.target.record_failure()
         self.close()
--- a/poplarspar/exceptions.py
+++ b/poplarspar/exceptions.py
@@ -52,11 +52,15 @@
         Description of the failure.
     sent : bool
         Whether any byte of the request may have reached the backend server.
+    disconnected : bool
+        Whether the backend server closed or reset the connection before its answer
+        was complete, as it does when it crashes.
     """
 
-    def __init__(self, message: str, *, sent: bool) -> None:
+    def __init__(self, message: str, *, sent: bool, disconnected: bool = False) -> None:
         super().__init__(message)
         self.sent = sent
+        self.disconnected = disconnected
 
 
 class ProtocolError(PoplarsparError):
@@ -91,6 +95,10 @@
     """An open connection broke or timed out."""
 
 
+class PeerDisconnected(ConnectionLost):
+    """The peer closed or reset a connection before its answer was complete."""
+
+
 class FrameTooLong(TransportError):
     """A peer announced a frame above the size limit."""
 
--- a/poplarspar/platform/callers.py
+++ b/poplarspar/platform/callers.py
@@ -19,6 +19,7 @@
     LAST_EVENT_ID,
     MODEL,
     NOT_FORWARDED,
+    PROMPT_PARTS,
     REQUEST_ID,
     TOKEN_COUNT,
 )
@@ -31,6 +32,7 @@
 
 # Statuses by which the node promises that a request has not run and never will.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+MAX_PART_ID_LENGTH = 64
 OK = 200
 BAD_GATEWAY_STATUS = 502
 TIMEOUT_STATUS = 504
@@ -202,6 +204,7 @@
         max_answer_tokens=answer_tokens,
         expected_tokens=_parse_estimate(headers.get(EXPECTED_TOKENS, "")),
         arrived_at=request.arrived_at,
+        prompt_parts=_parse_prompt_parts(headers.get(PROMPT_PARTS, "")),
     )
 
 
@@ -219,6 +222,14 @@
     return int(text) if text.isdigit() else None
 
 
+def _parse_prompt_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of the parts that other prompts may share, without the last."""
+    ids = [part.partition(":")[0].strip().lower() for part in text.split(",")]
+    # Sorting out the malformed ones affects only their sender.
+    shared = [id for id in ids[:-1] if id.isalnum() and len(id) <= MAX_PART_ID_LENGTH]
+    return tuple(dict.fromkeys(shared))
+
+
 def _parse_token_counts(text: str) -> tuple[int, int]:
     if not text:
         return 0, 0
--- a/poplarspar/platform/headers.py
+++ b/poplarspar/platform/headers.py
@@ -8,6 +8,8 @@
 MODEL = "Model"
 # Number of prompt tokens, and the maximum number of answer tokens.
 TOKEN_COUNT = "Token-Count"
+# Parts of the prompt in order, as ID:TOKENS entries; requests share all but the last.
+PROMPT_PARTS = "Prompt-Prefix"
 # Caller's estimate of the number of answer tokens.
 EXPECTED_TOKENS = "Length-Hint"
 LAST_EVENT_ID = "Last-Event-Id"
--- a/poplarspar/platform/upstream.py
+++ b/poplarspar/platform/upstream.py
@@ -6,6 +6,7 @@
 from poplarspar.exceptions import (
     BackendFailed,
     ConnectFailed,
+    PeerDisconnected,
     ProtocolError,
     TransportError,
 )
@@ -56,14 +57,14 @@
         try:
             return read_body(self._stream)
         except TransportError as error:
-            raise BackendFailed(str(error), sent=True) from error
+            raise _failure(error) from error
 
     def events(self) -> Iterator[StreamEvent]:
         """Yield complete events; raises `BackendFailed` if the stream breaks off."""
         try:
             yield from split_events(self._stream.chunks())
         except (TransportError, ProtocolError) as error:
-            raise BackendFailed(str(error), sent=True) from error
+            raise _failure(error) from error
 
     def set_read_timeout(self, timeout_s: float) -> None:
         """Limit the wait for each further chunk of the answer."""
@@ -97,10 +98,16 @@
         except ConnectFailed as error:
             raise BackendFailed(str(error), sent=False) from error
         except TransportError as error:
-            raise BackendFailed(str(error), sent=True) from error
+            raise _failure(error) from error
         return PlatformExchange(stream, request.id)
 
 
+def _failure(error: TransportError | ProtocolError) -> BackendFailed:
+    """Return the failure of an exchange whose request was sent."""
+    disconnected = isinstance(error, PeerDisconnected)
+    return BackendFailed(str(error), sent=True, disconnected=disconnected)
+
+
 def _request_headers(attempt: Attempt) -> dict[str, str]:
     headers = dict(attempt.request.headers)
     headers[DEADLINE_MS] = str(max(1, int(attempt.remaining_s * 1000)))
--- a/poplarspar/state/callers.py
+++ b/poplarspar/state/callers.py
@@ -32,6 +32,8 @@
         Length of the prompt, and upper limit on the answer's length.
     arrived_at : float
         Monotonic time of arrival in seconds.
+    prompt_parts : tuple of str
+        Ids of the parts of the prompt that other requests may share, in order.
     """
 
     id: str
@@ -49,6 +51,7 @@
     max_answer_tokens: int
     expected_tokens: int | None
     arrived_at: float
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -14,9 +14,15 @@
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
+    ReadTimeoutError,
 )
 
-from poplarspar.exceptions import ConnectFailed, ConnectionLost, TransportError
+from poplarspar.exceptions import (
+    ConnectFailed,
+    ConnectionLost,
+    PeerDisconnected,
+    TransportError,
+)
 from poplarspar.transport.addresses import split_address
 
 CONNECT_TIMEOUT_S = 1.0
@@ -102,17 +108,19 @@
             try:
                 data = self._answer.read1(CHUNK_BYTES)
             except (HTTPError, HTTPException, OSError) as error:
-                raise ConnectionLost(
-                    f"connection lost while reading the answer: {error}"
-                ) from error
-            if self._aborted:
-                # `abort` ended the data, so the answer is incomplete even if it has no
-                # Content-Length.
-                raise ConnectionLost("the answer was aborted by this process")
+                self._check_aborted()
+                message = f"connection lost while reading the answer: {error}"
+                raise _connection_error(message, error) from error
+            self._check_aborted()
             if not data:
                 return
             yield data
 
+    def _check_aborted(self) -> None:
+        """Raise `ConnectionLost` after `abort`, which also ends the data."""
+        if self._aborted:
+            raise ConnectionLost("the answer was aborted by this process")
+
     def set_read_timeout(self, timeout_s: float) -> None:
         """Set the longest wait in seconds of each further read."""
         self._sock.settimeout(timeout_s)
@@ -166,7 +174,7 @@
     except (HTTPError, HTTPException, OSError, ValueError) as error:
         connection.close()
         message = f"no answer from {address}: {type(error).__name__}"
-        raise ConnectionLost(message) from error
+        raise _connection_error(message, error) from error
     except BaseException:
         # The task was killed while it waited. Closing the connection cancels the
         # request at the peer.
@@ -174,6 +182,13 @@
         raise
 
 
+def _connection_error(message: str, error: Exception) -> ConnectionLost:
+    """Return the error of a broken exchange, which tells time-outs apart."""
+    if isinstance(error, (ReadTimeoutError, TimeoutError)):
+        return ConnectionLost(message)
+    return PeerDisconnected(message)
+
+
 def _exchange(
     connection: HTTPConnection,
     method: str,
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -12,7 +12,7 @@
 
 import eventlet
 
-from poplarspar.exceptions import ConnectionLost
+from poplarspar.exceptions import ConnectionLost, PeerDisconnected
 from poplarspar.transport.http import open_stream, read_body
 
 HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
@@ -52,17 +52,27 @@
         self.assertEqual(b"half", self.read(reset=False))
 
     def test_reset_answer_is_incomplete(self):
-        with self.assertRaises(ConnectionLost):
+        with self.assertRaises(PeerDisconnected):
             self.read(reset=True)
 
+    def test_time_out_is_no_disconnection(self):
+        stream = open_stream(self.serve_once(False), "GET", "/", read_timeout_s=0.2)
+        self.addCleanup(stream.close)
+        chunks = stream.chunks()
+        next(chunks)
+        with self.assertRaises(ConnectionLost) as raised:
+            next(chunks)
+        self.assertNotIsInstance(raised.exception, PeerDisconnected)
+
     def test_aborted_answer_is_incomplete(self):
         stream = open_stream(self.serve_once(False), "GET", "/", read_timeout_s=5.0)
         self.addCleanup(stream.close)
         chunks = stream.chunks()
         next(chunks)
         stream.abort()
-        with self.assertRaises(ConnectionLost):
+        with self.assertRaises(ConnectionLost) as raised:
             next(chunks)
+        self.assertNotIsInstance(raised.exception, PeerDisconnected)
 
     def test_reset_before_reading_is_incomplete(self):
         stream = open_stream(self.serve_once(True), "GET", "/", read_timeout_s=5.0)
