--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,89 @@
+"""Requests with a prompt part that crashes backend servers, sent to several nodes."""
+
+import standins.common  # noqa: F401  # isort: skip
+
+import time
+import unittest
+
+import eventlet
+
+from poplarspar.platform.headers import PROMPT_PARTS
+from standins.platform import PlainWorker
+from tests.test_platform import NodeTestCase, wait_until
+
+NODES = 3
+BACKENDS = 8
+# The bound on requests with the part begins this long after the fifth crash.
+STABLE_WINDOW_S = 3.0
+ALLOWED_AFTERWARDS = 3
+
+
+class CrashingBackend(PlainWorker):
+    """Drops the connection of each request whose prompt has the part `bad0`."""
+
+    crashes: list[float] = []
+
+    def handle(self, request):
+        if "bad0" in request.headers.get(PROMPT_PARTS, ""):
+            self.crashes.append(time.monotonic())
+            self.answer_modes = ["lost"]
+        return super().handle(request)
+
+
+class CrashingPromptPartTest(NodeTestCase):
+    def setUp(self):
+        super().setUp()
+        self.nodes = [self.node, *(self.start_node() for _ in range(NODES - 1))]
+        for backend in self.workers:
+            self.store.remove(f"servers/{backend.id}")
+        self.workers = [CrashingBackend(f"i-c{index}") for index in range(BACKENDS)]
+        CrashingBackend.crashes = []
+        for backend in self.workers:
+            self.addCleanup(backend.close)
+            self.store.put(f"servers/{backend.id}", backend.entry("ledger"))
+        for node in self.nodes:
+            wait_until(node.is_ready, "node is ready")
+        wait_until(lambda: self.send_parts(0, "aa0") == 200, "backends are used")
+
+    def send_parts(self, number, *parts):
+        """Send a request with shared prompt parts to a node; return the status."""
+        prefix = ",".join(f"{part}:40" for part in (*parts, f"f{number:x}"))
+        node = self.nodes[number % NODES]
+        return self.send(
+            "/look/1", node=node, Attempt_Id=f"a{number}", Prompt_Prefix=prefix
+        ).status
+
+    def crash_five(self):
+        """Send requests with the harmful part until five backend servers crashed."""
+        for number in range(40):
+            self.send_parts(number, "aa0", "bad0")
+            if len(CrashingBackend.crashes) >= 5:
+                return
+            eventlet.sleep(0.35)
+
+    # Guards against nodes that each learn anew that a prompt part crashes backends.
+    def test_crashing_part_stops_reaching_backend_servers_at_all_nodes(self):
+        self.crash_five()
+        since = time.monotonic()
+        statuses = []
+        number = 100
+        while time.monotonic() < since + STABLE_WINDOW_S + 3.0:
+            statuses.append(self.send_parts(number, "ab0", "bad0"))
+            number += 1
+            eventlet.sleep(0.2)
+        late = [at for at in CrashingBackend.crashes if at > since + STABLE_WINDOW_S]
+        self.assertLessEqual(len(late), ALLOWED_AFTERWARDS)
+        self.assertEqual([503], sorted(set(statuses[-10:])))
+
+    # Guards against refusing callers whose prompts share only sound parts.
+    def test_sound_requests_with_the_same_first_part_and_caller_are_served(self):
+        self.crash_five()
+        eventlet.sleep(2.0)
+        for number in range(100, 112):
+            self.send_parts(number, "aa0", "bad0")
+            self.assertEqual(200, self.send_parts(number + 20, "aa0", "cc0"))
+            self.assertEqual(200, self.send_parts(number + 40, "aa0"))
+
+
+if __name__ == "__main__":
+    unittest.main()
