Decode the operator revision of a plan

Nodes rely on the plan to learn which of the operator's changes the planner has read, and hold their own watches open for eight seconds in return.

test_plan_round_trip_keeps_every_field failed before (operator_revision 0 != 71).

A plan usually arrives within milliseconds of the watch's own answer, so a node now waits 0.3 s before it reads everything.

--- a/poplarspar/coordination/prefix_watcher.py
+++ b/poplarspar/coordination/prefix_watcher.py
@@ -16,6 +16,8 @@
 # While a fleet starts, changes follow each other closely and each one matters.
 STARTUP_S = 5.0
 STARTUP_WATCH_INTERVAL_S = 0.25
+# Usually the watch reports the change at about the same time as the other node.
+CATCH_UP_DELAY_S = 0.3
 
 
 class StoreHealth:
@@ -93,7 +95,7 @@
         self.newest_revision = 0
 
     def catch_up_to(self, revision: int) -> None:
-        """Read all values immediately if another node has read a newer one.
+        """Read all values if the watch does not soon report one that another node has.
 
         Parameters
         ----------
@@ -106,6 +108,9 @@
 
     def _catch_up(self, revision: int) -> None:
         try:
+            eventlet.sleep(CATCH_UP_DELAY_S)
+            if revision <= self.newest_revision:
+                return
             self._read_all()
             self.newest_revision = max(self.newest_revision, revision)
         except StoreUnavailable as error:
--- a/poplarspar/protocol/plans.py
+++ b/poplarspar/protocol/plans.py
@@ -100,4 +100,5 @@
             for g in fields.groups
         ),
         tuple(Spare(s.backend, s.startedMs, s.model, s.loading) for s in fields.spares),
+        fields.operatorRevision,
     )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,9 +15,10 @@
 from poplarspar.platform import build_node, read_node_settings
 from poplarspar.platform.documents import parse_backend, parse_report
 from poplarspar.platform.store import PlatformStore
+from poplarspar.protocol.peers import decode, encode
 from poplarspar.protocol.spares import parse_spares, spares_text
 from poplarspar.state.backends import MemberPhase
-from poplarspar.state.plan import Spare
+from poplarspar.state.plan import FleetPlan, PlannedGroup, Spare
 from poplarspar.transport.http import send_request
 from standins.platform import PlainWorker, Store, configuration, settings_text
 
@@ -328,6 +329,19 @@
         self.assertEqual((), parse_spares("not a document"))
 
 
+class PlanTest(unittest.TestCase):
+    # Guards against nodes that never learn which revisions the planner has read.
+    def test_plan_round_trip_keeps_every_field(self):
+        plan = FleetPlan(
+            serial=3,
+            node_count=9,
+            groups=(PlannedGroup("i-1", "g", 4, "m0", 5, 600, True, 1.5),),
+            spares=(Spare("i-2", 18, "m1", "m0"),),
+            operator_revision=71,
+        )
+        self.assertEqual(plan, decode(encode(plan)))
+
+
 class StoreTest(unittest.TestCase):
     def setUp(self):
         self.served = Store()
