Quarantine prompt parts that crash backend servers

Cause: what a request does to its backend server was recorded against the backend server only. No node remembered the request's prompt parts, so each request with the harmful part was new to each node, and the node's own retry doubled the crashes.

Evidence: a request whose backend servers all disconnect before its answer begins is evidence against its shared parts (event 418). Nodes share it through the store, a key with a lease for each node, since the bound holds for nodes that reach the store, also without a planner. Three such requests at three moments and three backend servers, with no answer begun in between at any node, convict a part; parts that are explained by another one stay free, and parts that always come together are only refused together. Convicted parts are refused at once with 503 (not run) until a trial, which one node claims by compare-and-swap after 30 s, then 60 s and so on, shows that they are sound.

Why it works: the evidence of all nodes is pooled within half a second, and one begun answer anywhere clears a part, so sound parts of harmful prompts stay free.

The watches of the store move from node.py to a module of their own.

--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from contextlib import closing
 
 import eventlet
 from expression import Error, Ok, Result
@@ -23,6 +24,12 @@
 from poplarspar.coordination.forwarding.routing import RoutedRequest, route_request
 from poplarspar.coordination.forwarding.target import Target
 from poplarspar.coordination.forwarding.targets import Targets
+from poplarspar.coordination.quarantine import (
+    Admitted,
+    Observation,
+    Quarantine,
+    Quarantined,
+)
 from poplarspar.events import Event
 from poplarspar.exceptions import BackendFailed
 from poplarspar.logs import log_event
@@ -58,8 +65,10 @@
         sender: Sender,
         budget: RetryBudget,
         demand: DemandMeter,
+        quarantine: Quarantine,
     ) -> None:
         self._configuration = configuration
+        self._quarantine = quarantine
         self._demand = demand
         self._targets = targets
         self._sender = sender
@@ -73,21 +82,40 @@
             case Result(ok=routed):
                 pass
         self._budget.record_request(routed.service.name)
+        match self._quarantine.admit(request.prompt_parts):
+            case Quarantined(retry_after_s):
+                message = "the prompt has parts that crash backend servers"
+                return Error(
+                    Refusal(Reason.QUARANTINED, message, retry_after_s=retry_after_s)
+                )
+            case Admitted(observation):
+                pass
         self._demand.record_request(routed)
         if routed.route.kind is RouteKind.STREAM:
-            return self._open_stream(routed)
-        return self._call(routed)
+            return self._open_stream(routed, observation)
+        return self._call(routed, observation)
 
-    def _open_stream(self, routed: RoutedRequest) -> Result[Answer, Refusal]:
+    def _open_stream(
+        self, routed: RoutedRequest, observation: Observation
+    ) -> Result[Answer, Refusal]:
         answer = ResumableAnswer(
-            routed, self._targets, self._sender, self._budget, self.find_target
+            routed,
+            self._targets,
+            self._sender,
+            self._budget,
+            self.find_target,
+            observation,
         )
         return answer.open()
 
-    def _call(self, routed: RoutedRequest) -> Result[Answer, Refusal]:
+    def _call(
+        self, routed: RoutedRequest, observation: Observation
+    ) -> Result[Answer, Refusal]:
         remaining_s = routed.deadline - time.monotonic()
-        call = _UnstreamedCall(routed, self._sender, self._budget, self.find_target)
-        with eventlet.Timeout(max(0.0, remaining_s), False):
+        call = _UnstreamedCall(
+            routed, self._sender, self._budget, self.find_target, observation
+        )
+        with closing(observation), eventlet.Timeout(max(0.0, remaining_s), False):
             return call.run()
         if call.may_have_run:
             refusal = Refusal(Reason.TIMEOUT, "no answer in time", Ran.UNKNOWN)
@@ -138,8 +166,10 @@
         sender: Sender,
         budget: RetryBudget,
         find_target: FindTarget,
+        observation: Observation,
     ) -> None:
         self._routed = routed
+        self._observation = observation
         self._sender = sender
         self._budget = budget
         self._find_target = find_target
@@ -169,8 +199,10 @@
                 case NotReached() | Rejected():
                     self._declined_attempts += 1
                     self.may_have_run = may_have_run_before
-                case Broke():
+                case Broke(disconnected=disconnected):
                     self._sent_attempts += 1
+                    if disconnected:
+                        self._observation.record_disconnected(target.backend)
 
     def _next_target(self) -> Result[Target, Refusal]:
         routed = self._routed
@@ -191,6 +223,8 @@
             return True
         if self._sent_attempts and not self._routed.route.repeatable:
             return False
+        if self._sent_attempts and not self._observation.may_retry():
+            return False
         if self._sent_attempts >= self._routed.route.max_attempts:
             return False
         return self._budget.try_consume(self._routed.service.name)
@@ -211,11 +245,14 @@
         self._sent_attempts += 1
         try:
             body = exchange.read_body()
-        except BackendFailed:
+        except BackendFailed as failure:
             began.target.record_failure()
+            if failure.disconnected:
+                self._observation.record_disconnected(began.target.backend)
             return None
         finally:
             self._sender.finish(began)
+        self._observation.record_begun()
         answer = CompleteAnswer(
             exchange.status, exchange.headers, body, began.target.backend.id
         )
--- a/poplarspar/coordination/forwarding/resuming.py
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterator
+from contextlib import ExitStack
 
 from expression import Error, Ok, Result
 
@@ -17,6 +18,7 @@
 from poplarspar.coordination.forwarding.routing import RoutedRequest
 from poplarspar.coordination.forwarding.target import Target
 from poplarspar.coordination.forwarding.targets import Targets
+from poplarspar.coordination.quarantine import Observation
 from poplarspar.events import Event
 from poplarspar.exceptions import BackendFailed
 from poplarspar.logs import log_event
@@ -46,8 +48,10 @@
         sender: Sender,
         budget: RetryBudget,
         find_target: FindTarget,
+        observation: Observation,
     ) -> None:
         self._routed = routed
+        self._observation = observation
         self._targets = targets
         self._sender = sender
         self._budget = budget
@@ -62,21 +66,24 @@
 
     def open(self) -> Result[StreamedAnswer | CompleteAnswer, Refusal]:
         """Start the answer at a target with a free slot."""
-        match self._start(self._routed.route.target_latency_s * WAIT_FRACTION):
-            case Result(tag="error", error=refusal):
-                return Error(refusal)
-            case Result(ok=began):
-                exchange = began.exchange
-        if exchange.is_stream:
-            self._streaming = True
-            return Ok(StreamedAnswer(exchange.status, exchange.headers, self))
-        try:
-            body = exchange.read_body()
-        except BackendFailed as failure:
-            return Error(Refusal(Reason.BACKEND, str(failure), Ran.UNKNOWN))
-        finally:
-            self.close()
-        return Ok(CompleteAnswer(exchange.status, exchange.headers, body))
+        with ExitStack() as stack:
+            stack.callback(self.close)
+            match self._start(self._routed.route.target_latency_s * WAIT_FRACTION):
+                case Result(tag="error", error=refusal):
+                    return Error(refusal)
+                case Result(ok=began):
+                    exchange = began.exchange
+            if exchange.is_stream:
+                self._streaming = True
+                stack.pop_all()
+                return Ok(StreamedAnswer(exchange.status, exchange.headers, self))
+            try:
+                body = exchange.read_body()
+            except BackendFailed as failure:
+                self._record_failure(failure)
+                return Error(Refusal(Reason.BACKEND, str(failure), Ran.UNKNOWN))
+            self._observation.record_begun()
+            return Ok(CompleteAnswer(exchange.status, exchange.headers, body))
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield the events; raises `BackendFailed` if the stream can't resume."""
@@ -91,6 +98,7 @@
                 self._began.target.record_success()
                 return
             self._began.target.record_progress()
+            self._observation.record_begun()
             if event.number is not None:
                 if self._last_event is not None and event.number <= self._last_event:
                     continue
@@ -107,6 +115,8 @@
         may_run_again = self._sent_attempts < self._routed.route.max_attempts
         if not self._routed.route.repeatable or not may_run_again:
             return False
+        if not self._observation.may_retry():
+            return False
         if self._budget.remaining(self._routed.service.name) <= 0:
             return False
         # The task that reads the events then resumes at another replica group.
@@ -115,6 +125,10 @@
 
     def close(self) -> None:
         """End the answer and cancel the rest of it."""
+        self._end_exchange()
+        self._observation.close()
+
+    def _end_exchange(self) -> None:
         began, self._began = self._began, None
         if began is not None:
             began.target.streams.discard(self)
@@ -142,8 +156,10 @@
                     return Ok(began)
                 case NotReached() | Rejected():
                     self._declined_attempts += 1
-                case Broke():
+                case Broke(disconnected=disconnected):
                     self._sent_attempts += 1
+                    if disconnected:
+                        self._observation.record_disconnected(target.backend)
 
     def _cannot_continue(self, began: Began) -> bool:
         """Return whether an answer can't continue the caller's stream."""
@@ -169,7 +185,9 @@
     def _may_retry(self) -> bool:
         route = self._routed.route
         if self._sent_attempts and (
-            not route.repeatable or self._sent_attempts >= route.max_attempts
+            not route.repeatable
+            or self._sent_attempts >= route.max_attempts
+            or not self._observation.may_retry()
         ):
             return False
         if self._declined_attempts >= MAX_DECLINED_ATTEMPTS:
@@ -210,8 +228,14 @@
             disconnected=failure.disconnected,
             parts=self._routed.request.prompt_parts,
         )
-        self._began.target.record_failure()
-        self.close()
+        self._record_failure(failure)
+        self._end_exchange()
         match self._start(RESUME_WAIT_S):
             case Result(tag="error", error=refusal):
                 raise BackendFailed(refusal.message, sent=True) from failure
+
+    def _record_failure(self, failure: BackendFailed) -> None:
+        target = self._began.target
+        target.record_failure()
+        if failure.disconnected:
+            self._observation.record_disconnected(target.backend)
--- /dev/null
+++ b/poplarspar/coordination/quarantine/__init__.py
@@ -0,0 +1,25 @@
+"""Quarantine of prompt parts that crash backend servers."""
+
+from poplarspar.coordination.quarantine.evidence import EvidenceTable
+from poplarspar.coordination.quarantine.exchange import (
+    QUARANTINE_PREFIX,
+    QuarantineDocuments,
+    QuarantineExchange,
+)
+from poplarspar.coordination.quarantine.quarantine import (
+    Admitted,
+    Observation,
+    Quarantine,
+    Quarantined,
+)
+
+__all__ = [
+    "QUARANTINE_PREFIX",
+    "Admitted",
+    "EvidenceTable",
+    "Observation",
+    "Quarantine",
+    "QuarantineDocuments",
+    "QuarantineExchange",
+    "Quarantined",
+]
--- /dev/null
+++ b/poplarspar/coordination/quarantine/exchange.py
@@ -0,0 +1,187 @@
+"""Exchange of evidence and quarantined parts between nodes, through the store."""
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import eventlet
+from eventlet.event import Event as Signal
+
+from poplarspar.coordination.ports import Change, WatchedStore
+from poplarspar.coordination.quarantine.evidence import EVIDENCE_TTL_S
+from poplarspar.coordination.quarantine.quarantine import Quarantine
+from poplarspar.coordination.session import Lease
+from poplarspar.events import Event
+from poplarspar.exceptions import (
+    LeaseEnded,
+    ProtocolError,
+    RevisionConflict,
+    StoreUnavailable,
+)
+from poplarspar.logs import log_event
+from poplarspar.state.quarantine import Evidence, QuarantinedParts
+
+QUARANTINE_PREFIX = "poplarspar-quarantine/"
+ENTRIES_KEY = QUARANTINE_PREFIX + "entries"
+EVIDENCE_PREFIX = QUARANTINE_PREFIX + "evidence/"
+# The loss of one backend server fails several requests within milliseconds.
+BATCH_S = 0.05
+MIN_WRITE_INTERVAL_S = 0.25
+MAX_RETRY_DELAY_S = 0.8
+
+
+class QuarantineDocuments(Protocol):
+    """Encoding of evidence and entries.
+
+    The decoding methods raise `ProtocolError`.
+    """
+
+    def evidence_text(self, evidence: Evidence) -> str:
+        """Encode a node's evidence."""
+
+    def parse_evidence(self, text: str) -> Evidence:
+        """Decode a node's evidence."""
+
+    def entries_text(self, entries: tuple[QuarantinedParts, ...]) -> str:
+        """Encode the parts in quarantine."""
+
+    def parse_entries(self, text: str) -> tuple[QuarantinedParts, ...]:
+        """Decode the parts in quarantine."""
+
+
+class QuarantineExchange:
+    """Shares a node's evidence and the quarantine with the other nodes.
+
+    Each node writes its evidence to a key of its own, whose lease outlives the node,
+    so that nodes neither wait for each other nor for the planner. All nodes change
+    the one key with the entries by compare-and-swap.
+
+    Parameters
+    ----------
+    node : str
+        Name of this node's process.
+    is_planner : callable
+        Returns whether this node is the planner.
+
+    Attributes
+    ----------
+    quarantine : Quarantine
+        This node's copy of the quarantine.
+    """
+
+    def __init__(
+        self,
+        store: WatchedStore,
+        documents: QuarantineDocuments,
+        node: str,
+        is_planner: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._documents = documents
+        self._evidence_key = EVIDENCE_PREFIX + node
+        self._lease = Lease(store, EVIDENCE_TTL_S)
+        self._evidence_revision = 0
+        self._entries_revision = 0
+        self._shared_evidence = Evidence()
+        self._wake = Signal()
+        self.quarantine = Quarantine(node, is_planner, self.write_entries, self.notify)
+
+    def notify(self) -> None:
+        """Share what has changed."""
+        if not self._wake.ready():
+            self._wake.send()
+
+    def run(self) -> None:
+        """Share changes until the task is killed."""
+        while True:
+            self._wake.wait()
+            self._wake = Signal()
+            eventlet.sleep(BATCH_S)
+            try:
+                self._share()
+            except (StoreUnavailable, RevisionConflict, LeaseEnded) as error:
+                cause = f"{type(error).__name__}: {error}"
+                log_event(Event.QUARANTINE_NOT_SHARED, cause=cause)
+                eventlet.sleep(random.uniform(BATCH_S, MAX_RETRY_DELAY_S))
+                self.notify()
+            eventlet.sleep(MIN_WRITE_INTERVAL_S)
+
+    def write_entries(self, entries: tuple[QuarantinedParts, ...]) -> bool:
+        """Store entries; False if the store is unavailable or has others."""
+        try:
+            self._write_entries(entries)
+        except (StoreUnavailable, RevisionConflict) as error:
+            cause = f"{type(error).__name__}: {error}"
+            log_event(Event.QUARANTINE_NOT_SHARED, cause=cause)
+            return False
+        return True
+
+    def replace(self, items: tuple[Change, ...]) -> None:
+        """Apply all keys under the prefix."""
+        if self._entries_revision and all(item.key != ENTRIES_KEY for item in items):
+            self._entries_revision = 0
+            self.quarantine.mark_unstored()
+        self.apply(items)
+
+    def apply(self, items: tuple[Change, ...]) -> None:
+        """Apply changes of keys under the prefix, in order."""
+        for item in items:
+            try:
+                self._apply(item)
+            except ProtocolError as error:
+                log_event(Event.DOCUMENT_MALFORMED, key=item.key, cause=str(error))
+
+    def _apply(self, item: Change) -> None:
+        if item.key == ENTRIES_KEY:
+            if item.revision <= self._entries_revision:
+                return
+            self._entries_revision = item.revision
+            if item.text is None:
+                self._entries_revision = 0
+                self.quarantine.mark_unstored()
+            else:
+                entries = self._documents.parse_entries(item.text)
+                self.quarantine.replace_entries(entries)
+        elif item.key != self._evidence_key and item.text is not None:
+            # Evidence whose lease has ended expires at each node by itself.
+            evidence = self._documents.parse_evidence(item.text)
+            self.quarantine.merge_evidence(evidence)
+
+    def _share(self) -> None:
+        evidence = self.quarantine.own_evidence()
+        if evidence != self._shared_evidence:
+            self._write_evidence(evidence)
+        if self.quarantine.needs_write():
+            entries = self.quarantine.entries()
+            try:
+                self._write_entries(entries)
+            except RevisionConflict:
+                self._read_entries()
+                raise
+            self.quarantine.replace_entries(entries)
+
+    def _write_evidence(self, evidence: Evidence) -> None:
+        if self._lease.keep_alive():
+            # The key has gone with the previous lease.
+            self._evidence_revision = 0
+        text = self._documents.evidence_text(evidence)
+        try:
+            self._evidence_revision = self._store.compare_and_swap(
+                self._evidence_key, self._evidence_revision, text, self._lease.id
+            )
+        except RevisionConflict:
+            # The answer to an earlier write was lost; no other node uses this key.
+            self._evidence_revision = self._store.read(self._evidence_key).revision
+            raise
+        self._shared_evidence = evidence
+
+    def _write_entries(self, entries: tuple[QuarantinedParts, ...]) -> None:
+        text = self._documents.entries_text(entries)
+        self._entries_revision = self._store.compare_and_swap(
+            ENTRIES_KEY, self._entries_revision, text
+        )
+
+    def _read_entries(self) -> None:
+        stored = self._store.read(ENTRIES_KEY)
+        text = stored.text if stored.revision else None
+        self.apply((Change(ENTRIES_KEY, stored.revision, text),))
--- /dev/null
+++ b/poplarspar/coordination/quarantine/quarantine.py
@@ -0,0 +1,333 @@
+"""Admission of requests by the parts of their prompts."""
+
+import itertools
+import random
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+
+from poplarspar.coordination.quarantine.evidence import EVIDENCE_TTL_S, EvidenceTable
+from poplarspar.events import Event
+from poplarspar.logs import log_event
+from poplarspar.state.backends import BackendServer
+from poplarspar.state.quarantine import (
+    Evidence,
+    QuarantinedParts,
+    UnansweredRequest,
+)
+
+# Time for other nodes to report that an answer with a suspected part has begun.
+CONVICTION_DELAY_S = 0.4
+FIRST_HOLD_S = 30.0
+MAX_HOLD_S = 600.0
+# A quarantine without a trial for this long has had no requests.
+RETENTION_S = 3600.0
+MAX_QUARANTINED = 64
+MAX_OWN_EVIDENCE = 32
+MAX_OWN_BEGUN = 256
+MAX_PARTS = 32
+# Unanswered requests with a part from which on its requests are not retried, and
+# from which on other nodes need to know that an answer with it has begun.
+SUSPECTED_COUNT = 2
+# The nodes convict a part at the same time; one write to the store is enough.
+MAX_WRITE_DELAY_S = 1.0
+MIN_RETRY_AFTER_S = 1.0
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """The request may be sent; its sender reports to the observation and closes it."""
+
+    observation: "Observation"
+
+
+@dataclass(frozen=True)
+class Quarantined:
+    """The request would crash its backend server."""
+
+    retry_after_s: float
+
+
+Admission = Admitted | Quarantined
+
+
+class Observation:
+    """Outcome of one admitted request, for the evidence.
+
+    Attributes
+    ----------
+    is_trial : bool
+        Whether the request has quarantined parts and shows if they are sound.
+    """
+
+    def __init__(
+        self, quarantine: "Quarantine", parts: tuple[str, ...], is_trial: bool
+    ) -> None:
+        self._quarantine = quarantine
+        self._parts = parts
+        self._is_trial = is_trial
+        self._lost_backends: list[str] = []
+        self._begun = False
+
+    def may_retry(self) -> bool:
+        """Return whether the request may be sent to another backend server."""
+        if self._begun:
+            return True
+        return not self._is_trial and not self._quarantine.is_suspected(self._parts)
+
+    def record_disconnected(self, backend: BackendServer) -> None:
+        """Record that a backend server disconnected before its answer was complete."""
+        if not self._begun:
+            self._lost_backends.append(f"{backend.id}/{backend.started_ms}")
+
+    def record_begun(self) -> None:
+        """Record that the answer has begun."""
+        if not self._begun:
+            self._begun = True
+            self._quarantine.record_begun(self._parts)
+
+    def close(self) -> None:
+        """Record the outcome; safe to call more than once."""
+        lost_backends, self._lost_backends = self._lost_backends, []
+        if lost_backends and self._parts and not self._begun:
+            self._quarantine.record_unanswered(self._parts, lost_backends)
+
+
+@dataclass
+class _Entry:
+    """Parts in quarantine; `stored` is False until the store has them."""
+
+    quarantined: QuarantinedParts
+    learned_at: float
+    stored: bool
+    write_at: float
+
+    def remaining_s(self, now: float) -> float:
+        return self.learned_at + self.quarantined.hold_s - now
+
+
+class Quarantine:
+    """Refuses requests whose prompts have parts that crash backend servers.
+
+    Parameters
+    ----------
+    node : str
+        Name of this node's process.
+    is_planner : callable
+        Returns whether this node is the planner, which writes to the store first.
+    claim_trial : callable
+        Stores a new version of the quarantine and returns whether no other node
+        has changed it meanwhile.
+    on_change : callable
+        Called when there is something to share with the other nodes.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        is_planner: Callable[[], bool] = lambda: True,
+        claim_trial: Callable[[tuple[QuarantinedParts, ...]], bool] = lambda new: True,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._node = node
+        self._is_planner = is_planner
+        self._claim_trial = claim_trial
+        self._on_change = on_change
+        self._request_numbers = itertools.count()
+        self._evidence = EvidenceTable()
+        self._own_unanswered: deque[UnansweredRequest] = deque(maxlen=MAX_OWN_EVIDENCE)
+        self._own_begun_at_by_part: dict[str, float] = {}
+        self._convicted_at_by_part: dict[str, float] = {}
+        self._entry_by_parts: dict[frozenset[str], _Entry] = {}
+        self._released: set[frozenset[str]] = set()
+
+    def admit(self, parts: tuple[str, ...]) -> Admission:
+        """Decide whether a request with these prompt parts may be sent."""
+        entries = self._matching(parts)
+        if not entries:
+            return Admitted(Observation(self, parts, is_trial=False))
+        now = time.monotonic()
+        remaining_s = max(entry.remaining_s(now) for entry in entries)
+        if remaining_s > 0:
+            return Quarantined(remaining_s)
+        if not self._start_trial(entries):
+            return Quarantined(MIN_RETRY_AFTER_S)
+        return Admitted(Observation(self, parts, is_trial=True))
+
+    def is_suspected(self, parts: tuple[str, ...]) -> bool:
+        """Return whether requests with one of the parts have failed repeatedly."""
+        return any(self._evidence.count(part) >= SUSPECTED_COUNT for part in parts)
+
+    def record_unanswered(self, parts: tuple[str, ...], backends: list[str]) -> None:
+        """Add a request that was not answered to the evidence."""
+        number = next(self._request_numbers)
+        request = UnansweredRequest(
+            f"{self._node}#{number}",
+            tuple(dict.fromkeys(backends)),
+            parts[-MAX_PARTS:],
+            time.monotonic(),
+        )
+        log_event(Event.REQUEST_UNANSWERED, parts=parts, backends=backends)
+        self._own_unanswered.append(request)
+        self._evidence.add(request)
+        self._on_change()
+
+    def record_begun(self, parts: tuple[str, ...]) -> None:
+        """Clear the parts of a request whose answer has begun."""
+        now = time.monotonic()
+        for entry in self._matching(parts):
+            self._release(entry)
+        for part in parts:
+            count = self._evidence.count(part)
+            if count:
+                self._evidence.record_begun(part, now)
+            if count >= SUSPECTED_COUNT:
+                self._report_begun(part, now)
+
+    def merge_evidence(self, evidence: Evidence) -> None:
+        """Add the evidence of another node."""
+        self._evidence.merge(evidence)
+
+    def own_evidence(self) -> Evidence:
+        """Return this node's evidence, for the other nodes."""
+        return Evidence(tuple(self._own_unanswered), dict(self._own_begun_at_by_part))
+
+    def check(self) -> None:
+        """Quarantine convicted parts and drop what has expired.
+
+        A timer calls this periodically.
+        """
+        now = time.monotonic()
+        self._expire(now)
+        convicted = self._evidence.convicted()
+        self._convicted_at_by_part = {
+            part: self._convicted_at_by_part.get(part, now)
+            for parts in convicted
+            for part in parts
+        }
+        for parts in convicted:
+            convicted_at = max(self._convicted_at_by_part[part] for part in parts)
+            if now >= convicted_at + CONVICTION_DELAY_S:
+                self._add(parts, now)
+        if self.needs_write():
+            self._on_change()
+
+    def entries(self) -> tuple[QuarantinedParts, ...]:
+        """Return the parts in quarantine, those of the latest trials first."""
+        latest = sorted(self._entry_by_parts.values(), key=lambda e: -e.learned_at)
+        return tuple(entry.quarantined for entry in latest[:MAX_QUARANTINED])
+
+    def needs_write(self) -> bool:
+        """Return whether this node should write its entries to the store."""
+        now = time.monotonic()
+        return bool(self._released) or any(
+            not entry.stored and now >= entry.write_at
+            for entry in self._entry_by_parts.values()
+        )
+
+    def replace_entries(self, stored: Iterable[QuarantinedParts]) -> None:
+        """Apply the entries in the store, which another node may have changed."""
+        now = time.monotonic()
+        stored_by_parts = {entry.parts: entry for entry in stored}
+        for parts, entry in list(self._entry_by_parts.items()):
+            if entry.stored and parts not in stored_by_parts:
+                del self._entry_by_parts[parts]
+                if not any(other < parts for other in stored_by_parts):
+                    # Another node has seen answers to prompts with these parts.
+                    self._clear_evidence(parts, now)
+        self._released &= stored_by_parts.keys()
+        for parts, quarantined in stored_by_parts.items():
+            known = self._entry_by_parts.get(parts)
+            if parts in self._released:
+                continue
+            if known is None or known.quarantined != quarantined:
+                self._entry_by_parts[parts] = _Entry(quarantined, now, True, now)
+            known = self._entry_by_parts[parts]
+            known.stored = True
+
+    def mark_unstored(self) -> None:
+        """Write the entries again, since the store has lost them."""
+        for entry in self._entry_by_parts.values():
+            entry.stored = False
+            entry.write_at = self._write_time()
+
+    def _matching(self, parts: tuple[str, ...]) -> list[_Entry]:
+        prompt = set(parts)
+        return [
+            entry
+            for entry in self._entry_by_parts.values()
+            if entry.quarantined.parts <= prompt
+        ]
+
+    def _start_trial(self, entries: list[_Entry]) -> bool:
+        """Start the next hold of the entries; False if another node was first."""
+        new_by_parts = {
+            entry.quarantined.parts: replace(
+                entry.quarantined,
+                hold_s=min(MAX_HOLD_S, 2 * entry.quarantined.hold_s),
+            )
+            for entry in entries
+        }
+        changed = tuple(new_by_parts.get(old.parts, old) for old in self.entries())
+        if not self._claim_trial(changed):
+            return False
+        self.replace_entries(changed)
+        log_event(
+            Event.QUARANTINE_TRIAL, parts=[sorted(parts) for parts in new_by_parts]
+        )
+        return True
+
+    def _add(self, parts: frozenset[str], now: float) -> None:
+        if any(known <= parts for known in self._entry_by_parts):
+            return
+        for known in list(self._entry_by_parts):
+            if parts < known:
+                del self._entry_by_parts[known]
+        quarantined = QuarantinedParts(parts, FIRST_HOLD_S)
+        self._released.discard(parts)
+        self._entry_by_parts[parts] = _Entry(
+            quarantined, now, False, self._write_time()
+        )
+        log_event(Event.PARTS_QUARANTINED, parts=sorted(parts))
+
+    def _release(self, entry: _Entry) -> None:
+        parts = entry.quarantined.parts
+        del self._entry_by_parts[parts]
+        if entry.stored:
+            self._released.add(parts)
+        self._clear_evidence(parts, time.monotonic())
+        log_event(Event.QUARANTINE_ENDED, parts=sorted(parts))
+        self._on_change()
+
+    def _clear_evidence(self, parts: frozenset[str], now: float) -> None:
+        for part in parts:
+            self._evidence.record_begun(part, now)
+
+    def _expire(self, now: float) -> None:
+        self._evidence.expire(now)
+        while (
+            self._own_unanswered
+            and self._own_unanswered[0].ended_at < now - EVIDENCE_TTL_S
+        ):
+            self._own_unanswered.popleft()
+        self._own_begun_at_by_part = {
+            part: at
+            for part, at in self._own_begun_at_by_part.items()
+            if at > now - EVIDENCE_TTL_S
+        }
+        if self._is_planner():
+            for entry in list(self._entry_by_parts.values()):
+                if now > entry.learned_at + RETENTION_S:
+                    self._release(entry)
+
+    def _report_begun(self, part: str, now: float) -> None:
+        self._own_begun_at_by_part.pop(part, None)
+        self._own_begun_at_by_part[part] = now
+        if len(self._own_begun_at_by_part) > MAX_OWN_BEGUN:
+            del self._own_begun_at_by_part[next(iter(self._own_begun_at_by_part))]
+        self._on_change()
+
+    def _write_time(self) -> float:
+        delay_s = 0.0 if self._is_planner() else random.uniform(0.3, MAX_WRITE_DELAY_S)
+        return time.monotonic() + delay_s
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -198,6 +198,30 @@
         "The order or its answer was lost; the order may take effect later.",
         "Nothing; the planner checks the effect in its next pass.",
     )
+    PARTS_QUARANTINED = (
+        260,
+        "prompt parts quarantined",
+        "Requests with these `parts`, and no other cause, crash backend servers.",
+        "Find the caller (event 418) and the fault of the backend servers.",
+    )
+    QUARANTINE_TRIAL = (
+        261,
+        "request with quarantined parts sent as a trial",
+        "The hold of the parts has ended; the next one is twice as long.",
+        "Nothing; event 262 follows if the answer begins.",
+    )
+    QUARANTINE_ENDED = (
+        262,
+        "quarantine of prompt parts ended",
+        "An answer to a prompt with them has begun, or no request has had them.",
+        "Nothing.",
+    )
+    QUARANTINE_NOT_SHARED = (
+        306,
+        "evidence or quarantine could not be stored",
+        "The store did not answer, or another node wrote the quarantine first.",
+        "Nothing; the node repeats the write, and acts on what it knows.",
+    )
     STORE_LOST = (
         300,
         "store does not answer",
@@ -307,6 +331,12 @@
         "The replica group of `backend` sent nothing for `stalled_ms`.",
         "Nothing; check the backend server if it stalls more often than others.",
     )
+    REQUEST_UNANSWERED = (
+        418,
+        "backend servers disconnected before a request's answer began",
+        "They crashed, perhaps on one of the prompt's `parts`.",
+        "Nothing for one; event 260 follows if requests with a part go on failing.",
+    )
     NO_PLACE = (
         416,
         "no free slot for a request",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -26,8 +26,9 @@
     ReportPort,
 )
 from poplarspar.coordination.ports import WatchedStore
-from poplarspar.coordination.prefix_watcher import PrefixWatcher, StoreHealth
-from poplarspar.coordination.session import NODE_PREFIX, Session
+from poplarspar.coordination.prefix_watcher import StoreHealth
+from poplarspar.coordination.quarantine import QuarantineExchange
+from poplarspar.coordination.session import Session
 from poplarspar.coordination.sharing import even_share
 from poplarspar.coordination.timers import TimerService
 from poplarspar.daemon import spawn_supervised
@@ -35,6 +36,7 @@
 from poplarspar.exceptions import InvalidSettings
 from poplarspar.logs import log_event
 from poplarspar.planning import PlanningPart
+from poplarspar.protocol.quarantine import QuarantineJson
 from poplarspar.state.metrics import Metrics
 from poplarspar.state.node import NodeSettings
 from poplarspar.state.serving import ServiceSpec
@@ -48,22 +50,9 @@
     ServerLimits,
     json_response,
 )
+from poplarspar.watching import StoreWatches
 
-# A new watch request replaces a watch that silently stopped reporting changes. The
-# planner renews its watch often enough to apply a configuration within 2 s. Each plan
-# carries the newest operator revision that the planner has read, so the other nodes
-# reread missed changes and can renew their watches less often.
-OPERATOR_WATCH_TIMEOUT_S = 1.4
-RELAXED_OPERATOR_WATCH_TIMEOUT_S = 8.0
-OPERATOR_RESYNC_INTERVAL_S = 10.0
-# A node that misses a change of the node list for a while does little harm.
-NODES_WATCH_TIMEOUT_S = 8.0
-NODES_RESYNC_INTERVAL_S = 30.0
-# Entries of backend servers change constantly, so the node batches their changes. The
-# margin covers the watch request, so that the node notices a drain within `drain_s`.
-BACKEND_WATCH_TIMEOUT_S = 1.0
-BACKEND_WATCH_MARGIN_S = 0.6
-BACKEND_RESYNC_INTERVAL_S = 60.0
+QUARANTINE_CHECK_INTERVAL_S = 0.2
 # The load balancer checks once a second and removes a node after two failures.
 DRAIN_NOTICE_S = 2.5
 # Time reserved before SIGKILL to close the requests still in flight.
@@ -112,6 +101,12 @@
             settings.retry_share, settings.retry_slack, settings.retry_window_s
         )
         self._demand_meter = DemandMeter()
+        self._quarantine_exchange = QuarantineExchange(
+            adapters.store,
+            QuarantineJson(),
+            self.name,
+            lambda: self._session.is_planner,
+        )
         self._planning: PlanningPart | None = None
         self._secret = uuid.uuid4().hex
         self._start()
@@ -195,10 +190,14 @@
             sender,
             self._retry_budget,
             self._demand_meter,
+            self._quarantine_exchange.quarantine,
         )
         timers = TimerService()
         self._stack.callback(timers.close)
         timers.every(STALL_CHECK_INTERVAL_S, StallDetector(self._targets).check)
+        timers.every(
+            QUARANTINE_CHECK_INTERVAL_S, self._quarantine_exchange.quarantine.check
+        )
         handler = self._adapters.caller_handler(forwarder, self.drain, self.metrics)
         self._caller_listener = listen(settings.caller_listen)
         self._server = HttpServer(
@@ -228,23 +227,6 @@
 
     def _start_watchers(self) -> None:
         adapters, settings = self._adapters, self._settings
-        updater = self._fleet_updater
-        self._operator_watcher = self._start_watcher(
-            adapters.operator_prefix,
-            self._operator_watch_timeout_s,
-            0.0,
-            OPERATOR_RESYNC_INTERVAL_S,
-            updater.replace_operator_values,
-            updater.apply_operator_changes,
-        )
-        self._start_watcher(
-            adapters.backend_prefix,
-            lambda: BACKEND_WATCH_TIMEOUT_S,
-            max(0.0, settings.drain_s - BACKEND_WATCH_MARGIN_S),
-            BACKEND_RESYNC_INTERVAL_S,
-            updater.replace_backend_entries,
-            updater.apply_backend_changes,
-        )
         self._session = Session(
             adapters.store,
             self.name,
@@ -254,45 +236,25 @@
             settings.min_lease_s,
             self._nodes_changed,
         )
-        self._start_watcher(
-            NODE_PREFIX,
-            lambda: NODES_WATCH_TIMEOUT_S,
-            0.0,
-            NODES_RESYNC_INTERVAL_S,
-            self._session.replace,
-            self._session.apply,
+        watches = StoreWatches(
+            adapters.store, self._store_health, self._stack, self._follows_plan
         )
-        self._stack.callback(spawn_supervised(self._session.run).kill)
-
-    def _start_watcher(
-        self,
-        prefix,
-        watch_timeout_s,
-        watch_interval_s,
-        resync_interval_s,
-        replace,
-        apply,
-    ) -> PrefixWatcher:
-        watcher = PrefixWatcher(
-            self._adapters.store,
-            prefix,
-            self._store_health,
-            watch_timeout_s=watch_timeout_s,
-            watch_interval_s=watch_interval_s,
-            resync_interval_s=resync_interval_s,
-            replace=replace,
-            apply=apply,
+        self._operator_watcher = watches.watch_operator(
+            adapters.operator_prefix, self._fleet_updater
         )
-        self._stack.callback(spawn_supervised(watcher.run).kill)
-        return watcher
+        watches.watch_backends(
+            adapters.backend_prefix, self._fleet_updater, settings.drain_s
+        )
+        watches.watch_nodes(self._session)
+        self._stack.callback(spawn_supervised(self._session.run).kill)
+        self._quarantine_watcher = watches.watch_quarantine(self._quarantine_exchange)
+        self._stack.callback(spawn_supervised(self._quarantine_exchange.run).kill)
 
-    def _operator_watch_timeout_s(self) -> float:
-        """Return the timeout of a watch request for the operator's changes."""
+    def _follows_plan(self) -> bool:
+        """Return whether this node gets fresh plans from another node."""
         planning = self._planning
         has_fresh_plan = planning is not None and planning.is_plan_fresh()
-        if has_fresh_plan and not self._session.is_planner:
-            return RELAXED_OPERATOR_WATCH_TIMEOUT_S
-        return OPERATOR_WATCH_TIMEOUT_S
+        return has_fresh_plan and not self._session.is_planner
 
     def _start_planning(self) -> None:
         adapters = self._adapters
@@ -301,6 +263,7 @@
             self._settings,
             self._session,
             self._operator_watcher,
+            self._quarantine_watcher,
             lambda: self._fleet_updater.fleet,
             self.drain,
             self._targets,
@@ -376,6 +339,9 @@
             "plan_age_seconds": min(self._planning.plan_age_s(), 1e9),
             "backend_servers": len(self._fleet_updater.fleet.backends_by_id),
             "replica_groups_serving": len(self._planning.plan.groups),
+            "prompt_parts_quarantined": len(
+                self._quarantine_exchange.quarantine.entries()
+            ),
             "evacuated_zones": len(self._fleet_updater.fleet.evacuated_zones),
             "memory_peak_bytes": usage.ru_maxrss * 1024,
             "processor_seconds": usage.ru_utime + usage.ru_stime,
--- a/poplarspar/planning.py
+++ b/poplarspar/planning.py
@@ -42,9 +42,9 @@
 
     Parameters
     ----------
-    operator_watcher : PrefixWatcher
-        Watches the operator's values; the planner sends its newest revision to
-        the other nodes.
+    operator_watcher, quarantine_watcher : PrefixWatcher
+        Watch the operator's values, and the quarantine; the planner sends their
+        newest revisions to the other nodes.
     on_plan_change : callable
         Called when the open replica groups differ from those of the last plan, or
         when the last plan was no longer fresh.
@@ -61,6 +61,7 @@
         settings: NodeSettings,
         session: Session,
         operator_watcher: PrefixWatcher,
+        quarantine_watcher: PrefixWatcher,
         fleet: Callable[[], Fleet],
         drain: Drain,
         targets: Targets,
@@ -71,6 +72,7 @@
         self._settings = settings
         self._session = session
         self._operator_watcher = operator_watcher
+        self._quarantine_watcher = quarantine_watcher
         self._fleet = fleet
         self._drain = drain
         self._targets = targets
@@ -152,7 +154,11 @@
 
     def _answer_node(self, name: str, load: NodeLoad) -> FleetPlan:
         plan = self._plan_exchange.exchange(name, load)
-        return replace(plan, operator_revision=self._operator_watcher.newest_revision)
+        return replace(
+            plan,
+            operator_revision=self._operator_watcher.newest_revision,
+            quarantine_revision=self._quarantine_watcher.newest_revision,
+        )
 
     def _node_load(self) -> NodeLoad:
         return NodeLoad(
@@ -161,6 +167,7 @@
 
     def _apply_plan(self, plan: FleetPlan) -> None:
         self._operator_watcher.catch_up_to(plan.operator_revision)
+        self._quarantine_watcher.catch_up_to(plan.quarantine_revision)
         if not plan.serial:
             # A new planner has no plan yet; the previous planner's still applies.
             return
--- a/poplarspar/protocol/callers.py
+++ b/poplarspar/protocol/callers.py
@@ -25,6 +25,7 @@
     Reason.NO_BACKEND: 503,
     Reason.STORE: 503,
     Reason.DRAINING: 503,
+    Reason.QUARANTINED: 503,
     Reason.TIMEOUT: 504,
 }
 
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -118,6 +118,7 @@
   groups @2 :List(PlannedGroup);
   spares @3 :List(Spare);
   operatorRevision @4 :UInt64;
+  quarantineRevision @5 :UInt64;
 }
 
 struct Message {
--- a/poplarspar/protocol/plans.py
+++ b/poplarspar/protocol/plans.py
@@ -56,6 +56,7 @@
         serial=plan.serial,
         nodes=plan.node_count,
         operatorRevision=plan.operator_revision,
+        quarantineRevision=plan.quarantine_revision,
     )
     groups = builder.init("groups", len(plan.groups))
     for item, group in zip(groups, plan.groups, strict=True):
@@ -101,4 +102,5 @@
         ),
         tuple(Spare(s.backend, s.startedMs, s.model, s.loading) for s in fields.spares),
         fields.operatorRevision,
+        fields.quarantineRevision,
     )
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -100,6 +100,8 @@
         Nodes that have recently reported their load.
     operator_revision : int
         Newest revision of the operator's documents that the planner has read.
+    quarantine_revision : int
+        The same for the quarantine of prompt parts.
     """
 
     serial: int = 0
@@ -107,6 +109,7 @@
     groups: tuple[PlannedGroup, ...] = ()
     spares: tuple[Spare, ...] = ()
     operator_revision: int = 0
+    quarantine_revision: int = 0
 
     def open_groups_by_head(self) -> dict[str, tuple[tuple[str, int], str]]:
         """Return the key and model of each open replica group, by its head."""
--- a/poplarspar/state/refusals.py
+++ b/poplarspar/state/refusals.py
@@ -26,6 +26,7 @@
     KEY_REUSED = "key_reused_with_other_body"
     BACKEND = "backend_server_failed"
     DRAINING = "draining"
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/poplarspar/watching.py
@@ -0,0 +1,129 @@
+"""Watches that keep a node's copies of the store's values up to date."""
+
+from collections.abc import Callable
+from contextlib import ExitStack
+
+from poplarspar.coordination.fleet import FleetUpdater
+from poplarspar.coordination.ports import Change, WatchedStore
+from poplarspar.coordination.prefix_watcher import PrefixWatcher, StoreHealth
+from poplarspar.coordination.quarantine import QUARANTINE_PREFIX, QuarantineExchange
+from poplarspar.coordination.session import NODE_PREFIX, Session
+from poplarspar.daemon import spawn_supervised
+
+# A new watch request replaces a watch that silently stopped reporting changes. The
+# planner renews its watch often enough to apply a configuration within 2 s. Each plan
+# carries the newest revisions that the planner has read, so the other nodes
+# reread missed changes and can renew their watches less often.
+WATCH_TIMEOUT_S = 1.4
+RELAXED_WATCH_TIMEOUT_S = 8.0
+OPERATOR_RESYNC_INTERVAL_S = 10.0
+# A node that misses a change of the node list for a while does little harm.
+NODES_WATCH_TIMEOUT_S = 8.0
+NODES_RESYNC_INTERVAL_S = 30.0
+# Entries of backend servers change constantly, so the node batches their changes. The
+# margin covers the watch request, so that the node notices a drain within `drain_s`.
+BACKEND_WATCH_TIMEOUT_S = 1.0
+BACKEND_WATCH_MARGIN_S = 0.6
+BACKEND_RESYNC_INTERVAL_S = 60.0
+# Bounds the reads of all nodes while many of them share evidence.
+QUARANTINE_WATCH_INTERVAL_S = 0.25
+QUARANTINE_RESYNC_INTERVAL_S = 30.0
+
+
+class StoreWatches:
+    """Starts a node's watches of the store, each in a task of its own.
+
+    Parameters
+    ----------
+    stack : ExitStack
+        Ends the tasks.
+    follows_plan : callable
+        Returns whether fresh plans of another node carry the revisions that a watch
+        may have missed.
+    """
+
+    def __init__(
+        self,
+        store: WatchedStore,
+        health: StoreHealth,
+        stack: ExitStack,
+        follows_plan: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._health = health
+        self._stack = stack
+        self._follows_plan = follows_plan
+
+    def watch_operator(self, prefix: str, updater: FleetUpdater) -> PrefixWatcher:
+        """Follow the operator's configuration and evacuations."""
+        return self._start(
+            prefix,
+            self._planned_timeout_s,
+            0.0,
+            OPERATOR_RESYNC_INTERVAL_S,
+            updater.replace_operator_values,
+            updater.apply_operator_changes,
+        )
+
+    def watch_backends(
+        self, prefix: str, updater: FleetUpdater, drain_s: float
+    ) -> PrefixWatcher:
+        """Follow the entries of backend servers, which may drain for `drain_s`."""
+        return self._start(
+            prefix,
+            lambda: BACKEND_WATCH_TIMEOUT_S,
+            max(0.0, drain_s - BACKEND_WATCH_MARGIN_S),
+            BACKEND_RESYNC_INTERVAL_S,
+            updater.replace_backend_entries,
+            updater.apply_backend_changes,
+        )
+
+    def watch_nodes(self, session: Session) -> PrefixWatcher:
+        """Follow the list of nodes and the planner's key."""
+        return self._start(
+            NODE_PREFIX,
+            lambda: NODES_WATCH_TIMEOUT_S,
+            0.0,
+            NODES_RESYNC_INTERVAL_S,
+            session.replace,
+            session.apply,
+        )
+
+    def watch_quarantine(self, exchange: QuarantineExchange) -> PrefixWatcher:
+        """Follow the evidence of other nodes and the parts in quarantine."""
+        return self._start(
+            QUARANTINE_PREFIX,
+            self._planned_timeout_s,
+            QUARANTINE_WATCH_INTERVAL_S,
+            QUARANTINE_RESYNC_INTERVAL_S,
+            exchange.replace,
+            exchange.apply,
+        )
+
+    def _start(
+        self,
+        prefix: str,
+        watch_timeout_s: Callable[[], float],
+        watch_interval_s: float,
+        resync_interval_s: float,
+        replace: Callable[[tuple[Change, ...]], None],
+        apply: Callable[[tuple[Change, ...]], None],
+    ) -> PrefixWatcher:
+        watcher = PrefixWatcher(
+            self._store,
+            prefix,
+            self._health,
+            watch_timeout_s=watch_timeout_s,
+            watch_interval_s=watch_interval_s,
+            resync_interval_s=resync_interval_s,
+            replace=replace,
+            apply=apply,
+        )
+        self._stack.callback(spawn_supervised(watcher.run).kill)
+        return watcher
+
+    def _planned_timeout_s(self) -> float:
+        """Return the timeout of a watch request whose revisions the plan carries."""
+        if self._follows_plan():
+            return RELAXED_WATCH_TIMEOUT_S
+        return WATCH_TIMEOUT_S
--- /dev/null
+++ b/tests/test_evidence.py
@@ -0,0 +1,212 @@
+"""Decisions on prompt parts that crash backend servers, on one node's knowledge."""
+
+import time
+import unittest
+
+from poplarspar.coordination.quarantine import (
+    Admitted,
+    EvidenceTable,
+    Quarantine,
+    Quarantined,
+)
+from poplarspar.exceptions import MalformedDocument
+from poplarspar.protocol.quarantine import QuarantineJson
+from poplarspar.state.quarantine import (
+    Evidence,
+    QuarantinedParts,
+    UnansweredRequest,
+)
+from tests.test_forwarding import backend
+
+
+def unanswered(number, *parts, at=None, backends=None):
+    return UnansweredRequest(
+        f"n1#{number}",
+        (f"s{number}/1",) if backends is None else backends,
+        parts,
+        float(number) if at is None else at,
+    )
+
+
+class ConvictionTest(unittest.TestCase):
+    def setUp(self):
+        self.table = EvidenceTable()
+
+    def add(self, *requests):
+        for request in requests:
+            self.table.add(request)
+
+    def test_part_of_three_unanswered_requests_is_convicted(self):
+        self.add(unanswered(1, "a", "x"), unanswered(2, "b", "x"))
+        self.assertEqual((), self.table.convicted())
+        self.add(unanswered(3, "c", "x"))
+        self.assertEqual((frozenset({"x"}),), self.table.convicted())
+
+    # Guards against refusing all prompts that begin like the harmful ones.
+    def test_first_part_whose_answers_begin_is_not_convicted(self):
+        self.add(*(unanswered(number, "a", "x") for number in (1, 2, 3)))
+        self.assertEqual((frozenset({"a", "x"}),), self.table.convicted())
+        self.table.record_begun("a", 2.5)
+        self.assertEqual((frozenset({"x"}),), self.table.convicted())
+
+    def test_parts_explained_by_another_part_are_not_convicted(self):
+        self.add(*(unanswered(number, "a", "x") for number in (1, 2, 3)))
+        self.add(unanswered(4, "b", "x"))
+        self.assertEqual((frozenset({"x"}),), self.table.convicted())
+
+    # Guards against quarantine after the loss of a zone or rack.
+    def test_requests_that_fail_at_one_moment_convict_nothing(self):
+        self.add(*(unanswered(n, "x", at=1.0 + n / 100) for n in range(1, 9)))
+        self.assertEqual((), self.table.convicted())
+
+    def test_one_faulty_backend_server_convicts_nothing(self):
+        self.add(*(unanswered(n, "x", backends=("s1/1",)) for n in range(1, 9)))
+        self.assertEqual((), self.table.convicted())
+
+    def test_repeated_report_of_a_request_counts_once(self):
+        self.add(*(unanswered(1, "x", at=float(n)) for n in range(1, 9)))
+        self.assertEqual(1, self.table.count("x"))
+
+    def test_begun_answer_of_another_node_clears_earlier_evidence_only(self):
+        self.add(unanswered(1, "x"), unanswered(5, "x"))
+        self.table.merge(Evidence((unanswered(2, "x"),), {"x": 3.0}))
+        self.assertEqual(1, self.table.count("x"))
+
+    def test_old_evidence_expires(self):
+        self.add(*(unanswered(number, "x") for number in (1, 2, 3)))
+        self.table.expire(200.0)
+        self.assertEqual(0, self.table.count("x"))
+
+
+class AdmissionTest(unittest.TestCase):
+    def setUp(self):
+        self.writes = []
+        self.accept_writes = True
+        self.quarantine = Quarantine("n1", claim_trial=self.claim)
+
+    def claim(self, entries):
+        self.writes.append(entries)
+        return self.accept_writes
+
+    def admit(self, *parts):
+        admission = self.quarantine.admit(parts)
+        self.assertIsInstance(admission, Admitted)
+        return admission.observation
+
+    def crash(self, number, *parts):
+        observation = self.admit(*parts)
+        observation.record_disconnected(backend(f"s{number}"))
+        observation.close()
+
+    def hold(self, hold_s, *parts):
+        entry = QuarantinedParts(frozenset(parts), hold_s)
+        self.quarantine.replace_entries((entry,))
+        return entry
+
+    def test_quarantined_parts_are_refused_together_only(self):
+        self.hold(30.0, "x", "y")
+        admission = self.quarantine.admit(("x", "y", "z"))
+        self.assertIsInstance(admission, Quarantined)
+        self.assertAlmostEqual(30.0, admission.retry_after_s, places=1)
+        self.admit("x", "z")
+
+    def test_caller_that_leaves_early_accuses_nothing(self):
+        self.admit("x").close()
+        self.assertEqual((), self.quarantine.own_evidence().unanswered)
+
+    def test_request_that_another_backend_server_answers_accuses_nothing(self):
+        observation = self.admit("x")
+        observation.record_disconnected(backend("s1"))
+        observation.record_begun()
+        observation.close()
+        self.assertEqual((), self.quarantine.own_evidence().unanswered)
+
+    def test_suspected_request_is_not_retried(self):
+        self.assertTrue(self.admit("x").may_retry())
+        self.crash(1, "x")
+        self.assertTrue(self.admit("x").may_retry())
+        self.crash(2, "x")
+        self.assertFalse(self.admit("x").may_retry())
+
+    def test_answer_that_begins_is_reported_once_parts_are_suspected(self):
+        self.crash(1, "x")
+        self.admit("x").record_begun()
+        self.assertEqual({}, self.quarantine.own_evidence().begun_at_by_part)
+        self.crash(2, "x")
+        self.crash(3, "x")
+        self.admit("x", "z").record_begun()
+        begun = self.quarantine.own_evidence().begun_at_by_part
+        self.assertEqual(["x"], list(begun))
+
+    def test_one_request_is_the_trial_after_the_hold(self):
+        self.hold(0.0, "x")
+        observation = self.admit("x")
+        self.assertFalse(observation.may_retry())
+        self.assertEqual(1, len(self.writes))
+
+    def test_request_is_refused_if_another_node_claims_the_trial(self):
+        self.hold(0.0, "x")
+        self.accept_writes = False
+        self.assertIsInstance(self.quarantine.admit(("x",)), Quarantined)
+
+    def test_crashing_trial_starts_a_longer_hold(self):
+        self.hold(0.001, "x")
+        time.sleep(0.002)
+        self.crash(1, "x")
+        (entry,) = self.quarantine.entries()
+        self.assertEqual(0.002, entry.hold_s)
+
+    def test_answered_trial_ends_the_quarantine(self):
+        self.hold(0.0, "x")
+        self.admit("x").record_begun()
+        self.assertEqual((), self.quarantine.entries())
+        self.assertTrue(self.quarantine.needs_write())
+        self.admit("x")
+
+    def test_quarantine_ended_by_another_node_clears_the_evidence(self):
+        for number in (1, 2, 3):
+            self.crash(number, "x")
+        self.hold(30.0, "x")
+        self.quarantine.replace_entries(())
+        self.admit("x")
+        self.assertFalse(self.quarantine.is_suspected(("x",)))
+
+    # Guards against forgetting the quarantine with the store's data.
+    def test_entries_that_the_store_lost_are_written_again(self):
+        self.hold(30.0, "x")
+        self.assertFalse(self.quarantine.needs_write())
+        self.quarantine.mark_unstored()
+        self.assertTrue(self.quarantine.needs_write())
+
+    # Guards against callers and failures that fill the table of a node.
+    def test_own_evidence_is_bounded(self):
+        for number in range(100):
+            self.crash(number, *(f"p{number}-{index}" for index in range(40)))
+        evidence = self.quarantine.own_evidence()
+        self.assertEqual(32, len(evidence.unanswered))
+        self.assertTrue(all(len(r.parts) <= 32 for r in evidence.unanswered))
+        text = QuarantineJson().evidence_text(evidence)
+        self.assertEqual(32, len(QuarantineJson().parse_evidence(text).unanswered))
+
+
+class DocumentTest(unittest.TestCase):
+    def test_evidence_round_trip_keeps_ages(self):
+        now = time.monotonic()
+        evidence = Evidence((unanswered(1, "x", at=now - 2.0),), {"y": now - 1.0})
+        parsed = QuarantineJson().parse_evidence(
+            QuarantineJson().evidence_text(evidence)
+        )
+        self.assertAlmostEqual(now - 2.0, parsed.unanswered[0].ended_at, places=1)
+        self.assertAlmostEqual(now - 1.0, parsed.begun_at_by_part["y"], places=1)
+
+    def test_entries_round_trip_and_malformed_documents(self):
+        entries = (QuarantinedParts(frozenset({"x", "y"}), 60.0),)
+        text = QuarantineJson().entries_text(entries)
+        self.assertEqual(entries, QuarantineJson().parse_entries(text))
+        for text in ("", "[]", '{"entries": [{"parts": [], "hold_ms": 1}]}'):
+            with self.subTest(text=text), self.assertRaises(MalformedDocument):
+                QuarantineJson().parse_entries(text)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -16,6 +16,7 @@
     Targets,
 )
 from poplarspar.coordination.forwarding.demand import expected_answer_tokens
+from poplarspar.coordination.quarantine import Quarantine
 from poplarspar.exceptions import BackendFailed
 from poplarspar.state.backends import BackendServer, EngineState, Load
 from poplarspar.state.callers import CallerRequest, CompleteAnswer, StreamedAnswer
@@ -188,6 +189,7 @@
             self.fleet.backends_by_id[id] = backend(id, "llm")
         self.open_groups = {"h1": (("g1", 1), "m0"), "h2": (("g2", 2), "m0")}
         self.budget = RetryBudget(0.2, 100, 10.0)
+        self.quarantine = Quarantine("n1")
         self.node_count = 1
         self.targets = Targets(
             "a",
@@ -207,6 +209,7 @@
             Sender(self.targets, self.upstream),
             self.budget,
             DemandMeter(),
+            self.quarantine,
         )
         return forwarder.serve(received)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -338,6 +338,7 @@
             groups=(PlannedGroup("i-1", "g", 4, "m0", 5, 600, True, 1.5),),
             spares=(Spare("i-2", 18, "m1", "m0"),),
             operator_revision=71,
+            quarantine_revision=72,
         )
         self.assertEqual(plan, decode(encode(plan)))
 
