Log and count the limits that backend servers name

Nodes had no name for the header, so neither a log line nor a metric showed which backend server named a limit, when, or to which node. Event 233 now does, and the metric backend_servers_limited counts them. No decision uses them yet.

--- a/poplarspar/coordination/forwarding/attempts.py
+++ b/poplarspar/coordination/forwarding/attempts.py
@@ -122,6 +122,9 @@
             return NotReached(target)
         target.record_load(exchange.load)
         target.record_progress()
+        if exchange.authentic or exchange.not_executed:
+            limits = self._targets.rate_limits
+            limits.observe(target.backend, exchange.rate_limit, sent_at)
         if exchange.not_executed:
             exchange.close()
             return Rejected(target)
--- a/poplarspar/coordination/forwarding/ports.py
+++ b/poplarspar/coordination/forwarding/ports.py
@@ -55,6 +55,9 @@
         will.
     load : Load or None
         Load that the backend server reports with the answer, None without a report.
+    rate_limit : float or None
+        Requests per second that the backend server takes from all nodes together,
+        None for no limit.
     """
 
     status: int
@@ -62,6 +65,7 @@
     authentic: bool
     not_executed: bool
     load: Load | None
+    rate_limit: float | None
     is_stream: bool
 
     def read_body(self) -> bytes:
--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -8,6 +8,7 @@
 import eventlet
 from eventlet.event import Event as Signal
 
+from poplarspar.coordination.forwarding.rate_limits import RateLimits
 from poplarspar.coordination.forwarding.routing import RoutedRequest
 from poplarspar.coordination.forwarding.target import (
     FAILURE_WEIGHT,
@@ -71,6 +72,7 @@
         self._node_count = node_count
         self._cold_limit = cold_limit
         self._fleet = Fleet()
+        self.rate_limits = RateLimits()
         self._by_service: dict[str, list[Target]] = {}
         self.by_key: dict[object, Target] = {}
         self._changed = Signal()
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -132,6 +132,12 @@
         "Its entry in the store ended; nodes send it no more requests.",
         "Nothing if it was stopped on purpose; otherwise check its VM.",
     )
+    RATE_LIMIT_CHANGED = (
+        233,
+        "backend server names another limit",
+        "It takes `limit` requests per second from all nodes together, or any number.",
+        "Check the backend server; nodes keep to the limit.",
+    )
     DOCUMENT_MALFORMED = (
         232,
         "document can't be decoded",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -342,6 +342,7 @@
             "prompt_parts_quarantined": len(
                 self._quarantine_exchange.quarantine.entries()
             ),
+            "backend_servers_limited": self._targets.rate_limits.count(),
             "evacuated_zones": len(self._fleet_updater.fleet.evacuated_zones),
             "memory_peak_bytes": usage.ru_maxrss * 1024,
             "processor_seconds": usage.ru_utime + usage.ru_stime,
--- a/poplarspar/platform/headers.py
+++ b/poplarspar/platform/headers.py
@@ -1,5 +1,7 @@
 """Names of the platform's headers, and decoding of its load header."""
 
+import re
+
 from poplarspar.state.backends import Load
 
 REQUEST_ID = "Attempt-Id"
@@ -21,6 +23,8 @@
 SIGNATURE = "Response-Signature"
 NOT_EXECUTED = "Not-Executed"
 LOAD = "Server-Load"
+# Requests per second that the backend server takes from all nodes together.
+RATE_LIMIT = "Server-Limit"
 
 # Headers that apply to one connection, or that the node sets or evaluates itself.
 NOT_FORWARDED = frozenset(
@@ -53,9 +57,13 @@
         "Upgrade",
         "Content-Length",
         LOAD,
+        RATE_LIMIT,
     )
 )
 
+# A limit has at most as many digits as a rate can need.
+_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?")
+
 
 def parse_load(text: str | None) -> Load | None:
     """Decode running requests, waiting requests and slots; None if malformed."""
@@ -64,3 +72,10 @@
         return None
     running, waiting, slots = (int(part) for part in parts)
     return Load(running, waiting, slots)
+
+
+def parse_rate_limit(text: str | None) -> float | None:
+    """Decode requests per second; None without a limit or if malformed."""
+    if text is None or not _DECIMAL.fullmatch(text.strip()):
+        return None
+    return float(text)
--- a/poplarspar/platform/upstream.py
+++ b/poplarspar/platform/upstream.py
@@ -18,10 +18,12 @@
     NOT_EXECUTED,
     NOT_RETURNED,
     PRIORITY,
+    RATE_LIMIT,
     REQUEST_ID,
     SIGNATURE,
     WORKSPACE,
     parse_load,
+    parse_rate_limit,
 )
 from poplarspar.protocol.server_sent_events import split_events
 from poplarspar.state.callers import Headers
@@ -42,6 +44,7 @@
         self._stream = stream
         self.status = stream.status
         self.load = parse_load(headers.get(LOAD))
+        self.rate_limit = parse_rate_limit(headers.get(RATE_LIMIT))
         self.not_executed = NOT_EXECUTED in headers or stream.status == MISDIRECTED
         # An encoded body is not the one that the backend server signed.
         self.authentic = (
--- a/poplarspar/state/backends.py
+++ b/poplarspar/state/backends.py
@@ -74,6 +74,11 @@
     cold_s: float
     engine_state: EngineState | None
 
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Id and start, which together identify one process."""
+        return (self.id, self.started_ms)
+
     @property
     def open_group(self) -> Membership | None:
         """Membership of the open replica group that this backend server heads."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -128,6 +128,7 @@
         self.authentic = options.get("authentic", True)
         self.not_executed = options.get("not_executed", False)
         self.load = options.get("load")
+        self.rate_limit = options.get("rate_limit")
         self.is_stream = "numbers" in options
         self._event_numbers = options.get("numbers", ())
         self._break_after = options.get("break_after")
