Reproduce the exceeded limit against three nodes

Fifteen requests a second to three nodes before two backend servers, of which one names a limit of 2 a second: it gets 32 requests in 4 s on this code, 17 are allowed.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -224,6 +224,8 @@
         ``misdirected``, ``slow``, ``broken`` or ``lost``.
     work_s : float
         Duration of a request in seconds.
+    rate_limit : float or None
+        Limit in requests per second that answers name, None for none.
     """
 
     def __init__(self, id: str, runs: list[Run] | None = None) -> None:
@@ -232,6 +234,7 @@
         self.runs: list[Run] = [] if runs is None else runs
         self.answer_modes: list[str] = []
         self.work_s = 0.0
+        self.rate_limit: float | None = None
         super().__init__()
 
     def entry(self, service: str, **changes) -> dict:
@@ -252,6 +255,8 @@
     def handle(self, request: Request) -> Response:
         mode = self.answer_modes.pop(0) if self.answer_modes else "ok"
         headers = {"Attempt-Id": request.headers.get("Attempt-Id", "")}
+        if self.rate_limit is not None:
+            headers["Server-Limit"] = str(self.rate_limit)
         if mode == "shed":
             return Response(503, b"", None, {**headers, "Not-Executed": "1"})
         if mode == "misdirected" or request.headers["Expect-Instance"] != self.id:
