Keep to the limits that backend servers name, over all nodes

Cause: no node knew the header; a limit that holds for all nodes together also needs them to divide it.

Nodes now divide a limit without messages: each second has the number of requests that the limit allows in it, and each of them belongs to one node, by the hash that already divides cold limits. A node may carry the share of one second into the next, so 4 s see at most the requests of 6, which is what the users' bound allows. What a node observes also goes to the planner with its load and to all nodes with the plan, so a node that has just started keeps to limits that it has not been told. A limit ends with an answer that does not name it, to a request sent after one that did. If all backend servers of a request are at their limits, it is refused at once, with the time until the next share.

test_all_nodes_together_keep_to_the_limit_of_a_backend_server failed before (32 requests in 4 s for 17). Simulated, greedy nodes stay within the bound with 3 to 360 nodes and limits of 0.3 to 40 a second.

--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -133,12 +133,14 @@
             if target is not None:
                 return Ok(target)
             remaining_s = wait_until - time.monotonic()
-            if remaining_s <= 0:
-                return Error(self._refuse_without_target(routed, tried))
-            self._targets.wait_for_change(remaining_s)
+            limited_s = self._targets.rate_limited_s(routed, tried)
+            if remaining_s <= max(0.0, limited_s):
+                retry_after_s = max(RETRY_AFTER_S, limited_s)
+                return Error(self._refuse_without_target(routed, tried, retry_after_s))
+            self._targets.wait_for_change(min(remaining_s, limited_s or remaining_s))
 
     def _refuse_without_target(
-        self, routed: RoutedRequest, tried: set[Target]
+        self, routed: RoutedRequest, tried: set[Target], retry_after_s: float
     ) -> Refusal:
         expected, slots = self._targets.occupancy(routed)
         log_event(
@@ -152,9 +154,9 @@
         )
         if self._targets.has_usable(routed, tried):
             message = "all backend servers are busy"
-            return Refusal(Reason.QUEUE_FULL, message, retry_after_s=RETRY_AFTER_S)
+            return Refusal(Reason.QUEUE_FULL, message, retry_after_s=retry_after_s)
         message = "no backend server is available for the request"
-        return Refusal(Reason.NO_BACKEND, message, retry_after_s=RETRY_AFTER_S)
+        return Refusal(Reason.NO_BACKEND, message, retry_after_s=retry_after_s)
 
 
 class _UnstreamedCall:
--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -72,7 +72,7 @@
         self._node_count = node_count
         self._cold_limit = cold_limit
         self._fleet = Fleet()
-        self.rate_limits = RateLimits()
+        self.rate_limits = RateLimits(share)
         self._by_service: dict[str, list[Target]] = {}
         self.by_key: dict[object, Target] = {}
         self._changed = Signal()
@@ -100,6 +100,9 @@
         for key, target in self.by_key.items():
             if key not in targets_by_key:
                 self._abort_if_stalled(target)
+        self.rate_limits.retain(
+            {backend.incarnation for backend in fleet.backends_by_id.values()}
+        )
         self.by_key = targets_by_key
         self._by_service = targets_by_service
         self.notify_waiters()
@@ -169,6 +172,16 @@
         now = time.monotonic()
         return next(self._usable(routed, tried, now), None) is not None
 
+    def rate_limited_s(self, routed: RoutedRequest, tried: set[Target]) -> float:
+        """Return the time until any usable target's limit admits the request.
+
+        It is 0 if a target has no limit, or has not yet reached it.
+        """
+        usable = list(self._usable(routed, tried, time.monotonic()))
+        if not usable or any(self.rate_limits.may_send(t.backend) for t in usable):
+            return 0.0
+        return self.rate_limits.next_slot_s()
+
     def occupancy(self, routed: RoutedRequest) -> tuple[int, int]:
         """Return expected requests and slots of all targets usable for a request."""
         now = time.monotonic()
@@ -196,6 +209,8 @@
     def _is_full(self, routed: RoutedRequest, target: Target, now: float) -> bool:
         if target.expected_in_flight(now) >= target.slots + QUEUE_ALLOWANCE:
             return True
+        if not self.rate_limits.may_send(target.backend):
+            return True
         if (
             target.in_flight_limit is not None
             and target.in_flight >= target.in_flight_limit
@@ -265,6 +280,7 @@
             target.record_progress()
         target.in_flight += 1
         target.prefill_tokens += tokens
+        self.rate_limits.record_sent(target.backend)
         target.sent_at_times.append(time.monotonic())
         if len(target.sent_at_times) > 256:
             target.sent_at_times.popleft()
@@ -291,6 +307,7 @@
                 target.stalled_for_others = group.stalled
                 target.slowdown = group.slowdown
                 target.in_flight_limit = self._in_flight_limit(target)
+        self.rate_limits.merge(plan.rate_limits)
         self.notify_waiters()
 
     def _in_flight_limit(self, target: Target) -> int | None:
--- a/poplarspar/coordination/pools/plan_exchange.py
+++ b/poplarspar/coordination/pools/plan_exchange.py
@@ -9,6 +9,7 @@
 from eventlet.event import Event as Signal
 
 from poplarspar.state.plan import FleetPlan, NodeLoad, PlannedGroup, Spare
+from poplarspar.state.rate_limits import RateLimit
 
 # The planner answers a long poll when the plan changes, or else after a time that grows
 # with the number of nodes. This bounds the planner's work in a large fleet.
@@ -17,6 +18,9 @@
 MAX_POLL_S = 1.0
 # The load of a node that no longer polls has ended or is unknown.
 LOAD_TTL_S = 3.0
+# A node keeps a limit until the backend server ends it; the plan informs new nodes.
+LIMIT_TTL_S = 30.0
+MAX_LIMITS = 512
 # A working replica group shows progress every 30 to 150 ms.
 STALLED_MS = 200
 
@@ -36,6 +40,7 @@
         self._plan = FleetPlan()
         self._changed = Signal()
         self._load_by_node: dict[str, tuple[float, NodeLoad]] = {}
+        self._limit_by_incarnation: dict[tuple[str, int], RateLimit] = {}
 
     def publish(
         self, groups: tuple[PlannedGroup, ...], spares: tuple[Spare, ...]
@@ -65,6 +70,7 @@
         for group in load.groups:
             if group.stalled_ms > STALLED_MS:
                 self._on_stall(group.head)
+        self._record_limits(load)
         if load.plan_serial == self._plan.serial:
             self._wait_for_change()
         return self._plan_for(node)
@@ -78,6 +84,24 @@
                     total[demand.model] += demand.groups
         return dict(total)
 
+    def _record_limits(self, load: NodeLoad) -> None:
+        for limit in load.rate_limits:
+            known = self._limit_by_incarnation.get(limit.incarnation)
+            if known is None or limit.observed_at > known.observed_at:
+                self._limit_by_incarnation[limit.incarnation] = limit
+
+    def _recent_limits(self) -> tuple[RateLimit, ...]:
+        since = time.monotonic() - LIMIT_TTL_S
+        recent = [
+            limit
+            for limit in self._limit_by_incarnation.values()
+            if limit.observed_at > since
+        ]
+        recent.sort(key=lambda limit: -limit.observed_at)
+        del recent[MAX_LIMITS:]
+        self._limit_by_incarnation = {limit.incarnation: limit for limit in recent}
+        return tuple(recent)
+
     def _wait_for_change(self) -> None:
         poll_s = max(MIN_POLL_S, POLL_S_PER_NODE * len(self._load_by_node))
         with eventlet.Timeout(min(poll_s, MAX_POLL_S), False):
@@ -114,7 +138,12 @@
             )
             for group in self._plan.groups
         )
-        return replace(self._plan, node_count=len(loads), groups=groups)
+        return replace(
+            self._plan,
+            node_count=len(loads),
+            groups=groups,
+            rate_limits=self._recent_limits(),
+        )
 
 
 def _incarnations(spares: tuple[Spare, ...]) -> set[tuple[str, int]]:
--- a/poplarspar/planning.py
+++ b/poplarspar/planning.py
@@ -162,7 +162,10 @@
 
     def _node_load(self) -> NodeLoad:
         return NodeLoad(
-            self.plan.serial, self._targets.loads(), self._demand_meter.demands()
+            self.plan.serial,
+            self._targets.loads(),
+            self._demand_meter.demands(),
+            self._targets.rate_limits.reports(),
         )
 
     def _apply_plan(self, plan: FleetPlan) -> None:
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -86,11 +86,22 @@
   groups @2 :Float64;
 }
 
+# A limit on requests that a backend server named `ageMs` ago; `limited` is false if
+# its last answer named none.
+struct RateLimit {
+  backend @0 :Text;
+  startedMs @1 :UInt64;
+  limited @2 :Bool;
+  requestsPerS @3 :Float64;
+  ageMs @4 :UInt32;
+}
+
 # A node's question to the planner, with its own work.
 struct NodeLoad {
   planSerial @0 :UInt64;
   groups @1 :List(GroupLoad);
   demands @2 :List(ModelDemand);
+  rateLimits @3 :List(RateLimit);
 }
 
 struct PlannedGroup {
@@ -119,6 +130,7 @@
   spares @3 :List(Spare);
   operatorRevision @4 :UInt64;
   quarantineRevision @5 :UInt64;
+  rateLimits @6 :List(RateLimit);
 }
 
 struct Message {
--- a/poplarspar/protocol/plans.py
+++ b/poplarspar/protocol/plans.py
@@ -1,5 +1,7 @@
 """Cap'n Proto encoding of nodes' loads and of the planner's plan."""
 
+import time
+
 from poplarspar.state.plan import (
     FleetPlan,
     GroupLoad,
@@ -8,6 +10,7 @@
     PlannedGroup,
     Spare,
 )
+from poplarspar.state.rate_limits import RateLimit
 
 
 def set_fields(builder, **fields):
@@ -35,6 +38,7 @@
         set_fields(
             item, service=demand.service, model=demand.model, groups=demand.groups
         )
+    _set_rate_limits(builder, load.rate_limits)
 
 
 def read_node_load(fields) -> NodeLoad:
@@ -46,6 +50,7 @@
             for g in fields.groups
         ),
         tuple(ModelDemand(d.service, d.model, d.groups) for d in fields.demands),
+        _read_rate_limits(fields),
     )
 
 
@@ -58,6 +63,7 @@
         operatorRevision=plan.operator_revision,
         quarantineRevision=plan.quarantine_revision,
     )
+    _set_rate_limits(builder, plan.rate_limits)
     groups = builder.init("groups", len(plan.groups))
     for item, group in zip(groups, plan.groups, strict=True):
         set_fields(
@@ -103,4 +109,33 @@
         tuple(Spare(s.backend, s.startedMs, s.model, s.loading) for s in fields.spares),
         fields.operatorRevision,
         fields.quarantineRevision,
+        _read_rate_limits(fields),
+    )
+
+
+def _set_rate_limits(builder, limits: tuple[RateLimit, ...]) -> None:
+    """Encode limits with ages instead of times, since nodes' clocks differ."""
+    now = time.monotonic()
+    items = builder.init("rateLimits", len(limits))
+    for item, limit in zip(items, limits, strict=True):
+        set_fields(
+            item,
+            backend=limit.backend,
+            startedMs=limit.started_ms,
+            limited=limit.requests_per_s is not None,
+            requestsPerS=limit.requests_per_s or 0.0,
+            ageMs=max(0, round((now - limit.observed_at) * 1000)),
+        )
+
+
+def _read_rate_limits(fields) -> tuple[RateLimit, ...]:
+    now = time.monotonic()
+    return tuple(
+        RateLimit(
+            item.backend,
+            item.startedMs,
+            item.requestsPerS if item.limited else None,
+            now - item.ageMs / 1000,
+        )
+        for item in fields.rateLimits
     )
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from poplarspar.state.rate_limits import RateLimit
+
 
 @dataclass(frozen=True)
 class GroupLoad:
@@ -39,11 +41,14 @@
     ----------
     plan_serial : int
         Serial of the plan that the node uses.
+    rate_limits : tuple of RateLimit
+        Limits that the node has observed recently.
     """
 
     plan_serial: int
     groups: tuple[GroupLoad, ...] = ()
     demands: tuple[ModelDemand, ...] = ()
+    rate_limits: tuple[RateLimit, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -102,6 +107,8 @@
         Newest revision of the operator's documents that the planner has read.
     quarantine_revision : int
         The same for the quarantine of prompt parts.
+    rate_limits : tuple of RateLimit
+        Limits that any node has observed.
     """
 
     serial: int = 0
@@ -110,6 +117,7 @@
     spares: tuple[Spare, ...] = ()
     operator_revision: int = 0
     quarantine_revision: int = 0
+    rate_limits: tuple[RateLimit, ...] = ()
 
     def open_groups_by_head(self) -> dict[str, tuple[tuple[str, int], str]]:
         """Return the key and model of each open replica group, by its head."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 import json
 import socket
 import tempfile
+import time
 import unittest
 from dataclasses import replace
 from pathlib import Path
@@ -18,7 +19,8 @@
 from poplarspar.protocol.peers import decode, encode
 from poplarspar.protocol.spares import parse_spares, spares_text
 from poplarspar.state.backends import MemberPhase
-from poplarspar.state.plan import FleetPlan, PlannedGroup, Spare
+from poplarspar.state.plan import FleetPlan, NodeLoad, PlannedGroup, Spare
+from poplarspar.state.rate_limits import RateLimit
 from poplarspar.transport.http import send_request
 from standins.platform import PlainWorker, Store, configuration, settings_text
 
@@ -342,6 +344,19 @@
         )
         self.assertEqual(plan, decode(encode(plan)))
 
+    def test_limits_round_trip_with_their_ages(self):
+        now = time.monotonic()
+        for limit in (2.4, None):
+            sent = RateLimit("i-1", 17, limit, now - 3.0)
+            for message in (
+                NodeLoad(1, rate_limits=(sent,)),
+                FleetPlan(rate_limits=(sent,)),
+            ):
+                (received,) = decode(encode(message)).rate_limits
+                self.assertEqual(sent.incarnation, received.incarnation)
+                self.assertEqual(limit, received.requests_per_s)
+                self.assertAlmostEqual(now - 3.0, received.observed_at, places=1)
+
 
 class StoreTest(unittest.TestCase):
     def setUp(self):
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -4,10 +4,18 @@
 
 import time
 import unittest
+from unittest import mock
 
 import eventlet
 
+from poplarspar.coordination.forwarding.rate_limits import RateLimits
+from poplarspar.coordination.pools.plan_exchange import PlanExchange
+from poplarspar.coordination.sharing import even_share
 from poplarspar.platform.headers import parse_rate_limit
+from poplarspar.state.plan import NodeLoad
+from poplarspar.state.rate_limits import RateLimit
+from poplarspar.state.refusals import Ran, Reason
+from tests.test_forwarding import FakeExchange, ForwardingTestCase, backend, request
 from tests.test_platform import NodeTestCase, wait_until
 
 NODES = 3
@@ -26,6 +34,156 @@
                 self.assertIsNone(parse_rate_limit(text))
 
 
+class SharesTest(unittest.TestCase):
+    """Several nodes' shares of one limit, on a simulated time of day."""
+
+    def setUp(self):
+        self.now = 1_700_000_000.0
+        patcher = mock.patch("time.time", lambda: self.now)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.backend = backend("s1")
+
+    def start(self, count, limit):
+        names = [f"n-{index}" for index in range(count)]
+        self.nodes = [self.node(name, names) for name in names]
+        for node in self.nodes:
+            node.merge((RateLimit("s1", 1, limit, time.monotonic()),))
+
+    @staticmethod
+    def node(name, names):
+        return RateLimits(
+            lambda total, subject: even_share(total, name, names, len(names), subject)
+        )
+
+    def send(self, node):
+        if not node.may_send(self.backend):
+            return False
+        node.record_sent(self.backend)
+        return True
+
+    def test_greedy_nodes_stay_within_the_bound_in_each_window(self):
+        for count, limit in ((9, 2.4), (84, 2.4), (3, 0.3), (9, 40.0), (360, 7.5)):
+            self.start(count, limit)
+            times = []
+            for _ in range(200):
+                self.now += 0.1
+                times += [self.now for node in self.nodes if self.send(node)]
+            most = max(sum(at <= t < at + WINDOW_S for t in times) for at in times)
+            with self.subTest(nodes=count, limit=limit):
+                self.assertLessEqual(most, 1.5 * WINDOW_S * limit + 5)
+                self.assertGreaterEqual(len(times), 0.8 * 20 * limit)
+
+    # Guards against a burst when nodes that were idle all begin to send.
+    def test_nodes_that_were_idle_stay_within_the_bound(self):
+        self.start(9, 2.4)
+        self.now += 60.0
+        times = []
+        for _ in range(60):
+            self.now += 0.1
+            times += [self.now for node in self.nodes for _ in "ab" if self.send(node)]
+        most = max(sum(at <= t < at + WINDOW_S for t in times) for at in times)
+        self.assertLessEqual(most, 1.5 * WINDOW_S * 2.4 + 5)
+
+    def test_unused_share_is_carried_to_the_next_slot_only(self):
+        self.start(1, 2.0)
+        self.assertEqual(4, sum(self.send(self.nodes[0]) for _ in range(9)))
+        self.now += 1.0
+        self.assertEqual(2, sum(self.send(self.nodes[0]) for _ in range(9)))
+        self.now += 5.0
+        self.assertEqual(4, sum(self.send(self.nodes[0]) for _ in range(9)))
+
+    def test_limit_of_zero_still_admits_a_request_now_and_then(self):
+        self.start(1, 0.0)
+        sent = 0
+        for _ in range(40):
+            self.now += 1.0
+            sent += self.send(self.nodes[0])
+        self.assertIn(sent, (3, 4, 5))
+
+
+class ObservationTest(unittest.TestCase):
+    def setUp(self):
+        self.limits = RateLimits(lambda total, subject: total)
+        self.backend = backend("s1")
+
+    def test_limit_ends_with_an_answer_without_it(self):
+        self.limits.observe(self.backend, 2.0, time.monotonic())
+        self.assertEqual(1, self.limits.count())
+        self.limits.observe(self.backend, None, time.monotonic())
+        self.assertEqual(0, self.limits.count())
+
+    # Guards against lifting a limit by a late answer to an earlier request.
+    def test_answer_to_an_earlier_request_does_not_end_a_limit(self):
+        sent_at = time.monotonic()
+        self.limits.observe(self.backend, 2.0, sent_at)
+        self.limits.observe(self.backend, None, sent_at - 0.1)
+        self.assertEqual(1, self.limits.count())
+
+    def test_newer_observation_of_another_node_applies(self):
+        self.limits.observe(self.backend, 2.0, time.monotonic())
+        now = time.monotonic()
+        self.limits.merge((RateLimit("s1", 1, None, now - 5.0),))
+        self.assertEqual(1, self.limits.count())
+        self.limits.merge((RateLimit("s1", 1, None, now + 0.1),))
+        self.assertEqual(0, self.limits.count())
+
+    def test_restarted_backend_server_has_no_limit(self):
+        self.limits.observe(self.backend, 0.0, time.monotonic())
+        self.assertTrue(self.limits.may_send(backend("s1", started_ms=2)))
+
+    # Guards against a table that grows with each backend server that ever had a limit.
+    def test_limits_of_ended_backend_servers_are_dropped(self):
+        for number in range(50):
+            self.limits.observe(backend(f"s{number}"), 2.0, time.monotonic())
+        self.limits.retain({("s1", 1)})
+        self.assertEqual(1, self.limits.count())
+
+    def test_reports_are_bounded(self):
+        for number in range(100):
+            self.limits.observe(backend(f"s{number}"), 2.0, time.monotonic())
+        self.assertEqual(64, len(self.limits.reports()))
+
+
+class PlanExchangeTest(unittest.TestCase):
+    # Guards against a new node that sends freely until each backend server tells it.
+    def test_plan_has_the_newest_limits_that_nodes_reported(self):
+        exchange = PlanExchange(lambda head: None)
+        exchange.publish((), ())
+        now = time.monotonic()
+        old, new = (RateLimit("s1", 1, limit, now + limit) for limit in (1.0, 2.0))
+        exchange.exchange("n1", NodeLoad(0, rate_limits=(new,)))
+        plan = exchange.exchange("n2", NodeLoad(0, rate_limits=(old,)))
+        self.assertEqual((new,), plan.rate_limits)
+
+
+class RefusalTest(ForwardingTestCase):
+    def limit_all(self):
+        for id in ("s1", "s2", "s3"):
+            limits = self.targets.rate_limits
+            limits.observe(self.fleet.backends_by_id[id], 0.0, time.monotonic())
+            while limits.may_send(self.fleet.backends_by_id[id]):
+                limits.record_sent(self.fleet.backends_by_id[id])
+
+    # Guards against holding requests that no backend server will take.
+    def test_request_that_all_limits_exclude_is_refused_with_a_retry_time(self):
+        with mock.patch("time.time", lambda: 1_700_000_000.2):
+            self.limit_all()
+            started_at = time.monotonic()
+            refusal = self.refused(self.serve(request()))
+            self.assertLess(time.monotonic() - started_at, 0.04)
+        self.assertEqual((Reason.QUEUE_FULL, Ran.NO), (refusal.reason, refusal.ran))
+        self.assertAlmostEqual(0.8, refusal.retry_after_s, places=3)
+
+    def test_unlimited_backend_server_gets_the_requests(self):
+        self.limit_all()
+        s2 = self.fleet.backends_by_id["s2"]
+        self.targets.rate_limits.observe(s2, None, time.monotonic())
+        for _ in range(4):
+            self.answered(self.serve(request(), FakeExchange()))
+            self.assertEqual("s2", self.upstream.attempts[0].backend_id)
+
+
 class SeveralNodesTest(NodeTestCase):
     def setUp(self):
         super().setUp()
