Bound the time and size of endless answers of backend servers

A backend server in trouble may send bytes that are no answer, without end, in a head or a body. Callers of such a backend server would have waited until it stopped: the time-out of a read applied to each receive, so one byte at a time, interim answers, header lines or trailers kept a task reading for as long as they came, also past the deadline of a streamed request. Blank lines and lines that are no fields were forwarded as events. A probe of the planner did not end either, and kept what it read.

Cause: time-outs for each receive where the limit is on the whole. Connections to backend servers now have a deadline that each receive checks: for the head, then for the body or the next event.

--- a/poplarspar/coordination/forwarding/ports.py
+++ b/poplarspar/coordination/forwarding/ports.py
@@ -19,7 +19,8 @@
     remaining_s : float
         Time until the request's deadline.
     response_timeout_s : float
-        Longest wait for the headers of the answer.
+        Longest wait for the headers of the answer, and then for its whole body unless
+        the exchange gets another limit.
     last_event : int or None
         Number of the event after which the backend server resumes a stream.
     """
@@ -75,7 +76,7 @@
         """Yield complete events; raises `BackendFailed` if the stream breaks."""
 
     def set_read_timeout(self, timeout_s: float) -> None:
-        """Set the longest wait for each further chunk."""
+        """Limit the time until the next event, or the end of the body."""
 
     def abort(self) -> None:
         """Break the connection, which ends the read of another task."""
--- a/poplarspar/platform/backends.py
+++ b/poplarspar/platform/backends.py
@@ -44,6 +44,7 @@
                 "GET",
                 REPORT_PATH,
                 read_timeout_s=timeout_s,
+                answer_timeout_s=2 * timeout_s,
                 headers={EXPECTED_BACKEND: backend.id},
             )
             if answer.status != OK:
--- a/poplarspar/platform/upstream.py
+++ b/poplarspar/platform/upstream.py
@@ -70,7 +70,7 @@
             raise _failure(error) from error
 
     def set_read_timeout(self, timeout_s: float) -> None:
-        """Limit the wait for each further chunk of the answer."""
+        """Limit the time until the next event, or the end of the body."""
         self._stream.set_read_timeout(timeout_s)
 
     def abort(self) -> None:
@@ -102,7 +102,9 @@
             raise BackendFailed(str(error), sent=False) from error
         except TransportError as error:
             raise _failure(error) from error
-        return PlatformExchange(stream, request.id)
+        exchange = PlatformExchange(stream, request.id)
+        exchange.set_read_timeout(attempt.response_timeout_s)
+        return exchange
 
 
 def _failure(error: TransportError | ProtocolError) -> BackendFailed:
--- a/poplarspar/protocol/server_sent_events.py
+++ b/poplarspar/protocol/server_sent_events.py
@@ -1,5 +1,6 @@
 """Splitting of a stream into unchanged server-sent events."""
 
+import re
 from collections.abc import Iterable, Iterator
 
 from poplarspar.coordination.forwarding.ports import StreamEvent
@@ -8,6 +9,8 @@
 MAX_EVENT_BYTES = 262_144
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+# Each line of an event is a field with its name, or a comment without one.
+_FIELDS = re.compile(rb"(?:[A-Za-z-]*:[^\n]*(?:\n|$))+")
 
 
 def split_events(chunks: Iterable[bytes]) -> Iterator[StreamEvent]:
@@ -16,8 +19,8 @@
     Raises
     ------
     ProtocolError
-        If an event is too large, its id is not a number, or the stream ends inside
-        an event.
+        If an event is too large or has lines that are no fields, its id is not a
+        number, or the stream ends inside an event.
     """
     buffer = b""
     for chunk in chunks:
@@ -26,6 +29,8 @@
         if len(buffer) > MAX_EVENT_BYTES:
             raise ProtocolError(f"a server-sent event exceeds {MAX_EVENT_BYTES} bytes")
         for event in events:
+            if not _FIELDS.fullmatch(event):
+                raise ProtocolError("a server-sent event has a line that is no field")
             yield StreamEvent(_parse_id(event), event + EVENT_END)
     if buffer:
         raise ProtocolError("the stream ended inside an event")
--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -2,11 +2,14 @@
 
 import json
 import socket
+import time
 from collections.abc import Iterator, Mapping
+from contextlib import ExitStack
 from dataclasses import dataclass
 from http.client import HTTPException
 from typing import Any
 
+import eventlet
 import urllib3
 from eventlet.greenio import GreenSocket
 from urllib3.connection import HTTPConnection
@@ -59,27 +62,37 @@
             raise TransportError("the answer is not JSON") from error
 
 
-class _ResetAwareSocket(GreenSocket):
-    """Raises when the peer resets the connection.
+class _StrictSocket(GreenSocket):
+    """Raises when the peer resets the connection, and after a deadline.
 
     eventlet's socket reports a reset as the end of the data, so a truncated answer
-    without Content-Length would look complete.
+    without Content-Length would look complete. Its time-out applies to each receive,
+    so bytes without end could keep a reader of one line or one event for ever.
+
+    Attributes
+    ----------
+    deadline : float
+        Monotonic time in seconds after which nothing is received.
     """
 
+    deadline = float("inf")
+
     def _recv_loop(self, receive, empty, *arguments):
         while True:
+            if time.monotonic() > self.deadline:
+                raise TimeoutError("the answer is not complete in time")
             try:
                 return receive(*arguments)
             except BlockingIOError:
                 self._read_trampoline()
 
 
-class _ResetAwareConnection(HTTPConnection):
-    """A connection that raises when the peer resets it."""
+class _StrictConnection(HTTPConnection):
+    """A connection with a `_StrictSocket`."""
 
     def _new_conn(self) -> socket.socket:
         original = super()._new_conn()
-        wrapped = _ResetAwareSocket(original.fd)
+        wrapped = _StrictSocket(original.fd)
         # Keeps the original socket alive, which would close the descriptor when it is
         # garbage-collected.
         wrapped.original = original
@@ -92,12 +105,15 @@
     def __init__(
         self,
         connection: HTTPConnection,
-        sock: socket.socket,
+        sock: _StrictSocket,
         answer: urllib3.HTTPResponse,
+        read_timeout_s: float,
     ) -> None:
         self._connection = connection
         self._sock = sock
         self._answer = answer
+        self._read_timeout_s = read_timeout_s
+        self._reads_end_at: float | None = None
         self._aborted = False
         self.status = answer.status
         self.headers = answer.headers
@@ -105,6 +121,11 @@
     def chunks(self) -> Iterator[bytes]:
         """Yield chunks of the body as they arrive; raises `ConnectionLost`."""
         while True:
+            self._sock.deadline = (
+                time.monotonic() + self._read_timeout_s
+                if self._reads_end_at is None
+                else self._reads_end_at
+            )
             try:
                 data = self._answer.read1(CHUNK_BYTES)
             except (HTTPError, HTTPException, OSError) as error:
@@ -122,8 +143,12 @@
             raise ConnectionLost("the answer was aborted by this process")
 
     def set_read_timeout(self, timeout_s: float) -> None:
-        """Set the longest wait in seconds of each further read."""
+        """Limit the time in seconds of all reads until the next call.
+
+        Before the first call, the read time-out applies to each chunk.
+        """
         self._sock.settimeout(timeout_s)
+        self._reads_end_at = time.monotonic() + timeout_s
 
     def abort(self) -> None:
         """Shut the connection down while another task reads from it."""
@@ -154,6 +179,12 @@
 
     A reused connection might be one that the peer has already dropped.
 
+    Parameters
+    ----------
+    read_timeout_s : float
+        Longest time until the head of the answer is complete, and then until each
+        chunk of its body is.
+
     Raises
     ------
     ConnectFailed
@@ -162,7 +193,7 @@
         If the request may have arrived.
     """
     host, port = split_address(address)
-    connection = _ResetAwareConnection(
+    connection = _StrictConnection(
         host, port, timeout=connect_timeout_s, socket_options=SOCKET_OPTIONS
     )
     try:
@@ -199,6 +230,7 @@
 ) -> HttpStream:
     sock = connection.sock
     sock.settimeout(read_timeout_s)
+    sock.deadline = time.monotonic() + read_timeout_s
     connection.request(
         method,
         path,
@@ -208,7 +240,7 @@
         decode_content=False,
     )
     connection.timeout = read_timeout_s
-    return HttpStream(connection, sock, connection.getresponse())
+    return HttpStream(connection, sock, connection.getresponse(), read_timeout_s)
 
 
 def read_body(stream: HttpStream, limit_bytes: int = MAX_ANSWER_BYTES) -> bytes:
@@ -226,6 +258,18 @@
     return b"".join(parts)
 
 
+def _read_limited(answer: urllib3.HTTPResponse) -> bytes:
+    """Return the body of a pooled answer; raises `ConnectionLost` if too large."""
+    parts = []
+    size = 0
+    while data := answer.read1(CHUNK_BYTES):
+        size += len(data)
+        if size > MAX_ANSWER_BYTES:
+            raise ConnectionLost(f"answer larger than {MAX_ANSWER_BYTES} bytes")
+        parts.append(data)
+    return b"".join(parts)
+
+
 def send_request(
     address: str,
     method: str,
@@ -235,7 +279,13 @@
     read_timeout_s: float,
     headers: Mapping[str, str] | None = None,
 ) -> HttpAnswer:
-    """Send a request on a new connection and return the complete answer."""
+    """Send a request on a new connection and return the complete answer.
+
+    Parameters
+    ----------
+    read_timeout_s : float
+        Longest time until the head of the answer is complete, and then its body.
+    """
     stream = open_stream(
         address,
         method,
@@ -245,6 +295,7 @@
         headers=headers,
     )
     try:
+        stream.set_read_timeout(read_timeout_s)
         return HttpAnswer(stream.status, read_body(stream), stream.headers)
     finally:
         stream.close()
@@ -278,9 +329,31 @@
         body: bytes = b"",
         *,
         read_timeout_s: float,
+        answer_timeout_s: float | None = None,
         headers: Mapping[str, str] | None = None,
     ) -> HttpAnswer:
-        """Send a request and return the complete answer."""
+        """Send a request and return the complete answer.
+
+        Parameters
+        ----------
+        read_timeout_s : float
+            Longest wait for any part of the answer.
+        answer_timeout_s : float or None
+            Longest time until the answer is complete, None for no limit.
+        """
+        pool = self._pool
+        late = ConnectionLost(f"no whole answer from {pool.host}:{pool.port} in time")
+        with eventlet.Timeout(answer_timeout_s, late):
+            return self._send(method, path, body, read_timeout_s, headers)
+
+    def _send(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        read_timeout_s: float,
+        headers: Mapping[str, str] | None,
+    ) -> HttpAnswer:
         pool = self._pool
         try:
             answer = pool.urlopen(
@@ -289,16 +362,23 @@
                 body=body or None,
                 headers=headers,
                 redirect=False,
+                preload_content=False,
                 timeout=urllib3.Timeout(
                     connect=min(CONNECT_TIMEOUT_S, read_timeout_s), read=read_timeout_s
                 ),
             )
+            with ExitStack() as stack:
+                # Closes the connection unless the answer has been read to its end.
+                stack.callback(answer.close)
+                data = _read_limited(answer)
+                stack.pop_all()
+            answer.release_conn()
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise ConnectFailed(f"no connection to {pool.host}:{pool.port}") from error
-        except (HTTPError, OSError) as error:
+        except (HTTPError, HTTPException, OSError) as error:
             message = f"no answer from {pool.host}:{pool.port}: {type(error).__name__}"
             raise ConnectionLost(message) from error
-        return HttpAnswer(answer.status, answer.data, answer.headers)
+        return HttpAnswer(answer.status, data, answer.headers)
 
     def close(self) -> None:
         """Close the connections."""
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,153 @@
+"""Backend servers that send bytes without end until the node closes the connection."""
+
+import standins.common  # noqa: F401  # isort: skip
+
+import unittest
+
+import eventlet
+
+from poplarspar.coordination.forwarding import Attempt
+from poplarspar.exceptions import BackendFailed
+from poplarspar.platform.backends import PlatformReportReader
+from poplarspar.platform.upstream import PlatformUpstream
+from tests.test_forwarding import backend, request
+
+TIMEOUT_S = 0.4
+# Delays of the test's own process count too.
+LATEST_S = 2.0
+# Enough for a maximal plain answer, and far below a node's memory.
+MOST_BYTES = 24 * 1024 * 1024
+FAST_BYTES = 16_384
+SLOW_S = 0.02
+
+SIGNED = b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
+STREAM = SIGNED + b"Content-Type: text/event-stream\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNK = b"1000\r\n" + b"x" * 0x1000 + b"\r\n"
+
+# Bytes before the endless ones, and the endless ones.
+HEADS = {
+    "no status line": (b"", b"x"),
+    "line ends": (b"", b"\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"),
+    "one header line": (b"HTTP/1.1 200 OK\r\nA: ", b"b"),
+}
+BODIES = {
+    "no length": (SIGNED + b"\r\n", b"x"),
+    "chunks": (SIGNED + CHUNKED, CHUNK),
+    "chunk size": (SIGNED + CHUNKED, b"0"),
+    "chunk extension": (SIGNED + CHUNKED + b"1;", b"x"),
+    "trailers": (SIGNED + CHUNKED + b"0\r\n", b"A: b\r\n"),
+}
+STREAMS = {
+    "no event end": (STREAM + b"\r\n", b"x"),
+    "event ends": (STREAM + b"\r\n", b"\n\n"),
+    "no fields": (STREAM + b"\r\n", b"x\n\n"),
+    "chunk size": (STREAM + CHUNKED, b"0"),
+    "trailers": (STREAM + CHUNKED + b"0\r\n", b"A: b\r\n"),
+}
+
+
+class EndlessServer:
+    """Answers each connection with `first`, and then with `rest` until it is closed."""
+
+    def __init__(self, first, rest, slow):
+        self._first = first
+        self._rest = rest if slow else rest * (FAST_BYTES // len(rest) + 1)
+        self._slow = slow
+        self._listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.sent_bytes = 0
+        self.closed = eventlet.event.Event()
+        self._task = eventlet.spawn(self._serve)
+
+    def _serve(self):
+        connection, _ = self._listener.accept()
+        connection.recv(65536)
+        try:
+            connection.sendall(self._first)
+            while True:
+                connection.sendall(self._rest)
+                self.sent_bytes += len(self._rest)
+                eventlet.sleep(SLOW_S if self._slow else 0)
+        except OSError:
+            self.closed.send()
+
+    def close(self):
+        self._task.kill()
+        self._listener.close()
+
+
+class EndlessAnswerTest(unittest.TestCase):
+    def check(self, cases, receive):
+        """Check that `receive` fails, soon, and closes the connection."""
+        for name, (first, rest) in cases.items():
+            for slow in (False, True):
+                with self.subTest(case=name, slow=slow):
+                    server = EndlessServer(first, rest, slow)
+                    self.addCleanup(server.close)
+                    late = AssertionError("still reading")
+                    with eventlet.Timeout(LATEST_S, late):
+                        with self.assertRaises(BackendFailed):
+                            receive(server.address)
+                        server.closed.wait()
+                    self.assertLess(server.sent_bytes, MOST_BYTES)
+
+    def send(self, address):
+        received = request("/look/1")
+        exchange = PlatformUpstream().send(
+            Attempt(
+                request=received,
+                workspace="w",
+                backend_id="s1",
+                address=address,
+                remaining_s=TIMEOUT_S,
+                response_timeout_s=TIMEOUT_S,
+                connect_timeout_s=TIMEOUT_S,
+                last_event=None,
+                priority=None,
+            )
+        )
+        self.addCleanup(exchange.close)
+        return exchange
+
+    def read_body(self, address):
+        exchange = self.send(address)
+        try:
+            exchange.set_read_timeout(TIMEOUT_S)
+            exchange.read_body()
+        finally:
+            exchange.close()
+
+    def read_events(self, address):
+        exchange = self.send(address)
+        try:
+            exchange.set_read_timeout(TIMEOUT_S)
+            for _ in exchange.events():
+                exchange.set_read_timeout(TIMEOUT_S)
+        finally:
+            exchange.close()
+
+    # Guards against a task that reads an endless head past the request's deadline.
+    def test_endless_head_fails_the_attempt(self):
+        self.check(HEADS, self.send)
+
+    # Guards against an endless plain answer that fills the node's memory.
+    def test_endless_body_fails_the_attempt(self):
+        self.check(BODIES, self.read_body)
+
+    # Guards against forwarding bytes that are no events.
+    def test_endless_stream_fails_the_attempt(self):
+        self.check(STREAMS, self.read_events)
+
+    # Guards against a planner whose probe of such a backend server never ends.
+    def test_endless_report_fails_the_probe(self):
+        def read(address):
+            PlatformReportReader().read(backend("s1", address=address), TIMEOUT_S)
+
+        self.check({**HEADS, **BODIES}, read)
+
+
+if __name__ == "__main__":
+    unittest.main()
