Take an unframed stream without events for one that broke off

A streamed answer without a length or chunks ends with its connection. One that ended before its first event was forwarded to the caller as a complete, empty stream, so a backend server that crashes there and whose kernel closes the connection in an orderly way cost the caller its answer, and left no evidence against the prompt.

--- a/poplarspar/platform/upstream.py
+++ b/poplarspar/platform/upstream.py
@@ -64,10 +64,18 @@
 
     def events(self) -> Iterator[StreamEvent]:
         """Yield complete events; raises `BackendFailed` if the stream breaks off."""
+        count = 0
         try:
-            yield from split_events(self._stream.chunks())
+            for event in split_events(self._stream.chunks()):
+                count += 1
+                yield event
         except (TransportError, ProtocolError) as error:
             raise _failure(error) from error
+        if not count and not self._stream.framed:
+            # Without a length or chunks, a crash before the first event looks like an
+            # orderly end.
+            message = "the stream ended before its first event"
+            raise BackendFailed(message, sent=True, disconnected=True)
 
     def set_read_timeout(self, timeout_s: float) -> None:
         """Limit the time until the next event, or the end of the body."""
--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -118,6 +118,11 @@
         self.status = answer.status
         self.headers = answer.headers
 
+    @property
+    def framed(self) -> bool:
+        """Whether the body has a length or chunks, so that its end is certain."""
+        return "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+
     def chunks(self) -> Iterator[bytes]:
         """Yield chunks of the body as they arrive; raises `ConnectionLost`."""
         while True:
