Convict prompt parts only while their pool serves others

If all backend servers of a model crash for a while, each common part is in unanswered requests at several moments, and would have been refused for 30 s after they are back. A part is now convicted only while at least a quarter of this node's recent requests to the same pool are answered. Requests that fail at one moment (a rack or zone) no longer cost later ones their retry, and a node that knows of a later answer ends a conviction by nodes that do not.

--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -82,7 +82,8 @@
             case Result(ok=routed):
                 pass
         self._budget.record_request(routed.service.name)
-        match self._quarantine.admit(request.prompt_parts):
+        pool = f"{routed.service.name} {request.model}"
+        match self._quarantine.admit(request.prompt_parts, pool):
             case Quarantined(retry_after_s):
                 message = "the prompt has parts that crash backend servers"
                 return Error(
--- a/poplarspar/coordination/quarantine/evidence.py
+++ b/poplarspar/coordination/quarantine/evidence.py
@@ -1,14 +1,15 @@
 """Evidence of all nodes, and the parts that it convicts."""
 
 from collections import defaultdict
+from collections.abc import Iterable
 
 from poplarspar.state.quarantine import Evidence, UnansweredRequest
 
 # Evidence against a part that crashes backend servers once a minute must not expire
 # before it is conclusive.
 EVIDENCE_TTL_S = 120.0
-# Requests, crashed backend servers and separate moments that convict a part. A sound
-# part can be in one or two requests that fail by chance.
+# Crashed backend servers, and separate moments, that convict a part. A sound part can
+# be in one or two requests that fail by chance.
 CONCLUSIVE_COUNT = 3
 # The loss of a zone or rack fails many requests at one moment.
 MOMENT_S = 0.3
@@ -45,9 +46,25 @@
         if newer:
             self._unanswered_by_part[part] = newer
 
-    def count(self, part: str) -> int:
-        """Return the number of unanswered requests that count against a part."""
-        return len(self._unanswered_by_part.get(part, ()))
+    def moments(self, part: str) -> int:
+        """Return at how many separate moments requests with a part were unanswered."""
+        return _count_moments(self._unanswered_by_part.get(part, {}).values())
+
+    def is_accused(self, part: str) -> bool:
+        """Return whether any evidence counts against a part."""
+        return part in self._unanswered_by_part
+
+    def is_cleared(self, part: str) -> bool:
+        """Return whether an answer with a part began after all evidence against it."""
+        return part in self._begun_at_by_part and not self.is_accused(part)
+
+    def pools(self, parts: frozenset[str]) -> set[str]:
+        """Return the pools of the requests that count against any of the parts."""
+        return {
+            request.pool
+            for part in parts
+            for request in self._unanswered_by_part.get(part, {}).values()
+        }
 
     def expire(self, now: float) -> None:
         """Drop evidence that is older than `EVIDENCE_TTL_S`."""
@@ -81,15 +98,18 @@
 
 
 def _is_conclusive(requests: list[UnansweredRequest]) -> bool:
-    if len(requests) < CONCLUSIVE_COUNT:
-        return False
     backends = {backend for request in requests for backend in request.backends}
-    if len(backends) < CONCLUSIVE_COUNT:
-        return False
+    return (
+        len(backends) >= CONCLUSIVE_COUNT
+        and _count_moments(requests) >= CONCLUSIVE_COUNT
+    )
+
+
+def _count_moments(requests: Iterable[UnansweredRequest]) -> int:
     moments = 0
     last_at = float("-inf")
     for ended_at in sorted(request.ended_at for request in requests):
         if ended_at >= last_at + MOMENT_S:
             moments += 1
             last_at = ended_at
-    return moments >= CONCLUSIVE_COUNT
+    return moments
--- a/poplarspar/coordination/quarantine/quarantine.py
+++ b/poplarspar/coordination/quarantine/quarantine.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, replace
 
 from poplarspar.coordination.quarantine.evidence import EVIDENCE_TTL_S, EvidenceTable
+from poplarspar.coordination.quarantine.outcomes import PoolOutcomes
 from poplarspar.events import Event
 from poplarspar.logs import log_event
 from poplarspar.state.backends import BackendServer
@@ -28,9 +29,9 @@
 MAX_OWN_EVIDENCE = 32
 MAX_OWN_BEGUN = 256
 MAX_PARTS = 32
-# Unanswered requests with a part from which on its requests are not retried, and
-# from which on other nodes need to know that an answer with it has begun.
-SUSPECTED_COUNT = 2
+# Moments of unanswered requests with a part from which on its requests are not retried,
+# and other nodes need to know that an answer with it has begun.
+SUSPECTED_MOMENTS = 2
 # The nodes convict a part at the same time; one write to the store is enough.
 MAX_WRITE_DELAY_S = 1.0
 MIN_RETRY_AFTER_S = 1.0
@@ -63,10 +64,15 @@
     """
 
     def __init__(
-        self, quarantine: "Quarantine", parts: tuple[str, ...], is_trial: bool
+        self,
+        quarantine: "Quarantine",
+        parts: tuple[str, ...],
+        pool: str,
+        is_trial: bool,
     ) -> None:
         self._quarantine = quarantine
         self._parts = parts
+        self._pool = pool
         self._is_trial = is_trial
         self._lost_backends: list[str] = []
         self._begun = False
@@ -86,13 +92,13 @@
         """Record that the answer has begun."""
         if not self._begun:
             self._begun = True
-            self._quarantine.record_begun(self._parts)
+            self._quarantine.record_begun(self._parts, self._pool)
 
     def close(self) -> None:
         """Record the outcome; safe to call more than once."""
         lost_backends, self._lost_backends = self._lost_backends, []
         if lost_backends and self._parts and not self._begun:
-            self._quarantine.record_unanswered(self._parts, lost_backends)
+            self._quarantine.record_unanswered(self._parts, self._pool, lost_backends)
 
 
 @dataclass
@@ -137,30 +143,33 @@
         self._on_change = on_change
         self._request_numbers = itertools.count()
         self._evidence = EvidenceTable()
+        self._outcomes = PoolOutcomes()
         self._own_unanswered: deque[UnansweredRequest] = deque(maxlen=MAX_OWN_EVIDENCE)
         self._own_begun_at_by_part: dict[str, float] = {}
         self._convicted_at_by_part: dict[str, float] = {}
         self._entry_by_parts: dict[frozenset[str], _Entry] = {}
         self._released: set[frozenset[str]] = set()
 
-    def admit(self, parts: tuple[str, ...]) -> Admission:
-        """Decide whether a request with these prompt parts may be sent."""
+    def admit(self, parts: tuple[str, ...], pool: str) -> Admission:
+        """Decide whether a request with these prompt parts may be sent to a pool."""
         entries = self._matching(parts)
         if not entries:
-            return Admitted(Observation(self, parts, is_trial=False))
+            return Admitted(Observation(self, parts, pool, is_trial=False))
         now = time.monotonic()
         remaining_s = max(entry.remaining_s(now) for entry in entries)
         if remaining_s > 0:
             return Quarantined(remaining_s)
         if not self._start_trial(entries):
             return Quarantined(MIN_RETRY_AFTER_S)
-        return Admitted(Observation(self, parts, is_trial=True))
+        return Admitted(Observation(self, parts, pool, is_trial=True))
 
     def is_suspected(self, parts: tuple[str, ...]) -> bool:
         """Return whether requests with one of the parts have failed repeatedly."""
-        return any(self._evidence.count(part) >= SUSPECTED_COUNT for part in parts)
+        return any(self._evidence.moments(part) >= SUSPECTED_MOMENTS for part in parts)
 
-    def record_unanswered(self, parts: tuple[str, ...], backends: list[str]) -> None:
+    def record_unanswered(
+        self, parts: tuple[str, ...], pool: str, backends: list[str]
+    ) -> None:
         """Add a request that was not answered to the evidence."""
         number = next(self._request_numbers)
         request = UnansweredRequest(
@@ -168,23 +177,26 @@
             tuple(dict.fromkeys(backends)),
             parts[-MAX_PARTS:],
             time.monotonic(),
+            pool,
         )
+        self._outcomes.record(pool, begun=False)
         log_event(Event.REQUEST_UNANSWERED, parts=parts, backends=backends)
         self._own_unanswered.append(request)
         self._evidence.add(request)
         self._on_change()
 
-    def record_begun(self, parts: tuple[str, ...]) -> None:
+    def record_begun(self, parts: tuple[str, ...], pool: str) -> None:
         """Clear the parts of a request whose answer has begun."""
         now = time.monotonic()
+        self._outcomes.record(pool, begun=True)
         for entry in self._matching(parts):
             self._release(entry)
         for part in parts:
-            count = self._evidence.count(part)
-            if count:
-                self._evidence.record_begun(part, now)
-            if count >= SUSPECTED_COUNT:
+            if not self._evidence.is_accused(part):
+                continue
+            if self._evidence.moments(part) >= SUSPECTED_MOMENTS:
                 self._report_begun(part, now)
+            self._evidence.record_begun(part, now)
 
     def merge_evidence(self, evidence: Evidence) -> None:
         """Add the evidence of another node."""
@@ -209,7 +221,9 @@
         }
         for parts in convicted:
             convicted_at = max(self._convicted_at_by_part[part] for part in parts)
-            if now >= convicted_at + CONVICTION_DELAY_S:
+            is_settled = now >= convicted_at + CONVICTION_DELAY_S
+            # While a whole pool fails, its requests say nothing about their prompts.
+            if is_settled and self._outcomes.are_serving(self._evidence.pools(parts)):
                 self._add(parts, now)
         if self.needs_write():
             self._on_change()
@@ -244,8 +258,10 @@
                 continue
             if known is None or known.quarantined != quarantined:
                 self._entry_by_parts[parts] = _Entry(quarantined, now, True, now)
-            known = self._entry_by_parts[parts]
-            known.stored = True
+            self._entry_by_parts[parts].stored = True
+            if known is None and any(map(self._evidence.is_cleared, parts)):
+                # The node that convicted them did not know of an answer here.
+                self._release(self._entry_by_parts[parts])
 
     def mark_unstored(self) -> None:
         """Write the entries again, since the store has lost them."""
--- a/poplarspar/protocol/quarantine.py
+++ b/poplarspar/protocol/quarantine.py
@@ -27,6 +27,7 @@
     backends: Annotated[list[str], Field(min_length=1, max_length=16)]
     parts: Parts
     age_ms: AgeMs
+    pool: Annotated[str, Field(max_length=400)]
 
 
 class _Evidence(_Document):
@@ -56,6 +57,7 @@
                     backends=list(request.backends),
                     parts=list(request.parts),
                     age_ms=_age_ms(request.ended_at, now),
+                    pool=request.pool,
                 )
                 for request in evidence.unanswered
             ],
@@ -76,6 +78,7 @@
                     tuple(row.backends),
                     tuple(row.parts),
                     _time(row.age_ms, now),
+                    row.pool,
                 )
                 for row in document.unanswered
             ),
--- a/poplarspar/state/quarantine.py
+++ b/poplarspar/state/quarantine.py
@@ -17,12 +17,15 @@
         Ids of the prompt's parts that other requests may share.
     ended_at : float
         Monotonic time in seconds.
+    pool : str
+        Service and model that the request was for.
     """
 
     id: str
     backends: tuple[str, ...]
     parts: tuple[str, ...]
     ended_at: float
+    pool: str
 
 
 @dataclass(frozen=True)
