End streams whose events bring nothing new

Events without a number, or with numbers that the caller has, extended the wait for the next event, so a backend server that repeats one event held its stream until the deadline.

test_stream_of_events_without_progress_breaks_off failed before.

--- a/poplarspar/coordination/forwarding/resuming.py
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -87,23 +87,29 @@
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield the events; raises `BackendFailed` if the stream can't resume."""
+        made_progress = True
         while True:
             try:
-                self._set_read_timeout()
+                # Repeated events and events without a number don't extend the limit.
+                if made_progress:
+                    self._set_read_timeout()
                 event = next(self._events, None)
             except BackendFailed as failure:
                 self._resume(failure)
+                made_progress = True
                 continue
             if event is None:
                 self._began.target.record_success()
                 return
-            self._began.target.record_progress()
-            self._observation.record_begun()
-            if event.number is not None:
-                if self._last_event is not None and event.number <= self._last_event:
-                    continue
+            made_progress = event.number is not None and (
+                self._last_event is None or event.number > self._last_event
+            )
+            if made_progress:
+                self._began.target.record_progress()
+                self._observation.record_begun()
                 self._last_event = event.number
-            yield event.data
+            if made_progress or event.number is None:
+                yield event.data
 
     @property
     def backend(self) -> str:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -6,11 +6,17 @@
 
 import eventlet
 
-from poplarspar.coordination.forwarding import Attempt
+from poplarspar.coordination.forwarding import (
+    Attempt,
+    DemandMeter,
+    Forwarder,
+    Sender,
+)
 from poplarspar.exceptions import BackendFailed
 from poplarspar.platform.backends import PlatformReportReader
 from poplarspar.platform.upstream import PlatformUpstream
-from tests.test_forwarding import backend, request
+from poplarspar.state.serving import RouteKind
+from tests.test_forwarding import ForwardingTestCase, backend, request, route
 
 TIMEOUT_S = 0.4
 # Delays of the test's own process count too.
@@ -149,5 +155,39 @@
         self.check({**HEADS, **BODIES}, read)
 
 
+class EndlessEventsTest(ForwardingTestCase):
+    routes = (route("draft", RouteKind.STREAM, "llm", timeout_s=20.0),)
+
+    # Guards against a stream that is held until its deadline by repeated events.
+    def test_stream_of_events_without_progress_breaks_off(self):
+        for rest in (b"id: 1\ndata: x\n\n", b": alive\n\n"):
+            with self.subTest(rest=rest):
+                servers = [
+                    EndlessServer(STREAM + b"\r\nid: 1\ndata: x\n\n", rest, slow=True)
+                    for _ in range(2)
+                ]
+                for id, server in zip(("h1", "h2"), servers, strict=True):
+                    self.addCleanup(server.close)
+                    self.fleet.backends_by_id[id] = backend(
+                        id, "llm", address=server.address
+                    )
+                self.update()
+                forwarder = Forwarder(
+                    lambda: self.fleet.configuration,
+                    self.targets,
+                    Sender(self.targets, PlatformUpstream()),
+                    self.budget,
+                    DemandMeter(),
+                    self.quarantine,
+                )
+                late = AssertionError("still reading")
+                with eventlet.Timeout(2 * LATEST_S, late):
+                    received = request("/draft/1", model="m0", timeout_s=20.0)
+                    answer = self.answered(forwarder.serve(received))
+                    with self.assertRaises(BackendFailed):
+                        list(answer.events)
+                answer.events.close()
+
+
 if __name__ == "__main__":
     unittest.main()
