Bound the work of convicting prompt parts

A decision is now kept until the evidence changes, and more than 256 convicted sets at once convict nothing, since then the prompts are not the cause.

--- a/poplarspar/coordination/quarantine/evidence.py
+++ b/poplarspar/coordination/quarantine/evidence.py
@@ -13,6 +13,8 @@
 CONCLUSIVE_COUNT = 3
 # The loss of a zone or rack fails many requests at one moment.
 MOMENT_S = 0.3
+# Where more sets of parts are convicted at once, their prompts are not the cause.
+MAX_CONVICTED_SETS = 256
 
 
 class EvidenceTable:
@@ -21,13 +23,16 @@
     def __init__(self) -> None:
         self._unanswered_by_part: dict[str, dict[str, UnansweredRequest]] = {}
         self._begun_at_by_part: dict[str, float] = {}
+        self._convicted: tuple[frozenset[str], ...] | None = ()
 
     def add(self, request: UnansweredRequest) -> None:
         """Add a request; a request that is known already keeps its time."""
         for part in request.parts:
             if request.ended_at > self._begun_at_by_part.get(part, float("-inf")):
                 requests = self._unanswered_by_part.setdefault(part, {})
-                requests.setdefault(request.id, request)
+                if request.id not in requests:
+                    requests[request.id] = request
+                    self._convicted = None
 
     def merge(self, evidence: Evidence) -> None:
         """Add the evidence of another node."""
@@ -42,6 +47,8 @@
             return
         self._begun_at_by_part[part] = begun_at
         requests = self._unanswered_by_part.pop(part, {})
+        if requests:
+            self._convicted = None
         newer = {id: r for id, r in requests.items() if r.ended_at > begun_at}
         if newer:
             self._unanswered_by_part[part] = newer
@@ -74,9 +81,10 @@
         }
         for part, requests in list(self._unanswered_by_part.items()):
             recent = {id: r for id, r in requests.items() if r.ended_at > since}
-            if recent:
+            if len(recent) < len(requests):
+                self._convicted = None
                 self._unanswered_by_part[part] = recent
-            else:
+            if not recent:
                 del self._unanswered_by_part[part]
 
     def convicted(self) -> tuple[frozenset[str], ...]:
@@ -86,10 +94,17 @@
         Parts with the same requests can't be told apart, so they form one set, and
         prompts with only some of them remain admissible.
         """
+        if self._convicted is None:
+            self._convicted = self._convict()
+        return self._convicted
+
+    def _convict(self) -> tuple[frozenset[str], ...]:
         parts_by_requests: dict[frozenset[str], set[str]] = defaultdict(set)
         for part, requests in self._unanswered_by_part.items():
             if _is_conclusive(list(requests.values())):
                 parts_by_requests[frozenset(requests)].add(part)
+        if len(parts_by_requests) > MAX_CONVICTED_SETS:
+            return ()
         return tuple(
             frozenset(parts)
             for ids, parts in parts_by_requests.items()
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -74,6 +74,15 @@
         self.table.merge(Evidence((unanswered(2, "x"),), {"x": 3.0}))
         self.assertEqual(1, self.table.moments("x"))
 
+    # Guards against refusing every prompt, and against minutes of work to decide it.
+    def test_many_convicted_parts_at_once_convict_nothing(self):
+        for number in (1, 2, 3):
+            for index in range(300):
+                parts = (f"x{index}",)
+                request = unanswered(f"{number}-{index}", *parts, at=float(number))
+                self.add(request)
+        self.assertEqual((), self.table.convicted())
+
     def test_old_evidence_expires(self):
         self.add(*(unanswered(number, "x") for number in (1, 2, 3)))
         self.table.expire(200.0)
