Count each crashed backend server once against a prompt part

A node without a plan went on sending requests to a head that had crashed, each of which counted as another moment, and two crashes by harmful requests then gave a common first part its three backend servers.

The moments are now those at which backend servers crashed, each once, and a part is explained by another one that was there at all of its crashes: sound requests fail only at crashes at which the harmful part is there too. Two parts of different requests at the same crashes wait for a further one.

--- a/poplarspar/coordination/quarantine/evidence.py
+++ b/poplarspar/coordination/quarantine/evidence.py
@@ -2,15 +2,16 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from poplarspar.state.quarantine import Evidence, UnansweredRequest
 
 # Evidence against a part that crashes backend servers once a minute must not expire
 # before it is conclusive.
 EVIDENCE_TTL_S = 120.0
-# Crashed backend servers, and separate moments, that convict a part. A sound part can
-# be in one or two requests that fail by chance.
-CONCLUSIVE_COUNT = 3
+# Separate moments at which backend servers crashed that convict a part. A sound part
+# can be there at one or two crashes by chance.
+CONCLUSIVE_MOMENTS = 3
 # The loss of a zone or rack fails many requests at one moment.
 MOMENT_S = 0.3
 # Where more sets of parts are convicted at once, their prompts are not the cause.
@@ -54,8 +55,9 @@
             self._unanswered_by_part[part] = newer
 
     def moments(self, part: str) -> int:
-        """Return at how many separate moments requests with a part were unanswered."""
-        return _count_moments(self._unanswered_by_part.get(part, {}).values())
+        """Return at how many separate moments backend servers crashed on a part."""
+        requests = self._unanswered_by_part.get(part, {})
+        return _count_moments(_crash_times(requests.values()).values())
 
     def is_accused(self, part: str) -> bool:
         """Return whether any evidence counts against a part."""
@@ -88,43 +90,65 @@
                 del self._unanswered_by_part[part]
 
     def convicted(self) -> tuple[frozenset[str], ...]:
-        """Return the sets of parts that explain the unanswered requests.
+        """Return the sets of parts that explain the crashes of backend servers.
 
-        A part whose requests are a subset of another part's is explained by that one.
-        Parts with the same requests can't be told apart, so they form one set, and
-        prompts with only some of them remain admissible.
+        A crash fails sound requests at the same backend server too. So a part is
+        explained by another one that was there at all crashes of the first. Parts with
+        the same requests can't be told apart: they form one set, and prompts with only
+        some of them remain admissible.
         """
         if self._convicted is None:
             self._convicted = self._convict()
         return self._convicted
 
     def _convict(self) -> tuple[frozenset[str], ...]:
-        parts_by_requests: dict[frozenset[str], set[str]] = defaultdict(set)
+        parts_by_case: dict[_Case, set[str]] = defaultdict(set)
         for part, requests in self._unanswered_by_part.items():
-            if _is_conclusive(list(requests.values())):
-                parts_by_requests[frozenset(requests)].add(part)
-        if len(parts_by_requests) > MAX_CONVICTED_SETS:
+            crashed_at = _crash_times(requests.values())
+            if _count_moments(crashed_at.values()) >= CONCLUSIVE_MOMENTS:
+                case = _Case(frozenset(crashed_at), frozenset(requests))
+                parts_by_case[case].add(part)
+        if len(parts_by_case) > MAX_CONVICTED_SETS:
             return ()
         return tuple(
             frozenset(parts)
-            for ids, parts in parts_by_requests.items()
-            if not any(ids < other for other in parts_by_requests)
+            for case, parts in parts_by_case.items()
+            if not any(case.is_explained_by(other) for other in parts_by_case)
         )
 
 
-def _is_conclusive(requests: list[UnansweredRequest]) -> bool:
-    backends = {backend for request in requests for backend in request.backends}
-    return (
-        len(backends) >= CONCLUSIVE_COUNT
-        and _count_moments(requests) >= CONCLUSIVE_COUNT
-    )
+@dataclass(frozen=True)
+class _Case:
+    """The evidence against a part: crashed backend servers, and unanswered requests."""
 
+    backends: frozenset[str]
+    requests: frozenset[str]
 
-def _count_moments(requests: Iterable[UnansweredRequest]) -> int:
+    def is_explained_by(self, other: "_Case") -> bool:
+        if self.backends == other.backends:
+            # Without a further crash, two parts of different requests explain each
+            # other, and neither is convicted.
+            return self != other and not other.requests < self.requests
+        return self.backends < other.backends
+
+
+def _crash_times(requests: Iterable[UnansweredRequest]) -> dict[str, float]:
+    """Return when each backend server first disconnected from one of the requests.
+
+    Later requests fail at a backend server that is still down.
+    """
+    crashed_at: dict[str, float] = {}
+    for request in sorted(requests, key=lambda request: request.ended_at):
+        for backend in request.backends:
+            crashed_at.setdefault(backend, request.ended_at)
+    return crashed_at
+
+
+def _count_moments(times: Iterable[float]) -> int:
     moments = 0
     last_at = float("-inf")
-    for ended_at in sorted(request.ended_at for request in requests):
-        if ended_at >= last_at + MOMENT_S:
+    for at in sorted(times):
+        if at >= last_at + MOMENT_S:
             moments += 1
-            last_at = ended_at
+            last_at = at
     return moments
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -56,6 +56,31 @@
         self.add(unanswered(4, "b", "x"))
         self.assertEqual((frozenset({"x"}),), self.table.convicted())
 
+    # Guards against convicting parts of prompts that only shared a crashed server.
+    def test_parts_that_are_there_at_all_crashes_by_chance_are_not_convicted(self):
+        for number in (1, 2, 3, 4):
+            server = (f"s{number}/1",)
+            self.add(unanswered(number, "a", "x", backends=server))
+            if number < 4:
+                self.add(unanswered(number + 10, "b", at=number + 0.1, backends=server))
+        self.assertEqual((frozenset({"a", "x"}),), self.table.convicted())
+
+    def test_parts_of_different_requests_at_the_same_crashes_wait_for_another(self):
+        for number in (1, 2, 3):
+            server = (f"s{number}/1",)
+            self.add(unanswered(number, "x", backends=server))
+            self.add(unanswered(number + 10, "b", at=number + 0.1, backends=server))
+        self.assertEqual((), self.table.convicted())
+        self.add(unanswered(4, "x"))
+        self.assertEqual((frozenset({"x"}),), self.table.convicted())
+
+    # Guards against convicting parts of prompts sent to a server that is down.
+    def test_requests_to_a_server_that_is_down_count_as_its_one_crash(self):
+        self.add(*(unanswered(n, "x", backends=("s1/1",)) for n in range(1, 9)))
+        self.add(unanswered(9, "x", backends=("s2/1", "s3/1")))
+        self.assertEqual(2, self.table.moments("x"))
+        self.assertEqual((), self.table.convicted())
+
     # Guards against quarantine after the loss of a zone or rack.
     def test_requests_that_fail_at_one_moment_convict_nothing(self):
         self.add(*(unanswered(n, "x", at=1.0 + n / 100) for n in range(1, 9)))
