Play harmful prompt parts and limits in the soak

Callers of the soak now name the parts of their prompts. Checks: after the fifth crash the part stops reaching backend servers, no sound prompt is refused as quarantined, and all nodes that were told keep to the limit. They are drawn apart, so that a seed's other faults stay as they were.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,7 +18,7 @@
 from soak.callers import Callers
 from soak.checks import Observations, find_breaches, summary
 from soak.environment import Environment
-from soak.faults import Injector, draw_faults
+from soak.faults import Fault, Injector, draw_faults, draw_troubles
 from soak.nodes import Node
 from soak.probes import Prober
 from standins.cluster import wait_for
@@ -36,26 +36,45 @@
 class Soak:
     """Runs soaks from the command line."""
 
-    def one(self, seed: int, seconds: float = 14.0, logs: str = "") -> None:
+    def one(
+        self,
+        seed: int,
+        seconds: float = 14.0,
+        logs: str = "",
+        troubles: bool = False,
+        rate: float = FAULTS_PER_S,
+    ) -> None:
         """Run the soak of one SEED with faults for SECONDS; exit with 1 on a breach.
 
-        With --logs DIRECTORY the nodes write their logs there.
+        With --logs DIRECTORY the nodes write their logs there. With --troubles a
+        prompt part crashes backend servers, and one of them names a limit. --rate is
+        the number of other faults a second.
         """
         with tempfile.TemporaryDirectory() as folder:
-            lines = run_soak(int(seed), float(seconds), Path(logs or folder))
+            directory = Path(logs or folder)
+            lines = run_soak(
+                int(seed), float(seconds), directory, bool(troubles), float(rate)
+            )
         for line in lines:
             print(f"seed {seed}: {line}")
         print(f"seed {seed}: {len(lines)} breaches", flush=True)
         os._exit(1 if lines else 0)
 
     def many(
-        self, first: int = 0, count: int = 50, jobs: int = 3, seconds: float = 14.0
+        self,
+        first: int = 0,
+        count: int = 50,
+        jobs: int = 3,
+        seconds: float = 14.0,
+        troubles: bool = False,
     ) -> None:
         """Run COUNT seeds starting at FIRST, JOBS at a time; 0 draws a random FIRST."""
         first = int(first) or random.SystemRandom().randrange(1, 1 << 31)
         with ThreadPoolExecutor(int(jobs)) as pool:
             seeds = range(first, first + int(count))
-            results = list(pool.map(lambda seed: _run_in_process(seed, seconds), seeds))
+            results = list(
+                pool.map(lambda seed: _run_in_process(seed, seconds, troubles), seeds)
+            )
         failed = [seed for seed, passed in zip(seeds, results, strict=True) if passed]
         print(f"{len(results) - len(failed)} seeds passed, {len(failed)} failed")
         if failed:
@@ -63,15 +82,22 @@
         sys.exit(bool(failed))
 
 
-def _run_in_process(seed: int, seconds: float) -> int:
+def _run_in_process(seed: int, seconds: float, troubles: bool) -> int:
     """Run one seed in a separate process and return its exit status."""
     command = [sys.executable, "-m", "soak", "one", str(seed), f"--seconds={seconds}"]
+    command += ["--troubles"] if troubles else []
     completed = subprocess.run(command, capture_output=True, text=True, check=False)
     print(completed.stdout + completed.stderr[-2000:], end="", flush=True)
     return completed.returncode
 
 
-def run_soak(seed: int, seconds: float, folder: Path) -> list[str]:
+def run_soak(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    troubles: bool = False,
+    faults_per_s: float = FAULTS_PER_S,
+) -> list[str]:
     """Run one soak and return a line for each breach.
 
     Parameters
@@ -80,6 +106,8 @@
         Length of the period in which faults start.
     folder : Path
         Directory for the nodes' settings and logs.
+    troubles : bool
+        Whether requests and backend servers cause troubles of their own.
     """
     # Each run uses its own loopback addresses, so that runs can overlap.
     host = f"127.{1 + os.getpid() % 200}.{1 + os.getpid() // 200 % 200}"
@@ -99,7 +127,11 @@
         wait_for(
             lambda: len(environment.pool.serving()) >= 4, "groups", READY_TIMEOUT_S
         )
-        observations = _run_faults(seed, seconds, nodes, environment, stack)
+        faults = draw_faults(seed, seconds, int(seconds * faults_per_s))
+        if troubles:
+            faults += draw_troubles(seed, seconds)
+            faults.sort(key=lambda fault: fault.starts_at_s)
+        observations = _run_faults(seed, faults, nodes, environment, stack)
         lines = find_breaches(observations)
         print(f"seed {seed}: {summary(observations)}")
     return lines
@@ -107,7 +139,7 @@
 
 def _run_faults(
     seed: int,
-    seconds: float,
+    faults: list[Fault],
     nodes: list[Node],
     environment: Environment,
     stack: ExitStack,
@@ -117,7 +149,7 @@
     stack.callback(prober.close)
     eventlet.sleep(WARM_UP_S)
     injector = Injector(nodes, environment, seed)
-    injector.run(draw_faults(seed, seconds, int(seconds * FAULTS_PER_S)))
+    injector.run(faults)
     recovery_deadline = time.monotonic() + RECOVERY_S
     eventlet.sleep(RECOVERY_S + FINAL_CHECK_S)
     callers.stop()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,7 @@
 
 import eventlet
 
+from poplarspar.platform.headers import PROMPT_PARTS
 from soak.environment import (
     CALL_TIMEOUT_MS,
     HOST,
@@ -21,6 +22,9 @@
 EVENTS_PER_STREAM = 30
 CONNECT_TIMEOUT_S = 1.0
 REQUEST_PAUSE_S = 0.05
+# Prompts begin with one of so many parts.
+FIRST_PARTS = 4
+HARMFUL_SHARE = 0.15
 KINDS = ("pay", "look", "draft", "explain")
 MODEL_BY_KIND = {"draft": "m0", "explain": "m1"}
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
@@ -36,6 +40,8 @@
         0 if the connection ended or the request timed out before a status.
     complete : bool
         Whether the caller received the whole answer.
+    parts : tuple of str
+        Parts of the prompt; others share all but the last.
     connection_reused : bool
         Whether the connection had served an earlier request.
     connection_closes : bool
@@ -50,6 +56,7 @@
     body: bytes
     sent_at: float
     timeout_s: float
+    parts: tuple[str, ...] = ()
     connection_reused: bool = False
     status: int = 0
     complete: bool = False
@@ -78,6 +85,8 @@
         self._nodes = nodes
         self._environment = environment
         self._rng = rng
+        # Drawn from a generator of their own, so that seeds keep their other draws.
+        self._parts_rng = random.Random(1)
         self._serials = itertools.count(1)
         self._stopped = False
         self.requests: list[SentRequest] = []
@@ -144,6 +153,7 @@
             body=b"" if kind == "look" else b"sum=%d" % number,
             sent_at=time.monotonic(),
             timeout_s=timeout_ms / 1000,
+            parts=self._draw_parts(number) if streamed else (),
             connection_reused=reused,
         )
         self.requests.append(request)
@@ -156,6 +166,13 @@
         request.ended_at = time.monotonic()
         return request
 
+    def _draw_parts(self, number: int) -> tuple[str, ...]:
+        first, own = f"a{self._parts_rng.randrange(FIRST_PARTS)}", f"f{number:x}"
+        harm = self._environment.current_harm
+        if harm is not None and self._parts_rng.random() < HARMFUL_SHARE:
+            return first, harm.part, own
+        return first, own
+
     def _exchange(self, request: SentRequest, connection: HTTPConnection) -> None:
         headers = {
             "Host": HOST,
@@ -167,6 +184,7 @@
         if request.kind in MODEL_BY_KIND:
             headers["Model"] = MODEL_BY_KIND[request.kind]
             headers["Token-Count"] = f"100,{EVENTS_PER_STREAM}"
+            headers[PROMPT_PARTS] = ",".join(f"{part}:40" for part in request.parts)
         connection.sock.settimeout(request.timeout_s + CONNECT_TIMEOUT_S)
         method = "GET" if request.kind == "look" else "POST"
         connection.request(method, request.target, request.body or None, headers)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -30,6 +30,15 @@
 # A stopping node may cut requests that callers send later than this after SIGTERM.
 STOP_ACCEPT_S = 3.0
 MIN_SERVED_SHARE = 0.25
+# So many requests with a harmful part may reach backend servers later than SETTLE_S
+# after its fifth crash.
+CRASHES_BEFORE_BOUND = 5
+LATE_HARMFUL_REQUESTS = 3
+# From the time at which a node sends a request to that at which it begins to run.
+SENDING_S = 0.5
+LIMIT_WINDOW_S = 4.0
+# A node knows a limit this long after its request began to run.
+TOLD_S = 0.6
 
 
 @dataclass
@@ -85,6 +94,8 @@
     lines += _version_problems(observations)
     lines += _stop_problems(observations, runs_by_attempt_id)
     lines += _recovery_problems(observations)
+    lines += _quarantine_problems(observations)
+    lines += _limit_problems(observations)
     return lines
 
 
@@ -288,6 +299,72 @@
     ]
 
 
+def _quarantine_problems(observations: Observations) -> list[str]:
+    """Check that harmful parts, and only these, stop reaching backend servers."""
+    request_by_attempt_id = {r.attempt_id: r for r in observations.requests}
+    harmful = {harm.part for harm in observations.environment.harms}
+    lines = [
+        f"{request.attempt_id} is sound and was refused as quarantined"
+        for request in observations.requests
+        if b"quarantined" in request.content and harmful.isdisjoint(request.parts)
+    ]
+    for harm in observations.environment.harms:
+        if len(harm.crashed_at) < CRASHES_BEFORE_BOUND:
+            continue
+        bound = sorted(harm.crashed_at)[CRASHES_BEFORE_BOUND - 1] + SETTLE_S
+        late = [
+            run
+            for run in observations.environment.runs
+            if run.started_at > bound + SENDING_S
+            and run.attempt_id in request_by_attempt_id
+            and harm.part in request_by_attempt_id[run.attempt_id].parts
+            and observations.is_undisturbed(
+                request_by_attempt_id[run.attempt_id].node, bound, run.started_at
+            )
+        ]
+        if len(late) > LATE_HARMFUL_REQUESTS:
+            lines.append(f"{harm.part} reached backend servers {len(late)} times more")
+    return lines
+
+
+def _limit_problems(observations: Observations) -> list[str]:
+    """Check that nodes together keep to each limit that a backend server named."""
+    node_by_attempt_id = {r.attempt_id: r.node for r in observations.requests}
+    lines = []
+    for limit in observations.environment.limits:
+        told_at: dict[str, float] = {}
+        times = []
+        for run in sorted(observations.environment.runs, key=lambda r: r.started_at):
+            node = node_by_attempt_id.get(run.attempt_id)
+            if node is None or run.worker != limit.backend:
+                continue
+            if not limit.begin < run.started_at < limit.end:
+                continue
+            told = told_at.setdefault(node.name, run.started_at) + TOLD_S
+            if run.started_at > max(told, limit.begin + SETTLE_S) and (
+                _has_run_since(observations, node, limit.begin, run.started_at)
+            ):
+                times.append(run.started_at)
+        allowed = 1.5 * LIMIT_WINDOW_S * limit.requests_per_s + 5
+        most = max(
+            (sum(at <= t < at + LIMIT_WINDOW_S for t in times) for at in times),
+            default=0,
+        )
+        if most > allowed:
+            lines.append(f"{limit.backend} got {most} requests, {allowed:.0f} allowed")
+    return lines
+
+
+def _has_run_since(
+    observations: Observations, node: Node, begin: float, end: float
+) -> bool:
+    """Return whether a node has run without a fault or restart since `begin`."""
+    return observations.is_undisturbed(node, begin + SETTLE_S, end) and not any(
+        stop.node is node and stop.begin < end and stop.end > begin
+        for stop in observations.stops
+    )
+
+
 def summary(observations: Observations) -> str:
     """Return the number of requests of each kind and outcome, in one line."""
     outcomes = Counter(
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -3,9 +3,13 @@
 import time
 from contextlib import ExitStack
 from dataclasses import dataclass, field
+from functools import partial
 
 import eventlet
 
+from poplarspar.exceptions import BackendFailed
+from poplarspar.platform.headers import PROMPT_PARTS
+from poplarspar.transport.server import Request
 from standins.engines import ModelWorker, engine_document
 from standins.faultproxy import FaultProxy
 from standins.platform import PlainWorker, Run, Store, configuration
@@ -22,6 +26,7 @@
 # an entry after three missed writes.
 HEARTBEAT_S = 0.5
 ENTRY_EXPIRY_S = 1.5
+CRASH_S = 2.0
 STREAM_TIMEOUT_MS = 5000
 CALL_TIMEOUT_MS = 1500
 
@@ -64,12 +69,33 @@
     seq: int = 0
 
 
+@dataclass
+class Harm:
+    """A prompt part that crashes backend servers for some time, and when it did."""
+
+    part: str
+    crashed_at: list[float] = field(default_factory=list)
+
+
+@dataclass
+class NamedLimit:
+    """A limit that a backend server names in its answers for some time."""
+
+    backend: str
+    requests_per_s: float
+    begin: float
+    end: float = float("inf")
+
+
 @dataclass
 class Environment:
     """Store and backend servers in this process, each behind the fault proxy."""
 
     runs: list[Run] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
+    harms: list[Harm] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
+    current_harm: Harm | None = None
     version: int = 0
 
     def __post_init__(self):
@@ -137,8 +163,40 @@
         self.store.remove(f"op/evacuate/{zone}")
         self.changes.append(Change(time.monotonic(), zone=f"-{zone}"))
 
+    def begin_harm(self, part: str) -> None:
+        """Let backend servers crash on prompts with a part, until `end_harm`."""
+        self.current_harm = Harm(part)
+        self.harms.append(self.current_harm)
+
+    def end_harm(self) -> None:
+        """Let backend servers answer all prompts again."""
+        self.current_harm = None
+
+    def begin_limit(self, id: str, requests_per_s: float) -> NamedLimit:
+        """Let a plain backend server name a limit, until `end_limit` or its restart."""
+        self.worker_by_id[id].server.rate_limit = requests_per_s
+        limit = NamedLimit(id, requests_per_s, time.monotonic())
+        self.limits.append(limit)
+        return limit
+
+    def end_limit(self, limit: NamedLimit) -> None:
+        """End a limit if it has not ended yet."""
+        if limit.end == float("inf"):
+            limit.end = time.monotonic()
+            self.worker_by_id[limit.backend].server.rate_limit = None
+
+    def crash(self, id: str) -> None:
+        """Let a backend server crash and restart it after some seconds."""
+        self.worker_by_id[id].silent_since = time.monotonic()
+        self.pool.by_id[id].silent = True
+        self.set_path(self.worker_by_id[id].path, "cut")
+        eventlet.spawn_after(CRASH_S, self.restart, id)
+
     def silence(self, id: str) -> None:
         """Freeze a backend server's path and heartbeats without a drain notice."""
+        for limit in self.limits:
+            if limit.backend == id:
+                self.end_limit(limit)
         worker = self.worker_by_id[id]
         worker.silent_since = time.monotonic()
         self.set_path(worker.path, "freeze")
@@ -174,12 +232,20 @@
                 id = f"{domain}-{index}"
                 self.pool.add(id, domain)
                 server = ModelWorker(id, self.pool, ENGINE, self.runs)
+                server.on_begin = partial(self._begin, id)
                 self._add(id, server, "llm", ZONES[int(domain[1:])])
         for index in range(PLAIN_WORKERS):
             server = PlainWorker(f"p-{index}", self.runs)
             server.work_s = PLAIN_WORK_S
             self._add(server.id, server, "ledger", ZONES[index % len(ZONES)])
 
+    def _begin(self, id: str, request: Request) -> None:
+        harm = self.current_harm
+        if harm is not None and harm.part in request.headers.get(PROMPT_PARTS, ""):
+            harm.crashed_at.append(time.monotonic())
+            self.crash(id)
+            raise BackendFailed("crashed", sent=True)
+
     def _add(self, id: str, server, service: str, zone: str) -> None:
         self._exit_stack.callback(server.close)
         path = self.proxy.open(server.address)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,7 @@
 MAX_FAULT_S = 4.0
 RESTART_DELAY_S = 0.4
 PATH_DELAY_S = 0.15
+LIMIT_PER_S = 3.0
 PATH_MODES = ("freeze", "drop_up", "drop_down", "cut", "forget")
 ANSWER_FAULTS = ("lost", "broken", "unsigned", "slow", "shed", "misdirected")
 
@@ -100,6 +101,25 @@
     return sorted(faults, key=lambda fault: fault.starts_at_s)
 
 
+def draw_troubles(seed: int, length_s: float) -> list[Fault]:
+    """Return a harmful prompt part and a limit that last most of the run.
+
+    They are drawn apart from the other faults, which stay the same for a seed. They
+    excuse nothing, so they count as planned.
+    """
+    rng = random.Random(seed + 2)
+    return [
+        Fault(
+            kind,
+            rng.uniform(0.0, length_s / 4),
+            rng.uniform(0.6, 0.9) * length_s,
+            rng.randrange(1000),
+            planned=True,
+        )
+        for kind in ("harmful_part", "limit")
+    ]
+
+
 class Injector:
     """Injects faults and records the disturbance that each one causes."""
 
@@ -172,6 +192,15 @@
                 environment.evacuate(zone)
                 eventlet.sleep(fault.duration_s)
                 environment.restore_zone(zone)
+            case "harmful_part":
+                environment.begin_harm(f"bad{fault.target}")
+                eventlet.sleep(fault.duration_s)
+                environment.end_harm()
+            case "limit":
+                id, _ = self._choose_worker(fault, plain=True)
+                limit = environment.begin_limit(id, LIMIT_PER_S)
+                eventlet.sleep(fault.duration_s)
+                environment.end_limit(limit)
             case "worker_drain":
                 self._drain_and_restart(fault)
         return ""
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -103,11 +103,19 @@
         if self.running:
             self.problems.append(f"{self.name} did not stop in {GRACE_S} s")
             self.kill()
-        elif self._process.returncode and self.was_ready:
+        elif (
+            self._process.returncode
+            and self.was_ready
+            and not self._killed_since(self.stopping_since)
+        ):
             status = self._process.returncode
             self.problems.append(f"{self.name} exited with status {status}")
         self._record_disturbance()
 
+    def _killed_since(self, begin: float) -> bool:
+        """Return whether a fault has killed the process, perhaps while it stopped."""
+        return any(at >= begin for at in self.killed_at)
+
     def pause(self, duration_s: float) -> None:
         """Suspend the process with SIGSTOP for a time."""
         self._signal(signal.SIGSTOP)
--- a/standins/engines.py
+++ b/standins/engines.py
@@ -2,7 +2,7 @@
 
 import json
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import eventlet
 
@@ -66,6 +66,11 @@
     ----------
     runs : list of Run
         Record to which the server appends each request that it starts to run.
+
+    Attributes
+    ----------
+    on_begin : callable
+        Called with each request before the first event; may raise `BackendFailed`.
     """
 
     def __init__(self, id: str, pool: Pool, engine: Engine, runs: list[Run]) -> None:
@@ -74,6 +79,7 @@
         self._engine = engine
         self._runs = runs
         self.running = 0
+        self.on_begin: Callable[[Request], None] = lambda request: None
         super().__init__()
 
     def entry(self, service: str, address: str, zone: str) -> dict:
@@ -193,6 +199,7 @@
         begin = int(request.headers.get("Last-Event-Id", 0)) + 1
         self._wait(PROMPT_READ_S)
         self._worker.record_run(request)
+        self._worker.on_begin(request)
         for number in range(begin, answer_tokens + 1):
             yield event_text(attempt_id, number)
             self._wait(EVENT_PERIOD_S)
