Merge evidence once, and keep limits of unlisted backend servers

Expired evidence was written again, which woke all nodes. A backend server whose entry the store dropped in an outage lost its limit, and all nodes would have sent to it freely; limits now outlive the entry by 30 s.

--- a/poplarspar/coordination/forwarding/rate_limits.py
+++ b/poplarspar/coordination/forwarding/rate_limits.py
@@ -22,6 +22,8 @@
 # Nodes repeat what they observed in several load reports, in case the planner changes.
 REPORTED_S = 3.0
 MAX_REPORTED = 64
+# The store drops entries in an outage and lists them again afterwards.
+UNLISTED_TTL_S = 30.0
 
 
 @dataclass
@@ -101,10 +103,12 @@
         return tuple(newest[:MAX_REPORTED])
 
     def retain(self, incarnations: Collection[tuple[str, int]]) -> None:
-        """Drop all other backend servers, which have ended."""
+        """Drop other backend servers unless they may be listed again soon."""
+        since = time.monotonic() - UNLISTED_TTL_S
         for incarnation in self._by_incarnation.keys() - set(incarnations):
-            del self._by_incarnation[incarnation]
-            self._usage_by_incarnation.pop(incarnation, None)
+            if self._by_incarnation[incarnation].observed_at < since:
+                del self._by_incarnation[incarnation]
+                self._usage_by_incarnation.pop(incarnation, None)
 
     def may_send(self, backend: BackendServer) -> bool:
         """Return whether this node may send the backend server a request now."""
--- a/poplarspar/coordination/quarantine/exchange.py
+++ b/poplarspar/coordination/quarantine/exchange.py
@@ -83,6 +83,7 @@
         self._evidence_revision = 0
         self._entries_revision = 0
         self._shared_evidence = Evidence()
+        self._merged_revision_by_key: dict[str, int] = {}
         self._wake = Signal()
         self.quarantine = Quarantine(node, is_planner, self.write_entries, self.notify)
 
@@ -118,7 +119,13 @@
 
     def replace(self, items: tuple[Change, ...]) -> None:
         """Apply all keys under the prefix."""
-        if self._entries_revision and all(item.key != ENTRIES_KEY for item in items):
+        keys = {item.key for item in items}
+        self._merged_revision_by_key = {
+            key: revision
+            for key, revision in self._merged_revision_by_key.items()
+            if key in keys
+        }
+        if self._entries_revision and ENTRIES_KEY not in keys:
             self._entries_revision = 0
             self.quarantine.mark_unstored()
         self.apply(items)
@@ -144,12 +151,16 @@
                 self.quarantine.replace_entries(entries)
         elif item.key != self._evidence_key and item.text is not None:
             # Evidence whose lease has ended expires at each node by itself.
+            if item.revision <= self._merged_revision_by_key.get(item.key, 0):
+                # Its ages are as of its writing, so it would seem to be newer.
+                return
+            self._merged_revision_by_key[item.key] = item.revision
             evidence = self._documents.parse_evidence(item.text)
             self.quarantine.merge_evidence(evidence)
 
     def _share(self) -> None:
         evidence = self.quarantine.own_evidence()
-        if evidence != self._shared_evidence:
+        if _has_news(evidence, self._shared_evidence):
             self._write_evidence(evidence)
         if self.quarantine.needs_write():
             entries = self.quarantine.entries()
@@ -185,3 +196,11 @@
         stored = self._store.read(ENTRIES_KEY)
         text = stored.text if stored.revision else None
         self.apply((Change(ENTRIES_KEY, stored.revision, text),))
+
+
+def _has_news(evidence: Evidence, shared: Evidence) -> bool:
+    """Return whether evidence has more than what was shared; it also expires."""
+    return not (
+        set(evidence.unanswered) <= set(shared.unanswered)
+        and evidence.begun_at_by_part.items() <= shared.begun_at_by_part.items()
+    )
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -4,11 +4,14 @@
 import unittest
 from unittest import mock
 
+from poplarspar.coordination.ports import Change
 from poplarspar.coordination.quarantine import (
+    QUARANTINE_PREFIX,
     Admitted,
     EvidenceTable,
     Quarantine,
     Quarantined,
+    QuarantineExchange,
 )
 from poplarspar.exceptions import MalformedDocument
 from poplarspar.protocol.quarantine import QuarantineJson
@@ -273,6 +276,73 @@
         self.assertEqual(32, len(QuarantineJson().parse_evidence(text).unanswered))
 
 
+class StoreStub:
+    """Records what an exchange writes, and leases without end."""
+
+    def __init__(self):
+        self.writes = []
+
+    def grant_lease(self, ttl_s):
+        return "1"
+
+    def renew_lease(self, lease):
+        return True
+
+    def compare_and_swap(self, key, expected, text, lease=""):
+        self.writes.append(key)
+        return len(self.writes)
+
+
+class ExchangeTest(unittest.TestCase):
+    def setUp(self):
+        self.now = time.monotonic()
+        patcher = mock.patch("time.monotonic", lambda: self.now)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.store = StoreStub()
+        self.exchange = QuarantineExchange(
+            self.store, QuarantineJson(), "n1", lambda: True
+        )
+        self.quarantine = self.exchange.quarantine
+
+    def change(self, revision, evidence):
+        key = QUARANTINE_PREFIX + "evidence/n2"
+        return Change(key, revision, QuarantineJson().evidence_text(evidence))
+
+    # Guards against old answers that seem new and clear newer evidence.
+    def test_evidence_that_is_read_again_is_merged_once(self):
+        old = self.change(5, Evidence((), {"x": self.now}))
+        self.exchange.replace((old,))
+        for number in (1, 2):
+            self.now += 1.0
+            observation = self.quarantine.admit(("x",), "llm m0").observation
+            observation.record_disconnected(backend(f"s{number}"))
+            observation.close()
+        self.exchange.replace((old,))
+        self.assertTrue(self.quarantine.is_suspected(("x",)))
+        self.exchange.apply((self.change(6, Evidence((), {"x": self.now})),))
+        self.assertFalse(self.quarantine.is_suspected(("x",)))
+
+    # Guards against writes that wake all nodes and tell them nothing.
+    def test_expired_evidence_is_not_written_again(self):
+        observation = self.quarantine.admit(("x",), "llm m0").observation
+        observation.record_disconnected(backend("s1"))
+        observation.close()
+        self.exchange._share()
+        self.now += 200.0
+        self.quarantine.check()
+        self.exchange._share()
+        self.assertEqual(1, len(self.store.writes))
+
+    def test_malformed_documents_are_left_out(self):
+        changes = [
+            Change(QUARANTINE_PREFIX + key, 3, "{")
+            for key in ("entries", "evidence/n2")
+        ]
+        self.exchange.replace(tuple(changes))
+        self.assertEqual((), self.quarantine.entries())
+
+
 class DocumentTest(unittest.TestCase):
     def test_evidence_round_trip_keeps_ages(self):
         now = time.monotonic()
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -137,6 +137,10 @@
         for number in range(50):
             self.limits.observe(backend(f"s{number}"), 2.0, time.monotonic())
         self.limits.retain({("s1", 1)})
+        self.assertEqual(50, self.limits.count())
+        later = time.monotonic() + 31.0
+        with mock.patch("time.monotonic", lambda: later):
+            self.limits.retain({("s1", 1)})
         self.assertEqual(1, self.limits.count())
 
     def test_reports_are_bounded(self):
