--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -69,7 +69,6 @@
     def start(self) -> None:
         """Start the process."""
         self.started_at = self.disturbed_at = time.monotonic()
-        self.stopping_since = None
         self.was_ready = False
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
@@ -78,6 +77,8 @@
                 stdout=log,
                 stderr=log,
             )
+        # Other tasks run while the process starts, and see the ended one until then.
+        self.stopping_since = None
 
     def kill(self) -> None:
         """Kill the process and wait for its exit."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,9 +4,14 @@
 
 import subprocess
 import sys
+import tempfile
+import time
 import unittest
 from pathlib import Path
 from types import SimpleNamespace
+from unittest import mock
+
+import eventlet
 
 from soak.callers import EVENTS_PER_STREAM, SentRequest
 from soak.checks import Observations, find_breaches
@@ -59,6 +64,32 @@
                 self.assertEqual(problems, len(stopped.problems))
 
 
+class RestartTest(unittest.TestCase):
+    # Guards against reporting a planned restart, seed 32, as an unexpected exit.
+    def test_node_that_is_being_restarted_has_not_exited_unexpectedly(self):
+        restarted = Node.__new__(Node)
+        restarted.name, restarted.problems, restarted.killed_at = "front-0", [], []
+        restarted.was_ready, restarted.stopping_since = True, time.monotonic()
+        restarted._failed_checks = 0
+        restarted._process = SimpleNamespace(poll=lambda: 0, returncode=0)
+        with tempfile.TemporaryDirectory() as folder:
+            restarted._log = restarted._settings = Path(folder) / "front-0.log"
+
+            def popen(*arguments, **options):
+                eventlet.sleep(0.5)
+                return SimpleNamespace(poll=lambda: None)
+
+            with mock.patch("soak.nodes.subprocess.Popen", popen):
+                starting = eventlet.spawn(restarted.start)
+                eventlet.sleep(0)
+                with mock.patch.object(Node, "_is_ready", lambda self: True):
+                    checking = eventlet.spawn(restarted.check_readiness)
+                    starting.wait()
+                    checking.kill()
+        self.assertEqual([], restarted.problems)
+        self.assertIsNone(restarted.stopping_since)
+
+
 class FaultsTest(unittest.TestCase):
     def test_same_seed_draws_same_faults(self):
         self.assertEqual(draw_faults(3, 10.0, 8), draw_faults(3, 10.0, 8))
