Let parts that were never served explain crashes before common ones

Its prompts begin with one of four parts, so one of them was in unanswered requests at every crash by a harmful request, and also at restarts of backend servers that had nothing to do with it; the harmful part did not explain these.

Nodes now know which parts were answered in the last two minutes, and tell each other about suspected ones. Crashes at which a suspected part was there with which no answer has begun don't count against a part that has been served. A served part is still convicted if nothing else explains three crashes, as after a release of backend servers that fail on it.

--- a/poplarspar/coordination/quarantine/evidence.py
+++ b/poplarspar/coordination/quarantine/evidence.py
@@ -12,6 +12,9 @@
 # Separate moments at which backend servers crashed that convict a part. A sound part
 # can be there at one or two crashes by chance.
 CONCLUSIVE_MOMENTS = 3
+# From here on a part is suspected: its requests are not retried, and nodes report to
+# each other when an answer with it has begun.
+SUSPECTED_MOMENTS = 2
 # The loss of a zone or rack fails many requests at one moment.
 MOMENT_S = 0.3
 # Where more sets of parts are convicted at once, their prompts are not the cause.
@@ -24,7 +27,9 @@
     def __init__(self) -> None:
         self._unanswered_by_part: dict[str, dict[str, UnansweredRequest]] = {}
         self._begun_at_by_part: dict[str, float] = {}
-        self._convicted: tuple[frozenset[str], ...] | None = ()
+        # Kept until the evidence changes.
+        self._suspected: tuple[str, ...] | None = None
+        self._convicted: tuple[frozenset[str], ...] | None = None
 
     def add(self, request: UnansweredRequest) -> None:
         """Add a request; a request that is known already keeps its time."""
@@ -33,7 +38,7 @@
                 requests = self._unanswered_by_part.setdefault(part, {})
                 if request.id not in requests:
                     requests[request.id] = request
-                    self._convicted = None
+                    self._discard_decisions()
 
     def merge(self, evidence: Evidence) -> None:
         """Add the evidence of another node."""
@@ -48,8 +53,7 @@
             return
         self._begun_at_by_part[part] = begun_at
         requests = self._unanswered_by_part.pop(part, {})
-        if requests:
-            self._convicted = None
+        self._discard_decisions()
         newer = {id: r for id, r in requests.items() if r.ended_at > begun_at}
         if newer:
             self._unanswered_by_part[part] = newer
@@ -59,13 +63,27 @@
         requests = self._unanswered_by_part.get(part, {})
         return _count_moments(_crash_times(requests.values()).values())
 
+    def suspected(self) -> tuple[str, ...]:
+        """Return the parts on which backend servers crashed at several moments."""
+        if self._suspected is None:
+            self._suspected = tuple(
+                part
+                for part in self._unanswered_by_part
+                if self.moments(part) >= SUSPECTED_MOMENTS
+            )
+        return self._suspected
+
     def is_accused(self, part: str) -> bool:
         """Return whether any evidence counts against a part."""
         return part in self._unanswered_by_part
 
+    def is_served(self, part: str) -> bool:
+        """Return whether any answer with a part has begun lately."""
+        return part in self._begun_at_by_part
+
     def is_cleared(self, part: str) -> bool:
         """Return whether an answer with a part began after all evidence against it."""
-        return part in self._begun_at_by_part and not self.is_accused(part)
+        return self.is_served(part) and not self.is_accused(part)
 
     def pools(self, parts: frozenset[str]) -> set[str]:
         """Return the pools of the requests that count against any of the parts."""
@@ -84,7 +102,7 @@
         for part, requests in list(self._unanswered_by_part.items()):
             recent = {id: r for id, r in requests.items() if r.ended_at > since}
             if len(recent) < len(requests):
-                self._convicted = None
+                self._discard_decisions()
                 self._unanswered_by_part[part] = recent
             if not recent:
                 del self._unanswered_by_part[part]
@@ -101,10 +119,38 @@
             self._convicted = self._convict()
         return self._convicted
 
+    def _discard_decisions(self) -> None:
+        self._suspected = self._convicted = None
+
     def _convict(self) -> tuple[frozenset[str], ...]:
+        new_parts, served_parts = [], []
+        for part in self._unanswered_by_part:
+            (served_parts if self.is_served(part) else new_parts).append(part)
+        # Parts with which no answer has begun explain crashes before parts that have
+        # been served lately, and before they are convicted themselves.
+        explained = {
+            backend
+            for part in self.suspected()
+            if not self.is_served(part)
+            for request in self._unanswered_by_part[part].values()
+            for backend in request.backends
+        }
+        return self._convict_among(new_parts) + self._convict_among(
+            served_parts, frozenset(explained)
+        )
+
+    def _convict_among(
+        self, parts: list[str], explained: frozenset[str] = frozenset()
+    ) -> tuple[frozenset[str], ...]:
+        """Return the convicted sets of some parts by the crashes that need them."""
         parts_by_case: dict[_Case, set[str]] = defaultdict(set)
-        for part, requests in self._unanswered_by_part.items():
-            crashed_at = _crash_times(requests.values())
+        for part in parts:
+            requests = self._unanswered_by_part[part]
+            crashed_at = {
+                backend: at
+                for backend, at in _crash_times(requests.values()).items()
+                if backend not in explained
+            }
             if _count_moments(crashed_at.values()) >= CONCLUSIVE_MOMENTS:
                 case = _Case(frozenset(crashed_at), frozenset(requests))
                 parts_by_case[case].add(part)
--- a/poplarspar/coordination/quarantine/quarantine.py
+++ b/poplarspar/coordination/quarantine/quarantine.py
@@ -7,7 +7,11 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
-from poplarspar.coordination.quarantine.evidence import EVIDENCE_TTL_S, EvidenceTable
+from poplarspar.coordination.quarantine.evidence import (
+    EVIDENCE_TTL_S,
+    SUSPECTED_MOMENTS,
+    EvidenceTable,
+)
 from poplarspar.coordination.quarantine.outcomes import PoolOutcomes
 from poplarspar.events import Event
 from poplarspar.logs import log_event
@@ -29,9 +33,8 @@
 MAX_OWN_EVIDENCE = 32
 MAX_OWN_BEGUN = 256
 MAX_PARTS = 32
-# Moments of unanswered requests with a part from which on its requests are not retried,
-# and other nodes need to know that an answer with it has begun.
-SUSPECTED_MOMENTS = 2
+# Parts with which answers have begun lately; a caller can name any number of parts.
+MAX_SERVED_PARTS = 4096
 # The nodes convict a part at the same time; one write to the store is enough.
 MAX_WRITE_DELAY_S = 1.0
 MIN_RETRY_AFTER_S = 1.0
@@ -146,6 +149,7 @@
         self._outcomes = PoolOutcomes()
         self._own_unanswered: deque[UnansweredRequest] = deque(maxlen=MAX_OWN_EVIDENCE)
         self._own_begun_at_by_part: dict[str, float] = {}
+        self._served_at_by_part: dict[str, float] = {}
         self._convicted_at_by_part: dict[str, float] = {}
         self._entry_by_parts: dict[frozenset[str], _Entry] = {}
         self._released: set[frozenset[str]] = set()
@@ -192,6 +196,7 @@
         for entry in self._matching(parts):
             self._release(entry)
         for part in parts:
+            self._record_served(part, now)
             if not self._evidence.is_accused(part):
                 continue
             if self._evidence.moments(part) >= SUSPECTED_MOMENTS:
@@ -213,6 +218,7 @@
         """
         now = time.monotonic()
         self._expire(now)
+        self._report_served()
         convicted = self._evidence.convicted()
         self._convicted_at_by_part = {
             part: self._convicted_at_by_part.get(part, now)
@@ -338,6 +344,21 @@
                 if now > entry.learned_at + RETENTION_S:
                     self._release(entry)
 
+    def _record_served(self, part: str, now: float) -> None:
+        self._served_at_by_part.pop(part, None)
+        self._served_at_by_part[part] = now
+        if len(self._served_at_by_part) > MAX_SERVED_PARTS:
+            del self._served_at_by_part[next(iter(self._served_at_by_part))]
+
+    def _report_served(self) -> None:
+        """Tell all nodes which suspected parts were served here before."""
+        since = time.monotonic() - EVIDENCE_TTL_S
+        for part in self._evidence.suspected():
+            served_at = self._served_at_by_part.get(part, float("-inf"))
+            if served_at > since and not self._evidence.is_served(part):
+                self._evidence.record_begun(part, served_at)
+                self._report_begun(part, served_at)
+
     def _report_begun(self, part: str, now: float) -> None:
         self._own_begun_at_by_part.pop(part, None)
         self._own_begun_at_by_part[part] = now
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -84,6 +84,29 @@
         self.assertEqual(2, self.table.moments("x"))
         self.assertEqual((), self.table.convicted())
 
+    # Guards against convicting a common part that was there at other crashes too.
+    def test_crashes_that_a_new_part_explains_do_not_count_against_a_served_one(self):
+        self.table.record_begun("a", 0.5)
+        for number in (1, 2, 3):
+            self.add(unanswered(number, "a", "x"))
+        for number in (4, 5):
+            self.add(unanswered(number, "a"))
+        self.assertEqual((frozenset({"x"}),), self.table.convicted())
+        self.add(unanswered(6, "a"))
+        self.assertEqual({frozenset("x"), frozenset("a")}, {*self.table.convicted()})
+
+    def test_suspected_new_part_explains_crashes_before_its_conviction(self):
+        self.table.record_begun("a", 0.5)
+        self.add(unanswered(1, "a", "x"), unanswered(2, "a", "x"))
+        self.add(unanswered(3, "a"))
+        self.assertEqual((), self.table.convicted())
+
+    # Guards against sparing a part that was sound before, say, a release.
+    def test_served_part_is_convicted_if_nothing_else_explains_the_crashes(self):
+        self.table.record_begun("a", 0.5)
+        self.add(*(unanswered(number, "a", f"y{number}") for number in (1, 2, 3)))
+        self.assertEqual((frozenset({"a"}),), self.table.convicted())
+
     # Guards against quarantine after the loss of a zone or rack.
     def test_requests_that_fail_at_one_moment_convict_nothing(self):
         self.add(*(unanswered(n, "x", at=1.0 + n / 100) for n in range(1, 9)))
@@ -226,6 +249,19 @@
         self.assertEqual((), self.quarantine.entries())
         self.assertTrue(self.quarantine.needs_write())
 
+    def test_nodes_tell_each_other_which_suspected_parts_were_served(self):
+        self.admit("a").record_begun()
+        self.check_for(0.1)
+        self.assertEqual({}, self.quarantine.own_evidence().begun_at_by_part)
+        served_at = self.now - 0.1
+        for number in (1, 2):
+            self.crash(number, "a", "x")
+        self.check_for(0.2)
+        begun = self.quarantine.own_evidence().begun_at_by_part
+        self.assertEqual(["a"], list(begun))
+        self.assertAlmostEqual(served_at, begun["a"], places=2)
+        self.assertTrue(self.quarantine.is_suspected(("a",)))
+
     def test_one_request_is_the_trial_after_the_hold(self):
         self.hold(0.0, "x")
         observation = self.admit("x")
