Convict parts that were never served also while a whole pool fails

Where nearly all requests are harmful, less than a quarter of a node's requests are answered after some crashes, and nothing could be convicted any more. The gate is meant for common parts and now applies to these only, those that were served lately.

The rest was the test's stand-in: a backend server that dropped a connection went on as the same incarnation, while a crash ends one. Since each crashed incarnation counts once, requests that met the same backend servers again added nothing.

--- a/poplarspar/coordination/quarantine/quarantine.py
+++ b/poplarspar/coordination/quarantine/quarantine.py
@@ -228,8 +228,7 @@
         for parts in convicted:
             convicted_at = max(self._convicted_at_by_part[part] for part in parts)
             is_settled = now >= convicted_at + CONVICTION_DELAY_S
-            # While a whole pool fails, its requests say nothing about their prompts.
-            if is_settled and self._outcomes.are_serving(self._evidence.pools(parts)):
+            if is_settled and not self._may_be_common(parts):
                 self._add(parts, now)
         if self.needs_write():
             self._on_change()
@@ -344,6 +343,12 @@
                 if now > entry.learned_at + RETENTION_S:
                     self._release(entry)
 
+    def _may_be_common(self, parts: frozenset[str]) -> bool:
+        """Return whether requests with the parts fail because their whole pool does."""
+        was_served = any(map(self._evidence.is_served, parts))
+        pools = self._evidence.pools(parts)
+        return was_served and not self._outcomes.are_serving(pools)
+
     def _record_served(self, part: str, now: float) -> None:
         self._served_at_by_part.pop(part, None)
         self._served_at_by_part[part] = now
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -222,7 +222,8 @@
         self.admit("y")
 
     # Guards against quarantine of common parts when all backend servers crash.
-    def test_nothing_is_quarantined_while_a_whole_pool_fails(self):
+    def test_served_part_is_not_quarantined_while_a_whole_pool_fails(self):
+        self.admit("x").record_begun()
         for number in range(9):
             self.crash(number, "x", f"y{number}")
         self.check_for(2.0)
@@ -233,6 +234,14 @@
         (entry,) = self.quarantine.entries()
         self.assertEqual({"x"}, entry.parts)
 
+    # Guards against crashes without end where all requests have the harmful part.
+    def test_part_that_was_never_served_is_quarantined_though_all_requests_fail(self):
+        for number in range(9):
+            self.crash(number, "x", f"y{number}")
+        self.check_for(2.0)
+        (entry,) = self.quarantine.entries()
+        self.assertEqual({"x"}, entry.parts)
+
     # Guards against a retry ban after the loss of a rack, for its callers' other parts.
     def test_requests_that_fail_at_one_moment_are_retried(self):
         observations = [self.admit("x") for _ in range(5)]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -19,14 +19,25 @@
 
 
 class CrashingBackend(PlainWorker):
-    """Drops the connection of each request whose prompt has the part `bad0`."""
+    """Crashes on each request whose prompt has the part `bad0`, and starts again."""
 
     crashes: list[float] = []
 
+    def __init__(self, id, store):
+        self._store = store
+        self._started_ms = 1
+        super().__init__(id)
+
+    def register(self):
+        entry = self.entry("ledger", born=self._started_ms)
+        self._store.put(f"servers/{self.id}", entry)
+
     def handle(self, request):
         if "bad0" in request.headers.get(PROMPT_PARTS, ""):
             self.crashes.append(time.monotonic())
             self.answer_modes = ["lost"]
+            self._started_ms += 1
+            self.register()
         return super().handle(request)
 
 
@@ -36,11 +47,13 @@
         self.nodes = [self.node, *(self.start_node() for _ in range(NODES - 1))]
         for backend in self.workers:
             self.store.remove(f"servers/{backend.id}")
-        self.workers = [CrashingBackend(f"i-c{index}") for index in range(BACKENDS)]
+        self.workers = [
+            CrashingBackend(f"i-c{index}", self.store) for index in range(BACKENDS)
+        ]
         CrashingBackend.crashes = []
         for backend in self.workers:
             self.addCleanup(backend.close)
-            self.store.put(f"servers/{backend.id}", backend.entry("ledger"))
+            backend.register()
         for node in self.nodes:
             wait_until(node.is_ready, "node is ready")
         wait_until(lambda: self.send_parts(0, "aa0") == 200, "backends are used")
