Don't blame a stop for a crash of the backend server, in the soak

A request that crashes its backend server, or ran there when it crashed, can't be completed by a node that is stopping; the users' rule leaves out what the worker broke off.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -275,6 +275,9 @@
                 and ended_in_stop
                 and not request.complete
                 and runs_by_attempt_id[request.attempt_id]
+                and not _has_crashed(
+                    observations, request, runs_by_attempt_id[request.attempt_id]
+                )
             ):
                 lines.append(
                     f"{request.attempt_id} was cut by the stop of {stop.node.name}"
@@ -284,6 +287,18 @@
     return lines
 
 
+def _has_crashed(
+    observations: Observations, request: SentRequest, runs: list[Run]
+) -> bool:
+    """Return whether a backend server crashed while it ran the request."""
+    return any(
+        run.worker == backend and run.started_at <= at <= request.ended_at
+        for harm in observations.environment.harms
+        for backend, at in harm.crashes
+        for run in runs
+    )
+
+
 def _recovery_problems(observations: Observations) -> list[str]:
     """Check that the nodes serve each kind of request again after the faults."""
     served: Counter[str] = Counter()
@@ -309,9 +324,10 @@
         if b"quarantined" in request.content and harmful.isdisjoint(request.parts)
     ]
     for harm in observations.environment.harms:
-        if len(harm.crashed_at) < CRASHES_BEFORE_BOUND:
+        if len(harm.crashes) < CRASHES_BEFORE_BOUND:
             continue
-        bound = sorted(harm.crashed_at)[CRASHES_BEFORE_BOUND - 1] + SETTLE_S
+        crashed_at = sorted(at for _, at in harm.crashes)
+        bound = crashed_at[CRASHES_BEFORE_BOUND - 1] + SETTLE_S
         late = [
             run
             for run in observations.environment.runs
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -71,10 +71,16 @@
 
 @dataclass
 class Harm:
-    """A prompt part that crashes backend servers for some time, and when it did."""
+    """A prompt part that crashes backend servers for some time.
+
+    Attributes
+    ----------
+    crashes : list of (str, float)
+        Backend servers that crashed, and the monotonic times.
+    """
 
     part: str
-    crashed_at: list[float] = field(default_factory=list)
+    crashes: list[tuple[str, float]] = field(default_factory=list)
 
 
 @dataclass
@@ -242,7 +248,7 @@
     def _begin(self, id: str, request: Request) -> None:
         harm = self.current_harm
         if harm is not None and harm.part in request.headers.get(PROMPT_PARTS, ""):
-            harm.crashed_at.append(time.monotonic())
+            harm.crashes.append((id, time.monotonic()))
             self.crash(id)
             raise BackendFailed("crashed", sent=True)
 
