Log restores of the store, and show its era in the metrics

The logs could not tell a store that was restored from one whose answers arrive twice: both were event 307. The store names its era in each answer, which rises by one with each restore. Event 308 says so, with the newest revision known before; the gauge is store_era.

--- a/poplarspar/coordination/store_ports.py
+++ b/poplarspar/coordination/store_ports.py
@@ -58,7 +58,15 @@
 
 
 class WatchedStore(Store, Protocol):
-    """A store whose watch also reports deletions."""
+    """A store whose watch also reports deletions.
+
+    Attributes
+    ----------
+    era : int
+        Number of times that the store has been restored from an older copy.
+    """
+
+    era: int
 
     def read_all(self, prefix: str, *, may_be_old: bool = False) -> Changes:
         """Return all values under a prefix.
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -259,6 +259,12 @@
         "The store discarded changes that this process had not read.",
         "Nothing; the process reads a full snapshot.",
     )
+    STORE_RESTORED = (
+        308,
+        "store was restored from an older copy",
+        "Changes up to revision `newest` of the last era may be lost.",
+        "Nothing; nodes read the store again and write their own keys again.",
+    )
     LEASE_NOT_ENDED = (
         303,
         "lease could not be released",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -358,6 +358,7 @@
             "requests_running": self.drain.running,
             "configuration_version": configuration.version if configuration else 0,
             "configuration_age_seconds": self._fleet_updater.configuration_age_s(),
+            "store_era": self._adapters.store.era,
             "store_steady_seconds": self._store_health.healthy_s(),
             "store_read_by_planner": (
                 self._announcements.reader_of_operator() is StoreReader.FOLLOWER
--- a/poplarspar/platform/headers.py
+++ b/poplarspar/platform/headers.py
@@ -25,6 +25,8 @@
 LOAD = "Server-Load"
 # Requests per second that the backend server takes from all nodes together.
 RATE_LIMIT = "Server-Limit"
+# How often the store has been restored from an older copy.
+STORE_ERA = "Store-Era"
 
 # Headers that apply to one connection, or that the node sets or evaluates itself.
 NOT_FORWARDED = frozenset(
--- a/poplarspar/platform/store.py
+++ b/poplarspar/platform/store.py
@@ -20,6 +20,7 @@
     TransportError,
 )
 from poplarspar.logs import log_event
+from poplarspar.platform.headers import STORE_ERA, parse_count
 from poplarspar.state.snapshot import StoredValue
 from poplarspar.transport.http import HttpAnswer, HttpClient
 
@@ -66,13 +67,21 @@
 
 
 class PlatformStore:
-    """Client of the store; concurrent calls use a connection each."""
+    """Client of the store; concurrent calls use a connection each.
+
+    Attributes
+    ----------
+    era : int
+        Newest era that an answer has named; it rises with each restore of the store.
+    """
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._client = self._connect()
         # Revisions only grow, so an older answer belongs to an earlier call.
         self._newest_revision = 0
+        self._has_era = False
+        self.era = 0
 
     def _connect(self) -> HttpClient:
         return HttpClient(self._address, tcp_keepalive=True)
@@ -187,6 +196,20 @@
     def _record_revision(self, revision: int) -> None:
         self._newest_revision = max(self._newest_revision, revision)
 
+    def _record_era(self, answer: HttpAnswer) -> None:
+        era = parse_count(answer.headers.get(STORE_ERA, ""))
+        if era is None:
+            return
+        if self._has_era and era > self.era:
+            log_event(
+                Event.STORE_RESTORED,
+                era=era,
+                before=self.era,
+                newest=self._newest_revision,
+            )
+        self._has_era = True
+        self.era = max(self.era, era)
+
     def _reject_copy(self) -> StoreUnavailable:
         """Close all connections, on which later answers would be out of step too."""
         self._client.close()
@@ -220,7 +243,7 @@
         self, method: str, endpoint: str, data: bytes = b"", wait_s: float = 0.0
     ) -> HttpAnswer:
         try:
-            return self._client.send(
+            answer = self._client.send(
                 method,
                 f"/poplarspar/{endpoint}",
                 data,
@@ -229,6 +252,8 @@
             )
         except TransportError as error:
             raise StoreUnavailable(f"store: {error}") from error
+        self._record_era(answer)
+        return answer
 
     @staticmethod
     def _parse(model: type, answer: HttpAnswer):
