Order the store's revisions over a restore

Changes that were confirmed meanwhile were not in effect, and entries, evacuations and the planner's key not read. Where the revisions had been passed already, a watch began after a revision that had been given out again, and hid the changes before it; a compare-and-swap could write over a value at the same revision that it had never read; orders of the next planner had lower fencing tokens than those of the last one.

Cause: everything that compares revisions assumes that they only grow. The class of fault: a number that is an order only within one history of its issuer.

The adapter now puts the store's era above the revision, so that the order holds again for all of them: watches, the planner's key and fencing tokens, evidence, the quarantine and announcements; older eras are earlier answers. A watch or write that starts in an earlier era is answered without a call: no history, conflict; leases of an earlier era have ended, since their numbers may be granted to others. Watchers read all again at a restore, and entries that are missing get the same time to return as after an outage.

Ruled out: dropping the check of earlier answers, which found answers that arrive twice.

--- a/poplarspar/coordination/prefix_watcher.py
+++ b/poplarspar/coordination/prefix_watcher.py
@@ -82,6 +82,11 @@
         """Whether the last call to the store was answered."""
         return self._healthy_since is not None
 
+    def record_restore(self) -> None:
+        """Record that the store shows an older state, which may lack entries."""
+        if self._healthy_since is not None:
+            self._healthy_since = time.monotonic()
+
     def healthy_s(self) -> float:
         """Return the seconds for which the store has answered without a failure."""
         if self._healthy_since is None:
@@ -151,6 +156,7 @@
         self._started_at = time.monotonic()
         self._read_all_at = float("-inf")
         self._catching_up = False
+        self._is_watching = False
         self.newest_revision = 0
 
     def catch_up_to(self, revision: int) -> None:
@@ -176,6 +182,22 @@
             self._wanted_revision = revision
             self.watch_now()
 
+    def read_again(self) -> None:
+        """Read all values again, since the store shows an older state."""
+        self._known_revision = None
+        if self._is_watching:
+            # The restored store may leave the watch request waiting.
+            spawn_logged(self._read_during_watch)
+        else:
+            self.watch_now()
+
+    def _read_during_watch(self) -> None:
+        try:
+            self._read_all()
+        except StoreUnavailable as error:
+            # The watcher reads all values when its watch request has ended.
+            self._health.record_failure(str(error))
+
     def watch_now(self) -> None:
         """End the present pause between two watch requests."""
         if not self._wanted.ready():
@@ -281,10 +303,14 @@
         self._replace(changes.items)
 
     def _watch(self, after: int) -> None:
-        changes = self._store.changes(self._prefix, after, self._watch_timeout_s())
+        self._is_watching = True
+        try:
+            changes = self._store.changes(self._prefix, after, self._watch_timeout_s())
+        finally:
+            self._is_watching = False
         # `catch_up_to` may have read all values during the watch request.
         items = tuple(
-            item for item in changes.items if item.revision > self._known_revision
+            item for item in changes.items if item.revision > self.known_revision
         )
         if items:
             # A watch without changes may have missed some, so the known revision
--- a/poplarspar/coordination/store_ports.py
+++ b/poplarspar/coordination/store_ports.py
@@ -1,5 +1,6 @@
 """Interfaces of the platform's store, for transport and adapters to implement."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -68,6 +69,13 @@
 
     era: int
 
+    def on_restore(self, callback: Callable[[], None]) -> None:
+        """Call `callback`, which must not wait, once the store shows an older state.
+
+        Revisions continue to grow in it, leases of before have ended, and changes that
+        the store had confirmed may be missing.
+        """
+
     def read_all(self, prefix: str, *, may_be_old: bool = False) -> Changes:
         """Return all values under a prefix.
 
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -250,6 +250,7 @@
             self._node_count,
             self._plan_age_s,
         )
+        adapters.store.on_restore(self._store_health.record_restore)
         watches = StoreWatches(
             adapters.store,
             self._store_health,
--- a/poplarspar/platform/store.py
+++ b/poplarspar/platform/store.py
@@ -3,6 +3,8 @@
 import base64
 import binascii
 import json
+from collections.abc import Callable
+from dataclasses import dataclass
 from urllib.parse import urlencode
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -22,7 +24,7 @@
 from poplarspar.logs import log_event
 from poplarspar.platform.headers import STORE_ERA, parse_count
 from poplarspar.state.snapshot import StoredValue
-from poplarspar.transport.http import HttpAnswer, HttpClient
+from poplarspar.transport.http import HttpClient
 
 # The store answers within milliseconds, or within 0.25 s when it is slow.
 ANSWER_TIMEOUT_S = 0.8
@@ -31,6 +33,9 @@
 GONE = 410
 CONFLICT = 412
 JSON_HEADERS = {"Content-Type": "application/json"}
+# The store gives out revisions again after a restore. Here the era is the high part of
+# a revision, so that revisions only grow.
+REVISIONS_PER_ERA = 1 << 32
 
 
 class _Message(BaseModel):
@@ -66,13 +71,29 @@
     ttl_ms: int = Field(gt=0)
 
 
+@dataclass(frozen=True)
+class _Answer:
+    """An answer of the store, and the era in which the store gave it."""
+
+    status: int
+    body: bytes
+    era: int
+
+    def revision(self, number: int) -> int:
+        """Return a revision of this era that is above those of all earlier eras."""
+        return number and self.era * REVISIONS_PER_ERA + number
+
+
 class PlatformStore:
     """Client of the store; concurrent calls use a connection each.
 
+    A store that is restored from a copy gives out revisions and lease ids again. So
+    revisions here contain the era, and leases of an earlier era count as ended.
+
     Attributes
     ----------
     era : int
-        Newest era that an answer has named; it rises with each restore of the store.
+        Newest era that an answer has named; it rises with each restore.
     """
 
     def __init__(self, address: str) -> None:
@@ -80,12 +101,17 @@
         self._client = self._connect()
         # Revisions only grow, so an older answer belongs to an earlier call.
         self._newest_revision = 0
+        self._restore_callbacks: list[Callable[[], None]] = []
         self._has_era = False
         self.era = 0
 
     def _connect(self) -> HttpClient:
         return HttpClient(self._address, tcp_keepalive=True)
 
+    def on_restore(self, callback: Callable[[], None]) -> None:
+        """Call `callback`, which must not wait, once the store shows an older state."""
+        self._restore_callbacks.append(callback)
+
     def read(self, key: str) -> StoredValue:
         """Return the value at `key`, at revision 0 when absent."""
         answer = self._get("kv-key", {"key": key})
@@ -94,7 +120,8 @@
         item = self._parse(_Item, answer)
         if item.key != key:
             raise self._reject_copy()
-        return StoredValue(item.key, item.revision, _decode_value(item.value))
+        revision = answer.revision(item.revision)
+        return StoredValue(item.key, revision, _decode_value(item.value))
 
     def read_all(self, prefix: str, *, may_be_old: bool = False) -> Changes:
         """Return all values under a prefix; `may_be_old` costs a tenth."""
@@ -109,14 +136,17 @@
                 # Despite its name, the field is the key after which kv-range continues.
                 query["since_rev"] = after
             newest_revision = self._newest_revision
-            page = self._parse(_ItemPage, self._get("kv-range", query))
-            if page.as_of < newest_revision and not may_be_old:
+            answer = self._get("kv-range", query, may_be_old=may_be_old)
+            page = self._parse(_ItemPage, answer)
+            page_as_of = answer.revision(page.as_of)
+            if page_as_of < newest_revision and not may_be_old:
                 raise self._reject_copy()
-            self._record_revision(page.as_of)
+            self._record_revision(page_as_of)
             # A later page may be newer, so the watch starts at the first page's
-            # revision and reports the changes between the pages again.
-            as_of = page.as_of if as_of is None else as_of
-            items += [_to_change(item) for item in page.items]
+            # revision and reports the changes between the pages again. After a restore
+            # between them it has no such history, and all values are read again.
+            as_of = page_as_of if as_of is None else as_of
+            items += [_to_change(item, answer) for item in page.items]
             if not page.more_pages or not page.items:
                 return Changes(tuple(items), as_of)
             after = page.items[-1].key
@@ -129,18 +159,22 @@
         HistoryLost
             If the store has discarded that part of its history.
         """
+        era, since = divmod(after, REVISIONS_PER_ERA)
         query = {
             "path_prefix": prefix,
-            "since_rev": after,
+            "since_rev": since,
             "wait_ms": int(wait_s * 1000),
         }
-        answer = self._get("kv-watch", query, wait_s)
-        if answer.status == GONE:
+        answer = self._get("kv-watch", query, wait_s) if era == self.era else None
+        if answer is None or answer.status == GONE or answer.era != era:
             raise HistoryLost(
                 f"store has discarded the history of {prefix!r} after {after}"
             )
         batch = self._parse(_Events, answer)
-        return Changes(tuple(_to_change(item) for item in batch.events), batch.as_of)
+        return Changes(
+            tuple(_to_change(item, answer) for item in batch.events),
+            answer.revision(batch.as_of),
+        )
 
     def watch(self, prefix: str, after: int, wait_s: float) -> list[StoredValue]:
         """Return values newer than revision `after`, waiting up to `wait_s`."""
@@ -157,10 +191,10 @@
         """Write if the key is at revision `expected` and return the new revision."""
         put = {"key": key, "value": base64.b64encode(text.encode()).decode()}
         if lease:
-            put["lease"] = int(lease)
+            put["lease"] = self._lease_number(lease)
         newest_revision = self._newest_revision
         answer = self._commit(key, expected, puts=[put])
-        revision = self._parse(_Committed, answer).revision
+        revision = answer.revision(self._parse(_Committed, answer).revision)
         if revision <= newest_revision:
             raise self._reject_copy()
         self._record_revision(revision)
@@ -173,19 +207,28 @@
     def grant_lease(self, ttl_s: float) -> str:
         """Return the identifier of a new lease."""
         answer = self._post("kv-lease", {"ttl_ms": int(ttl_s * 1000)})
-        return str(self._parse(_Lease, answer).lease)
+        return f"{answer.era}:{self._parse(_Lease, answer).lease}"
 
     def renew_lease(self, lease: str) -> bool:
         """Renew a lease and return whether it still existed."""
-        answer = self._post(f"kv-keep/{lease}", None)
+        try:
+            number = self._lease_number(lease)
+        except LeaseEnded:
+            return False
+        answer = self._post(f"kv-keep/{number}", None)
         if answer.status == NOT_FOUND:
             return False
         self._parse(_Lease, answer)
-        return True
+        # After a restore the number may be that of another node's lease.
+        return lease.startswith(f"{answer.era}:")
 
     def end_lease(self, lease: str) -> None:
         """End a lease, which deletes its keys."""
-        answer = self._send("DELETE", f"kv-lease-end/{lease}")
+        try:
+            number = self._lease_number(lease)
+        except LeaseEnded:
+            return
+        answer = self._send("DELETE", f"kv-lease-end/{number}")
         if answer.status not in (OK, NOT_FOUND):
             raise StoreUnavailable(f"store answered with status {answer.status}")
 
@@ -196,32 +239,42 @@
     def _record_revision(self, revision: int) -> None:
         self._newest_revision = max(self._newest_revision, revision)
 
-    def _record_era(self, answer: HttpAnswer) -> None:
-        era = parse_count(answer.headers.get(STORE_ERA, ""))
-        if era is None:
-            return
+    def _reject_copy(self) -> StoreUnavailable:
+        """Close all connections, on which later answers would be out of step too."""
+        self._client.close()
+        self._client = self._connect()
+        log_event(Event.ANSWER_REPEATED, peer="store")
+        return StoreUnavailable("store: the answer belongs to an earlier call")
+
+    def _record_era(self, era: int) -> None:
         if self._has_era and era > self.era:
             log_event(
                 Event.STORE_RESTORED,
                 era=era,
                 before=self.era,
-                newest=self._newest_revision,
+                newest=self._newest_revision % REVISIONS_PER_ERA,
             )
+            self.era = era
+            for callback in self._restore_callbacks:
+                callback()
         self._has_era = True
         self.era = max(self.era, era)
 
-    def _reject_copy(self) -> StoreUnavailable:
-        """Close all connections, on which later answers would be out of step too."""
-        self._client.close()
-        self._client = self._connect()
-        log_event(Event.ANSWER_REPEATED, peer="store")
-        return StoreUnavailable("store: the answer belongs to an earlier call")
+    def _lease_number(self, lease: str) -> int:
+        """Return the store's number of a lease; raises `LeaseEnded`."""
+        era, _, number = lease.partition(":")
+        if int(era) != self.era:
+            raise LeaseEnded(f"the store was restored after it had granted {lease!r}")
+        return int(number)
 
     def _commit(
         self, key: str, expected: int, puts: list = (), remove: list = ()
-    ) -> HttpAnswer:
+    ) -> _Answer:
+        era, expected_number = divmod(expected, REVISIONS_PER_ERA)
+        if expected and era != self.era:
+            raise RevisionConflict(f"{key!r} was read before the store was restored")
         body = {
-            "expected": [{"key": key, "revision": expected}],
+            "expected": [{"key": key, "revision": expected_number}],
             "puts": list(puts),
             "remove": list(remove),
         }
@@ -232,16 +285,28 @@
             raise LeaseEnded(f"the lease for {key!r} has ended")
         return answer
 
-    def _get(self, endpoint: str, query: dict, wait_s: float = 0.0) -> HttpAnswer:
-        return self._send("GET", f"{endpoint}?{urlencode(query)}", wait_s=wait_s)
-
-    def _post(self, endpoint: str, body: dict | None) -> HttpAnswer:
+    def _get(
+        self,
+        endpoint: str,
+        query: dict,
+        wait_s: float = 0.0,
+        may_be_old: bool = False,
+    ) -> _Answer:
+        path = f"{endpoint}?{urlencode(query)}"
+        return self._send("GET", path, wait_s=wait_s, may_be_old=may_be_old)
+
+    def _post(self, endpoint: str, body: dict | None) -> _Answer:
         data = b"" if body is None else json.dumps(body).encode()
         return self._send("POST", endpoint, data)
 
     def _send(
-        self, method: str, endpoint: str, data: bytes = b"", wait_s: float = 0.0
-    ) -> HttpAnswer:
+        self,
+        method: str,
+        endpoint: str,
+        data: bytes = b"",
+        wait_s: float = 0.0,
+        may_be_old: bool = False,
+    ) -> _Answer:
         try:
             answer = self._client.send(
                 method,
@@ -252,11 +317,16 @@
             )
         except TransportError as error:
             raise StoreUnavailable(f"store: {error}") from error
-        self._record_era(answer)
-        return answer
+        era = parse_count(answer.headers.get(STORE_ERA, ""))
+        if era is None:
+            era = self.era
+        if era < self.era and not may_be_old:
+            raise self._reject_copy()
+        self._record_era(era)
+        return _Answer(answer.status, answer.body, era)
 
     @staticmethod
-    def _parse(model: type, answer: HttpAnswer):
+    def _parse(model: type, answer: _Answer):
         if answer.status != OK:
             raise StoreUnavailable(f"store answered with status {answer.status}")
         try:
@@ -265,9 +335,9 @@
             raise StoreUnavailable("store: an answer can't be decoded") from error
 
 
-def _to_change(item: _Item) -> Change:
+def _to_change(item: _Item, answer: _Answer) -> Change:
     text = None if item.deleted else _decode_value(item.value)
-    return Change(item.key, item.revision, text)
+    return Change(item.key, answer.revision(item.revision), text)
 
 
 def _decode_value(value: str) -> str:
--- a/poplarspar/watching.py
+++ b/poplarspar/watching.py
@@ -183,6 +183,7 @@
             is_hurried=lambda: not self._follows_plan(),
             is_small=is_small,
         )
+        self._store.on_restore(watcher.read_again)
         self._stack.callback(spawn_supervised(watcher.run).kill)
         return watcher
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,7 +4,7 @@
 import json
 import socket
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from urllib.parse import parse_qs
 
 import eventlet
@@ -78,6 +78,8 @@
         Whether the store carries out conditional writes and then reports a failure.
     oldest_revision : int
         Revision before which the store has no history for watches.
+    era : int
+        Number of restores, which all answers name.
     """
 
     def __init__(self) -> None:
@@ -90,8 +92,19 @@
         self.refused_writes = 0
         self.lose_answers = False
         self.oldest_revision = 0
+        self.era = 0
         super().__init__()
 
+    def copy(self) -> tuple:
+        """Return a copy of the state, for `restore`."""
+        return self.revision, dict(self.items), list(self.log), dict(self.leases)
+
+    def restore(self, copy: tuple) -> None:
+        """Go back to a copy of the state; revisions and leases are given out again."""
+        self.revision, items, log, leases = copy
+        self.items, self.log, self.leases = dict(items), list(log), dict(leases)
+        self.era += 1
+
     def put(self, key: str, document, lease: int = 0) -> None:
         """Write a JSON document, or raw bytes."""
         data = (
@@ -120,6 +133,11 @@
         self.oldest_revision = self.revision
 
     def handle(self, request: Request) -> Response:
+        response = self._handle(request)
+        headers = {**(response.headers or {}), "Store-Era": str(self.era)}
+        return replace(response, headers=headers)
+
+    def _handle(self, request: Request) -> Response:
         self._end_leases()
         if self.down:
             return json_response(503, {"error": "down"})
@@ -137,7 +155,7 @@
                 return self._commit(json.loads(request.body))
             case "POST", ["kv-lease"]:
                 ttl_s = json.loads(request.body)["ttl_ms"] / 1000
-                id = len(self.leases) + 1
+                id = max(self.leases, default=0) + 1
                 self.leases[id] = (ttl_s, time.monotonic() + ttl_s)
                 return json_response(200, {"lease": id, "ttl_ms": int(ttl_s * 1000)})
             case "POST", ["kv-keep", id]:
@@ -162,6 +180,8 @@
 
     def _watch(self, query: dict) -> Response:
         after = int(query["since_rev"])
+        if after > self.revision:
+            return json_response(410, {})
         ends_at = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             if after < self.oldest_revision:
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,180 @@
+"""A store that is restored from an older copy, and what nodes remember of it."""
+
+import standins.common  # noqa: F401  # isort: skip
+
+import unittest
+
+import eventlet
+
+from poplarspar.coordination.session import PLANNER_KEY
+from poplarspar.exceptions import HistoryLost, RevisionConflict, StoreUnavailable
+from poplarspar.platform.store import PlatformStore
+from standins.platform import Store, configuration
+from tests.test_platform import NodeTestCase, wait_until
+
+# Of which the store loses more than are written until the checks have ended.
+LOST_CHANGES = 300
+# Within which changes must be in effect.
+APPLY_S = 2.0
+
+
+def write_others(store, count=LOST_CHANGES):
+    """Change keys that no node reads."""
+    for number in range(count):
+        store.put("others/key", number)
+
+
+class ClientTest(unittest.TestCase):
+    def setUp(self):
+        self.store = Store()
+        self.addCleanup(self.store.close)
+        self.client = PlatformStore(self.store.address)
+        self.addCleanup(self.client.close)
+        self.store.put("op/a", 1)
+
+    # Guards against a node that takes the restored store for a faulty one, and reads
+    # nothing until as many revisions have been given out again.
+    def test_revisions_grow_over_a_restore(self):
+        copy = self.store.copy()
+        write_others(self.store)
+        before = self.client.read_all("op/")
+        for _ in range(3):
+            self.store.restore(copy)
+            after = self.client.read_all("op/")
+            self.assertEqual(["1"], [item.text for item in after.items])
+            self.assertGreater(after.as_of, before.as_of)
+            self.assertGreater(after.items[0].revision, before.as_of)
+            before = after
+        written = self.client.compare_and_swap(
+            "op/a", before.items[0].revision, "2", ""
+        )
+        self.assertGreater(written, before.as_of)
+
+    def test_parts_are_told_once_of_a_restore(self):
+        calls = []
+        self.client.on_restore(lambda: calls.append(self.client.era))
+        copy = self.store.copy()
+        self.client.read("op/a")
+        self.assertEqual([], calls)
+        self.store.restore(copy)
+        self.client.read("op/a")
+        self.client.read("op/a")
+        self.assertEqual([1], calls)
+
+    # Guards against a watch that starts at a revision that was given out again.
+    def test_watch_from_before_a_restore_finds_no_history(self):
+        copy = self.store.copy()
+        self.store.put("op/b", 1)
+        known = self.client.read_all("op/").as_of
+        self.store.restore(copy)
+        self.store.put("op/c", 1)
+        self.store.put("op/d", 1)
+        with self.assertRaises(HistoryLost):
+            self.client.changes("op/", known, 0.1)
+        with self.assertRaises(HistoryLost):
+            self.client.changes("op/", known, 0.1)
+
+    # Guards against a write over a value that was never read, at its revision.
+    def test_compare_and_swap_from_before_a_restore_conflicts(self):
+        copy = self.store.copy()
+        expected = self.client.compare_and_swap("op/b", 0, "1")
+        self.store.restore(copy)
+        self.store.put("op/b", 2)
+        self.client.read("op/a")
+        with self.assertRaises(RevisionConflict):
+            self.client.compare_and_swap("op/b", expected, "3")
+        self.assertEqual("2", self.client.read("op/b").text)
+
+    # Guards against the loss of another node's keys, or of this one's.
+    def test_lease_number_that_is_granted_again_is_another_lease(self):
+        copy = self.store.copy()
+        lease = self.client.grant_lease(5.0)
+        self.store.restore(copy)
+        other = PlatformStore(self.store.address)
+        self.addCleanup(other.close)
+        other.compare_and_swap("op/b", 0, "1", other.grant_lease(5.0))
+        self.assertFalse(self.client.renew_lease(lease))
+        self.client.end_lease(lease)
+        self.assertEqual("1", other.read("op/b").text)
+
+    # Guards against an earlier answer that counts as the newest state.
+    def test_answer_of_an_earlier_era_is_rejected(self):
+        copy = self.store.copy()
+        self.client.read_all("op/")
+        self.store.restore(copy)
+        self.client.read_all("op/")
+        self.store.era = 0
+        with self.assertRaises(StoreUnavailable):
+            self.client.read("op/a")
+
+    def test_malformed_eras_are_ignored(self):
+        for era in ("", "x", "-1", "1.5", "9" * 30):
+            self.store.era = era
+            self.assertEqual("1", self.client.read("op/a").text)
+            self.assertEqual(0, self.client.era)
+
+
+class RestoredNodeTest(NodeTestCase):
+    @property
+    def fleet(self):
+        return self.node._fleet_updater.fleet
+
+    def wait_in_time(self, condition, description):
+        with eventlet.Timeout(APPLY_S, AssertionError(f"not in time: {description}")):
+            while not condition():
+                eventlet.sleep(0.02)
+
+    def lose_changes(self):
+        """Make changes that a restore will undo; the node writes the last one."""
+        write_others(self.store)
+        # The node reads that its key is gone, and writes it again.
+        self.store.remove(PLANNER_KEY)
+        self.wait_in_time(lambda: PLANNER_KEY in self.store.items, "the planner's key")
+
+    # Guards against a configuration that is confirmed, and not in effect in time.
+    def test_configuration_written_after_a_restore_is_in_effect_in_time(self):
+        copy = self.store.copy()
+        self.lose_changes()
+        self.store.put("op/config", configuration(5))
+        self.wait_in_time(lambda: self.fleet.configuration.version == 5, "version 5")
+        self.store.restore(copy)
+        self.store.put("op/config", configuration(5))
+        self.store.put("op/config", configuration(6))
+        self.wait_in_time(lambda: self.fleet.configuration.version == 6, "version 6")
+
+    # Guards against changes that are hidden by revisions that were given out again.
+    def test_changes_at_revisions_that_are_given_out_again_are_read(self):
+        copy = self.store.copy()
+        self.store.put("op/evacuate/z-b", {})
+        self.wait_in_time(lambda: "z-b" in self.fleet.evacuated_zones, "z-b evacuated")
+        self.store.restore(copy)
+        self.store.put("op/evacuate/z-a", {})
+        write_others(self.store, 5)
+        self.store.put("op/evacuate/z-b", {})
+        self.wait_in_time(lambda: "z-a" in self.fleet.evacuated_zones, "z-a evacuated")
+
+    # Guards against a configuration that comes back older.
+    def test_older_configuration_of_the_copy_is_not_in_effect(self):
+        copy = self.store.copy()
+        self.store.put("op/config", configuration(5))
+        self.wait_in_time(lambda: self.fleet.configuration.version == 5, "version 5")
+        self.store.restore(copy)
+        wait_until(lambda: self.node._adapters.store.era == 1, "the restore is noticed")
+        eventlet.sleep(0.5)
+        self.assertEqual(5, self.fleet.configuration.version)
+
+    # Guards against orders that backend servers refuse, since the planner before the
+    # restore had a higher revision.
+    def test_next_planner_after_a_restore_orders_with_higher_tokens(self):
+        copy = self.store.copy()
+        self.lose_changes()
+        first, second = self.node, self.start_node()
+        wait_until(first._planning.may_plan, "the first node plans")
+        wait_until(lambda: first._planning.fencing.last > 0, "tokens of the first node")
+        first.close()
+        self.store.restore(copy)
+        wait_until(second._planning.may_plan, "the second node plans")
+        fencing = second._planning.fencing
+        wait_until(lambda: fencing.last > 0, "tokens of the second node")
+        self.assertGreater(fencing.last, first._planning.fencing.last)
+        self.assertLess(fencing.last, 2**63)
