Write a node's keys again when the store has been restored

What callers could see: limits that nodes divide (cold backend servers, retries, limits of backend servers) divided by too few nodes, and up to 1.5 s without a planner.

Cause: a node counts its key in the list of nodes as stored once it has been acknowledged. A copy from before then lacks the key; one from shortly after has it under a lease that the node renews no longer, and the write that would replace it is taken for a repeated one.

At a restore a session counts its leases as ended, and writes both keys under new ones, over its own keys of before if the copy has them; another node's are never overwritten. The text on spares is written again too.

--- a/poplarspar/coordination/session.py
+++ b/poplarspar/coordination/session.py
@@ -73,6 +73,11 @@
         self._expires_at = sent_at + self._ttl_s
         return True
 
+    def forget(self) -> None:
+        """Count the lease as ended, since the store no longer has it."""
+        self.id = ""
+        self._expires_at = float("-inf")
+
     def revoke(self) -> bool:
         """Revoke the lease, which deletes its keys; return whether the store did so."""
         if not self.id:
@@ -179,6 +184,17 @@
         else:
             self._spares = StoredValue(SPARES_KEY, revision, text)
 
+    def renew_keys(self) -> None:
+        """Write this node's keys again, since the store has been restored.
+
+        Leases of before the restore may end at any moment, if the store has them.
+        """
+        self._member_lease.forget()
+        self._planner_lease.forget()
+        self._member_key_written = False
+        self._member_renewal_at = float("-inf")
+        self._spares = StoredValue(SPARES_KEY, 0, "")
+
     def planner_lease_valid(self) -> bool:
         """Return whether this node's lease on the planner key is still valid."""
         return self._planner_lease.is_valid()
@@ -305,9 +321,10 @@
         try:
             self._store.compare_and_swap(key, 0, capacity, self._member_lease.id)
         except RevisionConflict:
-            # An earlier write took effect but its answer was lost; no other node uses
-            # this key.
-            pass
+            # No other node uses this key: the answer to an earlier write was lost, or
+            # the key has a lease of before a restore of the store.
+            revision = self._store.read(key).revision
+            self._store.compare_and_swap(key, revision, capacity, self._member_lease.id)
         self._member_key_written = True
 
     def _claim_planner_key(self) -> None:
@@ -316,8 +333,8 @@
             return
         self._planner_lease.keep_alive()
         text = self._own_text()
+        lease_id = self._planner_lease.id
         try:
-            lease_id = self._planner_lease.id
             revision = self._store.compare_and_swap(PLANNER_KEY, 0, text, lease_id)
         except StoreUnavailable:
             # The write may have taken effect without an answer.
@@ -325,6 +342,14 @@
             if stored.text != text:
                 raise
             revision = stored.revision
+        except RevisionConflict:
+            # A key of this node's from before a restore would end with its lease.
+            stored = self._store.read(PLANNER_KEY)
+            if stored.text != text:
+                raise
+            revision = self._store.compare_and_swap(
+                PLANNER_KEY, stored.revision, text, lease_id
+            )
         self._set_planner(Change(PLANNER_KEY, revision, text))
         self._on_change()
 
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -242,6 +242,7 @@
             settings.min_lease_s,
             self._nodes_changed,
         )
+        adapters.store.on_restore(self._session.renew_keys)
         self._announcements = Announcements(
             self._store_health,
             self._session,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from poplarspar.coordination.session import PLANNER_KEY
+from poplarspar.coordination.session import MEMBER_PREFIX, PLANNER_KEY
 from poplarspar.exceptions import HistoryLost, RevisionConflict, StoreUnavailable
 from poplarspar.platform.store import PlatformStore
 from standins.platform import Store, configuration
@@ -178,3 +178,44 @@
         wait_until(lambda: fencing.last > 0, "tokens of the second node")
         self.assertGreater(fencing.last, first._planning.fencing.last)
         self.assertLess(fencing.last, 2**63)
+
+
+class KeysTest(NodeTestCase):
+    def holds_key(self, node):
+        item = self.store.items.get(MEMBER_PREFIX + node.name)
+        return item is not None and item["lease"] in self.store.leases
+
+    # Guards against a node that is missing in the list of nodes, and so divides limits
+    # by too few.
+    def test_nodes_are_listed_again_after_a_restore(self):
+        copy = self.store.copy()
+        second = self.start_node()
+        nodes = (self.node, second)
+        wait_until(lambda: all(map(self.holds_key, nodes)), "both nodes are listed")
+        self.store.restore(copy)
+        wait_until(lambda: self.store.era == 1, "restored")
+        wait_until(lambda: all(map(self.holds_key, nodes)), "both are listed again")
+        # Longer than a lease that nobody renews.
+        for _ in range(14):
+            eventlet.sleep(0.5)
+            self.assertTrue(all(map(self.holds_key, nodes)))
+
+    # Guards against seconds without a planner after a restore.
+    def test_planner_keeps_its_role_over_a_restore(self):
+        wait_until(lambda: PLANNER_KEY in self.store.items, "the planner's key")
+        wait_until(self.node._planning.may_plan, "the node plans")
+        copy = self.store.copy()
+        write_others(self.store)
+        self.store.restore(copy)
+        wait_until(lambda: self.node._adapters.store.era == 1, "the restore is noticed")
+        item = self.store.items[PLANNER_KEY]
+        # Before the lease of the copy ends, 1.5 s after its last renewal.
+        with eventlet.Timeout(
+            1.0, AssertionError("the planner's key has no new lease")
+        ):
+            while self.store.items[PLANNER_KEY]["lease"] == item["lease"]:
+                eventlet.sleep(0.02)
+        for _ in range(15):
+            eventlet.sleep(0.2)
+            self.assertIn(PLANNER_KEY, self.store.items)
+        self.assertTrue(self.node._planning.may_plan())
