Keep quarantined parts and evidence when the store has been restored

What callers could see: parts of prompts that were in quarantine crash backend servers again, and more of them than before, since their evidence counted as cleared.

Cause: entries that the store lacks count as ended by another node, which has seen an answer; a copy from before the conviction lacks them too. A copy with an earlier hold took the later one back, and with it a trial. Evidence that was shared once was not shared again, and old evidence at its new revision seemed to be newer than what followed it.

At a restore all entries count as not stored, so that nodes write them again and keep the longer hold; evidence is shared anew, and what is the same text as before is not merged again.

--- a/poplarspar/coordination/quarantine/exchange.py
+++ b/poplarspar/coordination/quarantine/exchange.py
@@ -95,7 +95,8 @@
         self._evidence_revision = 0
         self._entries_revision = 0
         self._shared_evidence = Evidence()
-        self._merged_revision_by_key: dict[str, int] = {}
+        self._merged_by_key: dict[str, Change] = {}
+        self._text_before_restore_by_key: dict[str, str] = {}
         self._wake = Signal()
         self._suspected: frozenset[str] = frozenset()
         self.needed_revision = 0
@@ -123,6 +124,22 @@
                 self.notify()
             eventlet.sleep(MIN_WRITE_INTERVAL_S)
 
+    def share_again(self) -> None:
+        """Share all that this node knows, since the store has been restored.
+
+        The store may have older entries, which say nothing of those that it lacks.
+        """
+        self._lease.forget()
+        self._evidence_revision = 0
+        self._entries_revision = 0
+        self._shared_evidence = Evidence()
+        # The same evidence has a new revision now.
+        self._text_before_restore_by_key = {
+            key: merged.text for key, merged in self._merged_by_key.items()
+        }
+        self.quarantine.mark_unstored()
+        self.notify()
+
     def write_entries(self, entries: tuple[QuarantinedParts, ...]) -> bool:
         """Store entries; False if the store is unavailable or has others."""
         try:
@@ -136,10 +153,8 @@
     def replace(self, items: tuple[Change, ...]) -> None:
         """Apply all keys under the prefix."""
         keys = {item.key for item in items}
-        self._merged_revision_by_key = {
-            key: revision
-            for key, revision in self._merged_revision_by_key.items()
-            if key in keys
+        self._merged_by_key = {
+            key: merged for key, merged in self._merged_by_key.items() if key in keys
         }
         if self._entries_revision and ENTRIES_KEY not in keys:
             self._entries_revision = 0
@@ -168,10 +183,13 @@
                 self.quarantine.replace_entries(entries)
         elif item.key != self._evidence_key and item.text is not None:
             # Evidence whose lease has ended expires at each node by itself.
-            if item.revision <= self._merged_revision_by_key.get(item.key, 0):
+            merged = self._merged_by_key.get(item.key, Change(item.key, 0, None))
+            if item.revision <= merged.revision:
                 # Its ages are as of its writing, so it would seem to be newer.
                 return
-            self._merged_revision_by_key[item.key] = item.revision
+            self._merged_by_key[item.key] = item
+            if item.text == self._text_before_restore_by_key.pop(item.key, None):
+                return
             evidence = self._documents.parse_evidence(item.text)
             self.quarantine.merge_evidence(evidence)
             self._note_evidence(item.revision)
--- a/poplarspar/coordination/quarantine/quarantine.py
+++ b/poplarspar/coordination/quarantine/quarantine.py
@@ -113,6 +113,10 @@
     stored: bool
     write_at: float
 
+    def is_ahead_of(self, stored: QuarantinedParts) -> bool:
+        """Return whether the store has an earlier hold, and is to get this one."""
+        return not self.stored and self.quarantined.hold_s > stored.hold_s
+
     def remaining_s(self, now: float) -> float:
         return self.learned_at + self.quarantined.hold_s - now
 
@@ -271,6 +275,8 @@
             known = self._entry_by_parts.get(parts)
             if parts in self._released:
                 continue
+            if known is not None and known.is_ahead_of(quarantined):
+                continue
             if known is None or known.quarantined != quarantined:
                 self._entry_by_parts[parts] = _Entry(quarantined, now, True, now)
             self._entry_by_parts[parts].stored = True
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -243,6 +243,7 @@
             self._nodes_changed,
         )
         adapters.store.on_restore(self._session.renew_keys)
+        adapters.store.on_restore(self._quarantine_exchange.share_again)
         self._announcements = Announcements(
             self._store_health,
             self._session,
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from poplarspar.coordination.quarantine import (
@@ -381,6 +382,51 @@
         self.exchange._share()
         self.assertEqual(1, len(self.store.writes))
 
+    def entries_change(self, revision, *quarantined):
+        text = QuarantineJson().entries_text(quarantined)
+        return Change(QUARANTINE_PREFIX + "entries", revision, text)
+
+    # Guards against parts that go on crashing backend servers since a restored store
+    # has an earlier quarantine.
+    def test_entries_that_a_restored_store_lacks_stay_and_are_written_again(self):
+        first = QuarantinedParts(frozenset({"x"}), 30.0)
+        second = QuarantinedParts(frozenset({"y"}), 30.0)
+        self.exchange.replace((self.entries_change(5, first),))
+        copy = self.entries_change(2**32 + 5, first)
+        trial = replace(first, hold_s=60.0)
+        self.exchange.apply((self.entries_change(6, trial, second),))
+        self.exchange.share_again()
+        self.exchange.replace((copy,))
+        self.assertEqual({trial, second}, set(self.quarantine.entries()))
+        self.now += 1.0
+        self.assertTrue(self.quarantine.needs_write())
+        self.exchange._share()
+        self.assertFalse(self.quarantine.needs_write())
+        self.assertEqual({trial, second}, set(self.quarantine.entries()))
+
+    # Guards against evidence that other nodes have read from the store only.
+    def test_evidence_is_shared_again_after_a_restore(self):
+        observation = self.quarantine.admit(("x",), "llm m0").observation
+        observation.record_disconnected(backend("s1"))
+        observation.close()
+        self.exchange._share()
+        self.exchange.share_again()
+        self.exchange._share()
+        self.assertEqual(2, len(self.store.writes))
+
+    # Guards against old answers that clear newer evidence at their new revision.
+    def test_old_evidence_of_a_restored_store_is_not_merged_again(self):
+        old = self.change(5, Evidence((), {"x": self.now}))
+        self.exchange.replace((old,))
+        for number in (1, 2):
+            self.now += 1.0
+            observation = self.quarantine.admit(("x",), "llm m0").observation
+            observation.record_disconnected(backend(f"s{number}"))
+            observation.close()
+        self.exchange.share_again()
+        self.exchange.replace((replace(old, revision=2**32 + 5),))
+        self.assertTrue(self.quarantine.is_suspected(("x",)))
+
     def test_malformed_documents_are_left_out(self):
         changes = [
             Change(QUARANTINE_PREFIX + key, 3, "{")
