Send nothing to draining or gone servers that a restored store lists again

Cause: the entry in the store alone says whether a backend server takes requests, and an older copy has an older entry. What a node knew before was overwritten.

A server that drained when the store was restored drains for the rest of that incarnation. One that had gone is used when its entry is written again, or still there after 6 s, in which entries without a server end.

--- a/poplarspar/coordination/fleet.py
+++ b/poplarspar/coordination/fleet.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from poplarspar.coordination.prefix_watcher import StoreHealth
@@ -20,6 +20,11 @@
 EXPIRY_GRACE_S = 2.5
 # Once the store has answered for this long, no entry expires because of an outage.
 STORE_HEALTHY_S = 3.0
+# After a restore of the store, entries of backend servers that have gone end again
+# within this time, and the others have been written again.
+RESTORE_HOLD_S = 6.0
+# The copy that a store is restored from is some seconds old.
+GONE_MEMORY_S = 60.0
 
 
 @dataclass(frozen=True)
@@ -85,6 +90,10 @@
         self._expired_ids: set[str] = set()
         self._malformed_keys: set[str] = set()
         self._configuration_at = time.monotonic()
+        self._hold_until = float("-inf")
+        self._draining_incarnations: set[tuple[str, int]] = set()
+        self._gone_at_by_incarnation: dict[tuple[str, int], float] = {}
+        self._held_item_by_id: dict[str, Change] = {}
         self.fleet = Fleet()
         self.entries_loaded = False
         self.needed_changes = 0
@@ -98,6 +107,19 @@
         """Return the seconds since this node applied a configuration or started."""
         return time.monotonic() - self._configuration_at
 
+    def hold_withdrawals(self) -> None:
+        """Keep away from what was withdrawn, since the store has been restored.
+
+        An older copy lists backend servers again that are draining or gone, until they
+        have written their entries again or these end.
+        """
+        self._hold_until = time.monotonic() + RESTORE_HOLD_S
+        self._draining_incarnations = {
+            backend.incarnation
+            for backend in self.fleet.backends_by_id.values()
+            if backend.draining
+        }
+
     def replace_operator_values(self, items: tuple[Change, ...]) -> None:
         """Apply all values that the operator has written."""
         decoded = [self._decode_operator(change) for change in items]
@@ -129,8 +151,9 @@
         """Apply all entries of backend servers."""
         present_ids = {self._documents.backend_id(item.key) for item in items}
         previous_by_id = dict(self.fleet.backends_by_id)
+        self._held_item_by_id = {}
         for item in items:
-            self._put_backend(item)
+            self._put_backend(item, may_be_gone=time.monotonic() < self._hold_until)
         for id in set(self.fleet.backends_by_id) - present_ids:
             self._expire(id)
         for id in previous_by_id.keys() | present_ids:
@@ -155,7 +178,8 @@
                 self._put_backend(item)
             self._count_needed(previous, self.fleet.backends_by_id.get(id))
         removed = self._remove_expired()
-        if items or removed:
+        listed = self._list_held()
+        if items or removed or listed:
             self._on_change()
 
     def _count_needed(
@@ -198,7 +222,8 @@
             self.fleet.evacuated_zones = zones
             log_event(Event.ZONES_EVACUATED, zones=sorted(zones))
 
-    def _put_backend(self, item: Change) -> None:
+    def _put_backend(self, item: Change, may_be_gone: bool = False) -> None:
+        """Apply an entry; if it may be gone, one that has ended before waits."""
         try:
             backend = self._documents.decode_backend(item)
         except MalformedDocument as error:
@@ -209,6 +234,13 @@
             # a backend server.
             self._remove(self._documents.backend_id(item.key))
             return
+        if may_be_gone and backend.incarnation in self._gone_at_by_incarnation:
+            self._held_item_by_id[backend.id] = item
+            return
+        self._held_item_by_id.pop(backend.id, None)
+        self._gone_at_by_incarnation.pop(backend.incarnation, None)
+        if backend.incarnation in self._draining_incarnations:
+            backend = replace(backend, draining=True)
         self._expired_ids.discard(backend.id)
         previous = self.fleet.backends_by_id.get(backend.id)
         if previous is not None and previous.started_ms > backend.started_ms:
@@ -223,7 +255,17 @@
         self.fleet.backends_by_id[backend.id] = backend
         self.fleet.cold_until_by_id[backend.id] = time.monotonic() + backend.cold_s
 
+    def _list_held(self) -> bool:
+        """List backend servers whose entries have not ended again after a restore."""
+        if not self._held_item_by_id or time.monotonic() < self._hold_until:
+            return False
+        held_items = tuple(self._held_item_by_id.values())
+        for item in held_items:
+            self._put_backend(item)
+        return True
+
     def _expire(self, id: str) -> None:
+        self._held_item_by_id.pop(id, None)
         if id not in self.fleet.backends_by_id:
             return
         if self._health.healthy_s() > STORE_HEALTHY_S:
@@ -240,10 +282,21 @@
         return True
 
     def _remove(self, id: str) -> None:
-        if self.fleet.backends_by_id.pop(id, None) is not None:
+        backend = self.fleet.backends_by_id.pop(id, None)
+        if backend is not None:
+            self._record_gone(backend)
             log_event(Event.BACKEND_GONE, backend=id)
         self.fleet.cold_until_by_id.pop(id, None)
 
+    def _record_gone(self, backend: BackendServer) -> None:
+        now = time.monotonic()
+        self._gone_at_by_incarnation = {
+            incarnation: at
+            for incarnation, at in self._gone_at_by_incarnation.items()
+            if at > now - GONE_MEMORY_S
+        }
+        self._gone_at_by_incarnation[backend.incarnation] = now
+
 
 def _differ(previous: BackendServer, current: BackendServer) -> bool:
     """Return whether requests must be sent otherwise than before."""
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -253,6 +253,7 @@
             self._plan_age_s,
         )
         adapters.store.on_restore(self._store_health.record_restore)
+        adapters.store.on_restore(self._fleet_updater.hold_withdrawals)
         watches = StoreWatches(
             adapters.store,
             self._store_health,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -2,6 +2,7 @@
 
 import standins.common  # noqa: F401  # isort: skip
 
+import time
 import unittest
 
 import eventlet
@@ -219,3 +220,67 @@
             eventlet.sleep(0.2)
             self.assertIn(PLANNER_KEY, self.store.items)
         self.assertTrue(self.node._planning.may_plan())
+
+
+class WithdrawalsTest(NodeTestCase):
+    def restore(self, copy):
+        self.store.restore(copy)
+        wait_until(lambda: self.node._adapters.store.era == 1, "the restore is noticed")
+
+    def assert_unused(self, worker, seconds=2.5):
+        """Send requests, none of which may reach the worker."""
+        before = len(worker.requests)
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            self.assertEqual(200, self.send("/look/1").status)
+        self.assertEqual(before, len(worker.requests))
+
+    def wait_used(self, worker):
+        before = len(worker.requests)
+        wait_until(
+            lambda: self.send("/look/1") and len(worker.requests) > before,
+            "the worker gets requests",
+        )
+
+    # Guards against requests to a backend server that drains, and is listed as ready in
+    # the copy.
+    def test_draining_backend_server_gets_no_requests_after_a_restore(self):
+        worker = self.workers[0]
+        copy = self.store.copy()
+        self.store.put(f"servers/{worker.id}", worker.entry("ledger", state="draining"))
+        wait_until(
+            lambda: self.node._fleet_updater.fleet.backends_by_id[worker.id].draining,
+            "draining",
+        )
+        self.restore(copy)
+        self.assert_unused(worker)
+        restarted = worker.entry("ledger", born=1_700_000_000_001)
+        self.store.put(f"servers/{worker.id}", restarted)
+        self.wait_used(worker)
+
+    # Guards against requests to a backend server that has left, and is listed in the
+    # copy.
+    def test_gone_backend_server_gets_no_requests_after_a_restore(self):
+        worker = self.workers[0]
+        copy = self.store.copy()
+        self.store.remove(f"servers/{worker.id}")
+        wait_until(
+            lambda: worker.id not in self.node._fleet_updater.fleet.backends_by_id,
+            "the worker is gone",
+        )
+        self.restore(copy)
+        self.assert_unused(worker)
+        self.store.put(f"servers/{worker.id}", worker.entry("ledger"))
+        self.wait_used(worker)
+
+    # Guards against a backend server that nobody uses, since nothing changes its entry.
+    def test_backend_server_that_stays_listed_after_a_restore_is_used(self):
+        worker = self.workers[0]
+        copy = self.store.copy()
+        self.store.remove(f"servers/{worker.id}")
+        wait_until(
+            lambda: worker.id not in self.node._fleet_updater.fleet.backends_by_id,
+            "the worker is gone",
+        )
+        self.restore(copy)
+        self.wait_used(worker)
