Keep evacuations that a restored store lacks

What callers could see: requests in a zone that the operator has evacuated (rule EVAC), from the restore of the store until the operator has written the evacuation again.

Cause: the same as for draining servers; all values that the node reads replace what it knew.

--- a/poplarspar/coordination/fleet.py
+++ b/poplarspar/coordination/fleet.py
@@ -111,7 +111,8 @@
         """Keep away from what was withdrawn, since the store has been restored.
 
         An older copy lists backend servers again that are draining or gone, until they
-        have written their entries again or these end.
+        have written their entries again or these end, and lacks evacuations, until the
+        operator has written them again.
         """
         self._hold_until = time.monotonic() + RESTORE_HOLD_S
         self._draining_incarnations = {
@@ -128,6 +129,8 @@
             for change in decoded
             if isinstance(change, ZoneEvacuated) and change.evacuated
         }
+        if time.monotonic() < self._hold_until:
+            zones |= self.fleet.evacuated_zones
         self._set_zones(frozenset(zones))
         for change in decoded:
             if isinstance(change, NewConfiguration):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -284,3 +284,17 @@
         )
         self.restore(copy)
         self.wait_used(worker)
+
+    # Guards against requests to a zone whose evacuation the copy lacks.
+    def test_evacuated_zone_gets_no_requests_after_a_restore(self):
+        fleet = self.node._fleet_updater.fleet
+        copy = self.store.copy()
+        self.store.put("op/evacuate/z-a", {})
+        wait_until(lambda: fleet.evacuated_zones, "z-a evacuated")
+        self.restore(copy)
+        ends_at = time.monotonic() + 1.5
+        while time.monotonic() < ends_at:
+            self.assertEqual(503, self.send("/look/1").status)
+        self.store.put("op/evacuate/z-a", {})
+        self.store.remove("op/evacuate/z-a")
+        wait_until(lambda: self.send("/look/1").status == 200, "z-a is back")
