Refuse a request that crashes backend servers, however common its parts are

Cause: evidence was kept by the shared parts of prompts. And a pool of three backend servers was crashed three times before there were three moments.

A request now has a part of its own, a digest of its caller, method, host, path, query and body, which all nodes know it by. It is not among the parts that a node remembers as served, which would displace the shared ones.

Weighed: the id of the request, which is new each time, and the last prompt part, which plain requests lack.

--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -87,9 +87,9 @@
                 pass
         self._budget.record_request(routed.service.name)
         pool = f"{routed.service.name} {request.model}"
-        match self._quarantine.admit(request.prompt_parts, pool):
+        match self._quarantine.admit(routed.quarantine_parts(), pool):
             case Quarantined(retry_after_s):
-                message = "the prompt has parts that crash backend servers"
+                message = "the request or parts of its prompt crash backend servers"
                 return Error(
                     Refusal(Reason.QUARANTINED, message, retry_after_s=retry_after_s)
                 )
--- a/poplarspar/coordination/forwarding/routing.py
+++ b/poplarspar/coordination/forwarding/routing.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from poplarspar.state.callers import CallerRequest
+from poplarspar.state.quarantine import request_part
 from poplarspar.state.refusals import Reason, Refusal
 from poplarspar.state.results import Error, Ok, Result
 from poplarspar.state.serving import (
@@ -34,6 +35,16 @@
     priority: int
     deadline: float
 
+    def quarantine_parts(self) -> tuple[str, ...]:
+        """Return what may crash backend servers: prompt parts and the request itself.
+
+        A repetition has another id and deadline, and may name its last event.
+        """
+        request = self.request
+        target = f"{request.method} {request.host}{request.target}"
+        own_part = request_part(self.workspace, target, request.body)
+        return (*request.prompt_parts, own_part)
+
 
 def route_request(
     configuration: ServingConfiguration | None, request: CallerRequest
--- a/poplarspar/coordination/quarantine/evidence.py
+++ b/poplarspar/coordination/quarantine/evidence.py
@@ -4,7 +4,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from poplarspar.state.quarantine import Evidence, UnansweredRequest
+from poplarspar.state.quarantine import (
+    Evidence,
+    UnansweredRequest,
+    is_request_part,
+)
 
 # Evidence against a part that crashes backend servers once a minute must not expire
 # before it is conclusive.
@@ -12,6 +16,8 @@
 # Separate moments at which backend servers crashed that convict a part. A sound part
 # can be there at one or two crashes by chance.
 CONCLUSIVE_MOMENTS = 3
+# Backend servers that crashed on repetitions of one request, not all at one moment.
+CONCLUSIVE_CRASHES = 3
 # From here on a part is suspected: its requests are not retried, and nodes report to
 # each other when an answer with it has begun.
 SUSPECTED_MOMENTS = 2
@@ -60,8 +66,10 @@
 
     def moments(self, part: str) -> int:
         """Return at how many separate moments backend servers crashed on a part."""
-        requests = self._unanswered_by_part.get(part, {})
-        return _count_moments(_crash_times(requests.values()).values())
+        requests = self._unanswered_by_part.get(part, {}).values()
+        if is_request_part(part):
+            return _count_steps(requests)
+        return _count_moments(_crash_times(requests).values())
 
     def suspected(self) -> tuple[str, ...]:
         """Return the parts on which backend servers crashed at several moments."""
@@ -139,6 +147,17 @@
             served_parts, frozenset(explained)
         )
 
+    def _is_conclusive(self, part: str, crashed_at: dict[str, float]) -> bool:
+        """Return whether enough backend servers crashed on a part."""
+        if is_request_part(part):
+            # A pool of few backend servers is gone before there are more moments.
+            crashes = len(crashed_at)
+            return (
+                crashes >= CONCLUSIVE_CRASHES
+                and self.moments(part) >= SUSPECTED_MOMENTS
+            )
+        return _count_moments(crashed_at.values()) >= CONCLUSIVE_MOMENTS
+
     def _convict_among(
         self, parts: list[str], explained: frozenset[str] = frozenset()
     ) -> tuple[frozenset[str], ...]:
@@ -151,7 +170,7 @@
                 for backend, at in _crash_times(requests.values()).items()
                 if backend not in explained
             }
-            if _count_moments(crashed_at.values()) >= CONCLUSIVE_MOMENTS:
+            if self._is_conclusive(part, crashed_at):
                 case = _Case(frozenset(crashed_at), frozenset(requests))
                 parts_by_case[case].add(part)
         if len(parts_by_case) > MAX_CONVICTED_SETS:
@@ -198,3 +217,21 @@
             moments += 1
             last_at = at
     return moments
+
+
+def _count_steps(requests: Iterable[UnansweredRequest]) -> int:
+    """Return how many crashes followed each other on repetitions of one request.
+
+    A request is sent again after the first crash, so each of its crashes is a step. The
+    loss of a rack fails several requests in one step.
+    """
+    steps = 0
+    steps_at_once = 0
+    began_at = float("-inf")
+    for request in sorted(requests, key=lambda request: request.ended_at):
+        if request.ended_at >= began_at + MOMENT_S:
+            steps += steps_at_once
+            steps_at_once = 0
+            began_at = request.ended_at
+        steps_at_once = max(steps_at_once, len(request.backends))
+    return steps + steps_at_once
--- a/poplarspar/coordination/quarantine/quarantine.py
+++ b/poplarspar/coordination/quarantine/quarantine.py
@@ -12,6 +12,12 @@
     SUSPECTED_MOMENTS,
     EvidenceTable,
 )
+from poplarspar.coordination.quarantine.holds import (
+    FIRST_HOLD_S,
+    RETENTION_S,
+    HeldParts,
+    next_hold_s,
+)
 from poplarspar.coordination.quarantine.outcomes import PoolOutcomes
 from poplarspar.events import Event
 from poplarspar.logs import log_event
@@ -20,15 +26,12 @@
     Evidence,
     QuarantinedParts,
     UnansweredRequest,
+    is_request_part,
 )
 
 # Time for other nodes to report that an answer with a suspected part has begun, which
 # this node reads with its next watch of the store.
 CONVICTION_DELAY_S = 0.7
-FIRST_HOLD_S = 30.0
-MAX_HOLD_S = 600.0
-# A quarantine without a trial for this long has had no requests.
-RETENTION_S = 3600.0
 MAX_QUARANTINED = 64
 MAX_OWN_EVIDENCE = 32
 MAX_OWN_BEGUN = 256
@@ -104,23 +107,6 @@
             self._quarantine.record_unanswered(self._parts, self._pool, lost_backends)
 
 
-@dataclass
-class _Entry:
-    """Parts in quarantine; `stored` is False until the store has them."""
-
-    quarantined: QuarantinedParts
-    learned_at: float
-    stored: bool
-    write_at: float
-
-    def is_ahead_of(self, stored: QuarantinedParts) -> bool:
-        """Return whether the store has an earlier hold, and is to get this one."""
-        return not self.stored and self.quarantined.hold_s > stored.hold_s
-
-    def remaining_s(self, now: float) -> float:
-        return self.learned_at + self.quarantined.hold_s - now
-
-
 class Quarantine:
     """Refuses requests whose prompts have parts that crash backend servers.
 
@@ -160,7 +146,7 @@
         self._own_begun_at_by_part: dict[str, float] = {}
         self._served_at_by_part: dict[str, float] = {}
         self._convicted_at_by_part: dict[str, float] = {}
-        self._entry_by_parts: dict[frozenset[str], _Entry] = {}
+        self._entry_by_parts: dict[frozenset[str], HeldParts] = {}
         self._released: set[frozenset[str]] = set()
 
     def admit(self, parts: tuple[str, ...], pool: str) -> Admission:
@@ -209,7 +195,8 @@
         for entry in self._matching(parts):
             self._release(entry)
         for part in parts:
-            self._record_served(part, now)
+            if not is_request_part(part):
+                self._record_served(part, now)
             if not self._evidence.is_accused(part):
                 continue
             if self._evidence.moments(part) >= SUSPECTED_MOMENTS:
@@ -278,7 +265,7 @@
             if known is not None and known.is_ahead_of(quarantined):
                 continue
             if known is None or known.quarantined != quarantined:
-                self._entry_by_parts[parts] = _Entry(quarantined, now, True, now)
+                self._entry_by_parts[parts] = HeldParts(quarantined, now, True, now)
             self._entry_by_parts[parts].stored = True
             if known is None and any(map(self._evidence.is_cleared, parts)):
                 # The node that convicted them did not know of an answer here.
@@ -290,7 +277,7 @@
             entry.stored = False
             entry.write_at = self._write_time()
 
-    def _matching(self, parts: tuple[str, ...]) -> list[_Entry]:
+    def _matching(self, parts: tuple[str, ...]) -> list[HeldParts]:
         prompt = set(parts)
         return [
             entry
@@ -298,12 +285,11 @@
             if entry.quarantined.parts <= prompt
         ]
 
-    def _start_trial(self, entries: list[_Entry]) -> bool:
+    def _start_trial(self, entries: list[HeldParts]) -> bool:
         """Start the next hold of the entries; False if another node was first."""
         new_by_parts = {
             entry.quarantined.parts: replace(
-                entry.quarantined,
-                hold_s=min(MAX_HOLD_S, 2 * entry.quarantined.hold_s),
+                entry.quarantined, hold_s=next_hold_s(entry.quarantined)
             )
             for entry in entries
         }
@@ -324,12 +310,12 @@
                 del self._entry_by_parts[known]
         quarantined = QuarantinedParts(parts, FIRST_HOLD_S)
         self._released.discard(parts)
-        self._entry_by_parts[parts] = _Entry(
+        self._entry_by_parts[parts] = HeldParts(
             quarantined, now, False, self._write_time()
         )
         log_event(Event.PARTS_QUARANTINED, parts=sorted(parts))
 
-    def _release(self, entry: _Entry) -> None:
+    def _release(self, entry: HeldParts) -> None:
         parts = entry.quarantined.parts
         del self._entry_by_parts[parts]
         if entry.stored:
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -358,7 +358,7 @@
     REQUEST_UNANSWERED = (
         418,
         "backend servers disconnected before a request's answer began",
-        "They crashed, perhaps on one of the prompt's `parts`.",
+        "They crashed, perhaps on the request or one of the `parts` of its prompt.",
         "Nothing for one; event 260 follows if requests with a part go on failing.",
     )
     NO_PLACE = (
--- a/poplarspar/state/quarantine.py
+++ b/poplarspar/state/quarantine.py
@@ -1,7 +1,37 @@
 """Evidence against prompt parts that crash backend servers, and their quarantine."""
 
+import hashlib
 from dataclasses import dataclass, field
 
+# No prompt part begins so, since their ids are alphanumeric.
+REQUEST_PART_PREFIX = "request:"
+DIGEST_BYTES = 12
+
+
+def request_part(workspace: str, target: str, body: bytes) -> str:
+    """Return the part that only repetitions of the same request have.
+
+    Parameters
+    ----------
+    workspace : str
+        Workspace of the caller.
+    target : str
+        Method, host, path and query.
+    body : bytes
+        Body of the request; the digest does not reveal it.
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for field_bytes in (workspace.encode(), target.encode(), body):
+        # The length keeps the fields apart.
+        digest.update(b"%d:" % len(field_bytes))
+        digest.update(field_bytes)
+    return REQUEST_PART_PREFIX + digest.hexdigest()
+
+
+def is_request_part(part: str) -> bool:
+    """Return whether a part stands for one request, not for a part of a prompt."""
+    return part.startswith(REQUEST_PART_PREFIX)
+
 
 @dataclass(frozen=True)
 class UnansweredRequest:
@@ -14,7 +44,8 @@
     backends : tuple of str
         Incarnations of the backend servers that disconnected.
     parts : tuple of str
-        Ids of the prompt's parts that other requests may share.
+        Ids of the prompt's parts that other requests may share, and the part that
+        stands for the request itself; see `request_part`.
     ended_at : float
         Monotonic time in seconds.
     pool : str
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -22,6 +22,7 @@
     Evidence,
     QuarantinedParts,
     UnansweredRequest,
+    request_part,
 )
 from tests.test_forwarding import backend
 
@@ -143,7 +144,7 @@
         self.assertFalse(self.table.is_accused("x"))
 
 
-class AdmissionTest(unittest.TestCase):
+class AdmissionTestCase(unittest.TestCase):
     def setUp(self):
         self.now = time.monotonic()
         patcher = mock.patch("time.monotonic", lambda: self.now)
@@ -173,6 +174,13 @@
         self.quarantine.replace_entries((entry,))
         return entry
 
+    def check_for(self, duration_s):
+        for _ in range(round(duration_s / 0.1)):
+            self.now += 0.1
+            self.quarantine.check()
+
+
+class AdmissionTest(AdmissionTestCase):
     def test_quarantined_parts_are_refused_together_only(self):
         self.hold(30.0, "x", "y")
         admission = self.quarantine.admit(("x", "y", "z"), "llm m0")
@@ -208,11 +216,6 @@
         begun = self.quarantine.own_evidence().begun_at_by_part
         self.assertEqual(["x"], list(begun))
 
-    def check_for(self, duration_s):
-        for _ in range(round(duration_s / 0.1)):
-            self.now += 0.1
-            self.quarantine.check()
-
     def test_part_is_quarantined_some_time_after_its_conviction(self):
         self.admit("y").record_begun()
         for number in (1, 2, 3):
@@ -324,6 +327,108 @@
         self.assertEqual(32, len(QuarantineJson().parse_evidence(text).unanswered))
 
 
+class CrashingRequestTest(AdmissionTestCase):
+    """Parts that stand for one request."""
+
+    def setUp(self):
+        super().setUp()
+        self.bad = request_part("pilots", "POST a.example/look/1", b"bad")
+
+    def crash_in_turn(self, *numbers, parts=()):
+        """Record a request that crashed these backend servers one after the other."""
+        observation = self.admit(*parts, self.bad)
+        for number in numbers:
+            observation.record_disconnected(backend(f"s{number}"))
+        observation.close()
+
+    def is_refused(self, *parts):
+        return isinstance(self.quarantine.admit(parts, "llm m0"), Quarantined)
+
+    def test_parts_differ_by_caller_target_and_body(self):
+        fields = [
+            ("a", "bc", b""),
+            ("ab", "c", b""),
+            ("a", "b", b"c"),
+            ("", "abc", b""),
+        ]
+        self.assertEqual(4, len({request_part(*row) for row in fields}))
+        self.assertEqual(request_part(*fields[0]), request_part(*fields[0]))
+
+    # Guards against a harmful request that is new each time its parts are cleared.
+    def test_request_is_convicted_though_its_prompt_parts_are_served(self):
+        for number in range(3):
+            self.now += 0.5
+            self.crash_in_turn(number, parts=("x",))
+            self.admit("x", "request:other").record_begun()
+        self.check_for(1.0)
+        (entry,) = self.quarantine.entries()
+        self.assertEqual({self.bad}, entry.parts)
+        self.assertTrue(self.is_refused("x", self.bad))
+        self.assertFalse(self.is_refused("x", "request:other"))
+
+    # Guards against three more crashes of a pool that has three backend servers.
+    def test_crashes_in_turn_within_a_moment_convict(self):
+        self.crash_in_turn(1, 2)
+        self.assertTrue(self.quarantine.is_suspected((self.bad,)))
+        self.now += 0.1
+        self.crash_in_turn(3)
+        self.check_for(1.0)
+        self.assertTrue(self.is_refused(self.bad))
+
+    # Guards against refusing a request that many callers' nodes repeat, after the loss
+    # of a rack.
+    def test_crashes_at_one_moment_convict_no_request(self):
+        for number in range(6):
+            self.now += 0.01
+            self.crash_in_turn(number)
+        self.check_for(1.0)
+        self.assertEqual((), self.quarantine.entries())
+
+    # Guards against refusing a request that fails at the crashes of another one.
+    def test_requests_at_the_same_crashes_wait_for_another(self):
+        self.crash_in_turn(1, 2)
+        observation = self.admit("request:innocent")
+        for number in (1, 2, 3):
+            observation.record_disconnected(backend(f"s{number}"))
+        observation.close()
+        self.now += 0.1
+        self.crash_in_turn(3)
+        self.check_for(1.0)
+        self.assertEqual((), self.quarantine.entries())
+        self.crash_in_turn(4)
+        self.check_for(1.0)
+        self.assertTrue(self.is_refused(self.bad))
+        self.assertFalse(self.is_refused("request:innocent"))
+
+    # Guards against a trial each ten minutes of a request that always crashes.
+    def test_request_has_few_trials(self):
+        self.hold(30.0, self.bad)
+        trials = 0
+        for _ in range(3000):
+            self.now += 1.0
+            self.quarantine.check()
+            if not self.is_refused(self.bad):
+                trials += 1
+        self.assertEqual(3, trials)
+
+    # Guards against the loss of what a node knows of shared parts.
+    def test_requests_do_not_displace_shared_parts(self):
+        self.admit("a").record_begun()
+        for number in range(5000):
+            self.admit(f"request:{number}").record_begun()
+        for number in (1, 2):
+            self.crash(number, "a", "x")
+        self.check_for(0.2)
+        self.assertEqual(["a"], list(self.quarantine.own_evidence().begun_at_by_part))
+
+    def test_parts_of_requests_pass_through_the_documents(self):
+        self.crash_in_turn(1)
+        evidence = self.quarantine.own_evidence()
+        documents = QuarantineJson()
+        parsed = documents.parse_evidence(documents.evidence_text(evidence))
+        self.assertEqual(evidence.unanswered[0].parts, parsed.unanswered[0].parts)
+
+
 class StoreStub:
     """Records what an exchange writes, and leases without end."""
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -21,7 +21,7 @@
 
 
 class CrashingBackend(PlainWorker):
-    """Crashes on each request whose prompt has the part `bad0`, and starts again."""
+    """Crashes on each request with the prompt part `bad0` or the body `bad`."""
 
     crashes: list[float] = []
 
@@ -35,7 +35,8 @@
         self._store.put(f"servers/{self.id}", entry)
 
     def handle(self, request):
-        if "bad0" in request.headers.get(PROMPT_PARTS, ""):
+        has_bad_part = "bad0" in request.headers.get(PROMPT_PARTS, "")
+        if has_bad_part or request.body == b"bad":
             self.crashes.append(time.monotonic())
             self.answer_modes = ["lost"]
             self._started_ms += 1
@@ -43,14 +44,17 @@
         return super().handle(request)
 
 
-class CrashingPromptPartTest(NodeTestCase):
+class CrashingBackendTestCase(NodeTestCase):
+    backend_count = BACKENDS
+
     def setUp(self):
         super().setUp()
         self.nodes = [self.node, *(self.start_node() for _ in range(NODES - 1))]
         for backend in self.workers:
             self.store.remove(f"servers/{backend.id}")
         self.workers = [
-            CrashingBackend(f"i-c{index}", self.store) for index in range(BACKENDS)
+            CrashingBackend(f"i-c{index}", self.store)
+            for index in range(self.backend_count)
         ]
         CrashingBackend.crashes = []
         for backend in self.workers:
@@ -69,14 +73,16 @@
             )
         wait_until(lambda: self.send_parts(0, "aa0") == 200, "backends are used")
 
-    def send_parts(self, number, *parts):
+    def send_parts(self, number, *parts, path="/look/1", body=b""):
         """Send a request with shared prompt parts to a node; return the status."""
         prefix = ",".join(f"{part}:40" for part in (*parts, f"f{number:x}"))
         node = self.nodes[number % NODES]
         return self.send(
-            "/look/1", node=node, Attempt_Id=f"a{number}", Prompt_Prefix=prefix
+            path, node=node, body=body, Attempt_Id=f"a{number}", Prompt_Prefix=prefix
         ).status
 
+
+class CrashingPromptPartTest(CrashingBackendTestCase):
     def crash_five(self):
         """Send requests with the harmful part until five backend servers crashed."""
         for number in range(40):
@@ -109,7 +115,45 @@
             self.assertEqual(200, self.send_parts(number + 40, "aa0"))
 
 
-class LargeFleetTest(CrashingPromptPartTest):
+class CrashingRequestTest(CrashingBackendTestCase):
+    def send_until_late(self, path, *parts):
+        """Repeat a harmful request among sound ones; return the late crashes.
+
+        Late are those after `STABLE_WINDOW_S` from the third crash on.
+        """
+        ends_at = time.monotonic() + 30.0
+        number = 100
+        crashes = CrashingBackend.crashes
+        while len(crashes) < 3 or time.monotonic() < crashes[2] + STABLE_WINDOW_S + 4.0:
+            self.assertLess(time.monotonic(), ends_at, "fewer than three crashes")
+            status = self.send_parts(number, *parts, path=path, body=b"bad")
+            self.assertNotEqual(200, status)
+            sound = self.send_parts(number + 1, *parts, path=path, body=b"%d" % number)
+            if len(crashes) >= 3 and time.monotonic() > crashes[2] + STABLE_WINDOW_S:
+                self.assertEqual((503, 200), (status, sound))
+            number += 5
+            eventlet.sleep(0.1)
+        return [at for at in crashes if at > crashes[2] + STABLE_WINDOW_S]
+
+    # Guards against a request that crashes backend servers without end, since sound
+    # requests with the same prompt parts are answered.
+    def test_crashing_request_is_refused_and_others_with_its_parts_are_served(self):
+        late = self.send_until_late("/look/1", "aa0")
+        self.assertLessEqual(len(late), ALLOWED_AFTERWARDS)
+
+    # Guards against the same where requests have no parts, and may not be repeated.
+    def test_crashing_request_without_parts_is_refused(self):
+        late = self.send_until_late("/pay/1")
+        self.assertLessEqual(len(late), ALLOWED_AFTERWARDS)
+
+
+class SmallPoolTest(CrashingRequestTest):
+    """A pool that one request and its retries crash as a whole."""
+
+    backend_count = 3
+
+
+class LargeFleetTestCase(CrashingBackendTestCase):
     """The planner reads the evidence for the other nodes."""
 
     def setUp(self):
@@ -133,5 +177,13 @@
         return node._planning.may_plan()
 
 
+class LargeFleetPartTest(LargeFleetTestCase, CrashingPromptPartTest):
+    """Harmful parts in a large fleet."""
+
+
+class LargeFleetRequestTest(LargeFleetTestCase, CrashingRequestTest):
+    """Harmful requests in a large fleet."""
+
+
 if __name__ == "__main__":
     unittest.main()
