Count nodes that a restored store lacks when limits are divided

What callers could see: more retries, and more requests to cold or limited backend servers, than all nodes together may send (BUDGET, FAILBACK), for the moment until nodes that the copy lacks have written their keys again.

Cause: the list of nodes is replaced by what the store has; who counts was asked of a copy from before some of them started. For 6 s after a restore known nodes stay counted; an overestimate only makes the shares smaller.

--- a/poplarspar/coordination/session.py
+++ b/poplarspar/coordination/session.py
@@ -41,6 +41,8 @@
 # The node with the most capacity claims a vacant planner key first, each further
 # node this much later.
 STAGGER_S = 0.1
+# Within this time after a restore of the store, nodes have written their keys again.
+RESTORE_HOLD_S = 6.0
 MAX_STAGGER_S = 1.0
 
 
@@ -138,6 +140,7 @@
         self._member_key_written = False
         self._vacant_since = time.monotonic() + STARTUP_DELAY_S
         self._closed = False
+        self._keep_nodes_until = float("-inf")
         self._planner_entry = Change(PLANNER_KEY, 0, None)
         self._spares = StoredValue(SPARES_KEY, 0, "")
         self.capacity_by_node: dict[str, float] = {}
@@ -187,8 +190,10 @@
     def renew_keys(self) -> None:
         """Write this node's keys again, since the store has been restored.
 
-        Leases of before the restore may end at any moment, if the store has them.
+        Leases of before the restore may end at any moment, if the store has them. Other
+        nodes write their keys again too, and count until then.
         """
+        self._keep_nodes_until = time.monotonic() + RESTORE_HOLD_S
         self._member_lease.forget()
         self._planner_lease.forget()
         self._member_key_written = False
@@ -216,7 +221,8 @@
 
     def replace(self, items: tuple[Change, ...]) -> None:
         """Apply all keys under the nodes' prefix."""
-        self.capacity_by_node = {}
+        if time.monotonic() >= self._keep_nodes_until:
+            self.capacity_by_node = {}
         if self._planner_entry.text and PLANNER_KEY not in {i.key for i in items}:
             # All values include no deletions. `run` claims the key in turn.
             self._planner_entry = Change(
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -4,6 +4,7 @@
 
 import time
 import unittest
+from unittest import mock
 
 import eventlet
 
@@ -201,6 +202,21 @@
             eventlet.sleep(0.5)
             self.assertTrue(all(map(self.holds_key, nodes)))
 
+    # Guards against limits that are divided by fewer nodes than use them.
+    def test_nodes_that_the_copy_lacks_still_divide_limits(self):
+        copy = self.store.copy()
+        second = self.start_node()
+        wait_until(lambda: self.node._node_count() == 2, "two nodes")
+        counts = []
+        self.node._nodes_changed = lambda: counts.append(self.node._node_count())
+        self.node._session._on_change = self.node._nodes_changed
+        with mock.patch.object(second._session, "_write_member_key"):
+            self.store.restore(copy)
+            wait_until(lambda: self.node._adapters.store.era == 1, "noticed")
+            eventlet.sleep(1.0)
+        self.assertEqual({2}, set(counts))
+        wait_until(lambda: self.holds_key(second), "the second node is listed again")
+
     # Guards against seconds without a planner after a restore.
     def test_planner_keeps_its_role_over_a_restore(self):
         wait_until(lambda: PLANNER_KEY in self.store.items, "the planner's key")
