Take answers whose head is cut off for what they are

A node could also take a cut answer of the store for its status alone: a lease as ended, a key as absent.

Cause: http.client reads headers until an empty line or the end of the connection, and does not tell them apart. Lines of heads must now be complete, and the head end with an empty line; else the peer has disconnected. It holds for all clients: requests, probes, orders and the store.

--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -26,7 +26,11 @@
     TransportError,
 )
 from poplarspar.transport.addresses import split_address
-from poplarspar.transport.strict_sockets import StrictConnection, StrictSocket
+from poplarspar.transport.strict_sockets import (
+    StrictConnection,
+    StrictHeadConnection,
+    StrictSocket,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 RECEIVE_BUFFER_BYTES = 16_384
@@ -293,6 +297,7 @@
             retries=False,
             socket_options=options,
         )
+        self._pool.ConnectionCls = StrictHeadConnection
 
     def send(
         self,
--- a/poplarspar/transport/strict_sockets.py
+++ b/poplarspar/transport/strict_sockets.py
@@ -1,7 +1,8 @@
-"""Sockets and connections that detect resets, and that bound a whole answer."""
+"""Connections that detect resets and truncated heads, and that bound a whole answer."""
 
 import socket
 import time
+from http.client import HTTPResponse, RemoteDisconnected
 
 from eventlet.greenio import GreenSocket
 from urllib3.connection import HTTPConnection
@@ -55,8 +56,48 @@
             self.deadline = max(self.deadline, time.monotonic() + PAUSE_EXTENSION_S)
 
 
-class StrictConnection(HTTPConnection):
-    """A connection with a `StrictSocket`."""
+class _HeadLines:
+    """Reads the lines of an answer's head, all of which must be complete."""
+
+    def __init__(self, file) -> None:
+        self._file = file
+
+    def readline(self, limit: int) -> bytes:
+        line = self._file.readline(limit)
+        if not line.endswith(b"\n") and len(line) < limit:
+            raise RemoteDisconnected("the connection ended in the answer's head")
+        return line
+
+    def close(self) -> None:
+        self._file.close()
+
+
+class StrictResponse(HTTPResponse):
+    """An answer whose head must end with an empty line.
+
+    The standard library takes the end of the connection for the end of the head, so an
+    answer that is cut there would have an empty body.
+    """
+
+    def begin(self) -> None:
+        """Read the status and the headers; raises `RemoteDisconnected`."""
+        file = self.fp
+        self.fp = _HeadLines(file)
+        try:
+            super().begin()
+        finally:
+            if self.fp is not None:
+                self.fp = file
+
+
+class StrictHeadConnection(HTTPConnection):
+    """A connection whose answers are `StrictResponse` objects."""
+
+    response_class = StrictResponse
+
+
+class StrictConnection(StrictHeadConnection):
+    """A connection with a `StrictSocket` as well."""
 
     def _new_conn(self) -> socket.socket:
         original = super()._new_conn()
