Test nodes with odd entries among those of backend servers

The report of another operator: very deep nesting, numbers that are too large, ports out of range. Played as one test on a real node, and as one on a node that starts.

--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -379,6 +379,46 @@
 class NodeTest(NodeTestCase):
     """A node goes on after malformed input, and answers its callers."""
 
+    # Guards against nodes that end, or stop following the list, at an entry of another
+    # writer.
+    def test_odd_entries_do_not_stop_a_node_from_following_the_list(self):
+        entry = json.dumps(self.workers[0].entry("ledger"))[:-1]
+        nested = "[" * 100_000 + "]" * 100_000
+        odd_entries = [
+            nested,
+            f'{entry}, "models": {nested}}}',
+            f'{entry}, "other": {"{" * 9}"a":{nested}{"}" * 9}}}',
+            *(
+                f'{entry}, "{name}": {number}}}'
+                for name in ("born", "slots", "cold_ms", "seq", "other")
+                for number in ("9" * 5000, "-1", "1e999", "NaN", "9" * 25)
+            ),
+            *(
+                f'{entry}, "address": "127.0.0.1:{port}"}}'
+                for port in (0, 65536, 99999, "9" * 50, -1, "\\u00b2")
+            ),
+            f'{entry}, "address": "\\ud800", "zone": "\\ud800"}}',
+            "\x00\xff",
+        ]
+        for number, odd in enumerate(odd_entries):
+            self.store.put(f"servers/odd{number}", odd.encode("latin-1"))
+        self.store.put("servers/i-next", self.workers[0].entry("ledger"))
+        second = self.start_node()
+        wait_until(second.is_ready, "a node starts with the odd entries")
+        for node in (self.node, second):
+            wait_until(
+                lambda node=node: "i-next" in node._fleet_updater.fleet.backends_by_id,
+                "the next entry is listed",
+            )
+        for number in range(len(odd_entries)):
+            self.store.remove(f"servers/odd{number}")
+        self.store.remove("servers/i-next")
+        for node in (self.node, second):
+            wait_until(
+                lambda node=node: self.send("/look/1", node=node).status == 200,
+                "requests are served",
+            )
+
     def test_odd_numbers_of_callers_are_refused(self):
         for name in ("Deadline_Ms", "Token_Count", "Last_Event_Id"):
             for text in ("\u00b2", "9" * 5000, "9" * 40):
