Answer requests that outlast a planned stop

Cause: the end of the shutdown ended the tasks of the connections. Evidence: the new EndOfShutdownTest failed on the commit before (RemoteDisconnected). 0.7 s before SIGKILL the node now interrupts the requests that have no answer yet, and says with status 504 that they may have run. Streams that have begun still break off, so that none looks complete.

--- a/poplarspar/exceptions.py
+++ b/poplarspar/exceptions.py
@@ -107,6 +107,13 @@
     """A peer announced a frame above the size limit."""
 
 
+class ShutdownEnded(PoplarsparError):
+    """The process ends before a request has been answered.
+
+    Like `CallerGone`, it ends the work on the request from any layer.
+    """
+
+
 class CallerGone(PoplarsparError):
     """A caller closed its connection before it received its answer.
 
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -60,6 +60,8 @@
 DRAIN_NOTICE_S = 2.5
 # Time reserved before SIGKILL to close the requests still in flight.
 STOP_MARGIN_S = 0.7
+# Part of it in which requests without an answer are told that they won't get one.
+ANSWER_MARGIN_S = 0.3
 # Before the first configuration, the node receives only readiness checks.
 STARTUP_LIMITS = ServerLimits(65_536, header_timeout_s=3.0, idle_timeout_s=15.0)
 PROBE_LIMITS = ServerLimits(4_096, header_timeout_s=3.0, idle_timeout_s=30.0)
@@ -175,6 +177,9 @@
         )
         ends_at = time.monotonic() + max(0.0, remaining_s)
         finished = self._server.wait_ended(remaining_s)
+        if not finished:
+            self.drain.interrupt()
+            self._server.wait_ended(ANSWER_MARGIN_S)
         self._session.wait_released(ends_at - time.monotonic())
         log_event(Event.STOPPED, finished=finished, running=self.drain.running)
 
--- a/poplarspar/platform/callers.py
+++ b/poplarspar/platform/callers.py
@@ -4,10 +4,17 @@
 from collections.abc import Iterator
 from contextlib import ExitStack
 
+import eventlet
+
 from poplarspar.coordination.drain import Drain
 from poplarspar.coordination.forwarding import Answer, Forwarder
 from poplarspar.events import Event
-from poplarspar.exceptions import BackendFailed, CallerGone, InvalidRequest
+from poplarspar.exceptions import (
+    BackendFailed,
+    CallerGone,
+    InvalidRequest,
+    ShutdownEnded,
+)
 from poplarspar.logs import log_event
 from poplarspar.platform.headers import (
     AUTHORIZATION,
@@ -55,8 +62,15 @@
         with ExitStack() as stack:
             stack.enter_context(self._drain.request())
             stack.enter_context(cancel_on_disconnect(request.connection))
+            task = eventlet.getcurrent()
+            ended = ShutdownEnded("the node stops")
             try:
-                response = self._answer(caller_request, stack)
+                with self._drain.interruptible(lambda: eventlet.kill(task, ended)):
+                    response = self._answer(caller_request, stack)
+            except ShutdownEnded as error:
+                # What the request has done at a backend server is not known.
+                refusal = Refusal(Reason.TIMEOUT, str(error), Ran.UNKNOWN)
+                response = self._refuse(caller_request, refusal)
             except CallerGone:
                 self._metrics.count("requests_abandoned")
                 log_event(Event.CALLER_GONE, id=caller_request.id)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -281,6 +281,31 @@
         wait_until(lambda: second._session.is_planner, "second node is planner")
 
 
+class EndOfShutdownTest(NodeTestCase):
+    # Guards against connections that close without an answer at the end of the grace.
+    def test_requests_that_outlast_the_shutdown_are_answered(self):
+        self.node._settings = replace(self.node._settings, stop_timeout_s=4.0)
+        fields = {"timeout_ms": 60_000}
+        document = configuration(5)
+        for route in document["routes"]:
+            route.update(fields)
+        self.store.put("op/config", document)
+        fleet = self.node._fleet_updater.fleet
+        wait_until(lambda: fleet.configuration.version == 5, "version 5")
+        for worker in self.workers:
+            worker.work_s = 20.0
+        paths = ("/pay/1", "/look/1")
+        early = [eventlet.spawn(self.send, path) for path in paths]
+        wait_until(lambda: len(self.ran()) == 2, "both run")
+        stopping = eventlet.spawn(self.node.shut_down)
+        eventlet.sleep(1.0)
+        late = [eventlet.spawn(self.send, path) for path in paths]
+        stopping.wait()
+        self.node.close()
+        for answer in early + late:
+            self.assertEqual(504, answer.wait().status)
+
+
 class ShutdownTest(NodeTestCase):
     def test_running_request_finishes_during_shutdown(self):
         for worker in self.workers:
