Let the soak restore the store and crash backend servers with one request

From the third crash on and after 3 s, at most three may reach backend servers from undisturbed nodes.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -156,6 +156,14 @@
             parts=self._draw_parts(number) if streamed else (),
             connection_reused=reused,
         )
+        harm = self._environment.current_harmful_request
+        if (
+            harm is not None
+            and harm.kind == kind
+            and self._parts_rng.random() < HARMFUL_SHARE
+        ):
+            request.target, request.body = harm.target, b"" if kind == "look" else b"x"
+            request.workspace = next(iter(KEYS))
         self.requests.append(request)
         with eventlet.Timeout(request.timeout_s + CONNECT_TIMEOUT_S, False):
             try:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,7 +11,7 @@
     NOT_EXECUTED_STATUSES,
     SentRequest,
 )
-from soak.environment import Change, Environment
+from soak.environment import Change, Environment, Harm
 from soak.faults import Disturbance, PlannedStop
 from soak.nodes import GRACE_S, Node
 from soak.probes import Probe
@@ -33,6 +33,8 @@
 # So many requests with a harmful part may reach backend servers later than SETTLE_S
 # after its fifth crash.
 CRASHES_BEFORE_BOUND = 5
+# Likewise for a harmful request, from its third crash on.
+REQUEST_CRASHES_BEFORE_BOUND = 3
 LATE_HARMFUL_REQUESTS = 3
 # From the time at which a node sends a request to that at which it begins to run.
 SENDING_S = 0.5
@@ -317,32 +319,44 @@
 def _quarantine_problems(observations: Observations) -> list[str]:
     """Check that harmful parts, and only these, stop reaching backend servers."""
     request_by_attempt_id = {r.attempt_id: r for r in observations.requests}
-    harmful = {harm.part for harm in observations.environment.harms}
+    harms = observations.environment.harms
+    harmful = {harm.part for harm in harms}
+    harmful_targets = {harm.target for harm in harms if harm.target}
     lines = [
         f"{request.attempt_id} is sound and was refused as quarantined"
         for request in observations.requests
-        if b"quarantined" in request.content and harmful.isdisjoint(request.parts)
+        if b"quarantined" in request.content
+        and harmful.isdisjoint(request.parts)
+        and request.target not in harmful_targets
     ]
     for harm in observations.environment.harms:
-        if len(harm.crashes) < CRASHES_BEFORE_BOUND:
+        allowed = REQUEST_CRASHES_BEFORE_BOUND if harm.target else CRASHES_BEFORE_BOUND
+        if len(harm.crashes) < allowed:
             continue
         crashed_at = sorted(at for _, at in harm.crashes)
-        bound = crashed_at[CRASHES_BEFORE_BOUND - 1] + SETTLE_S
+        bound = crashed_at[allowed - 1] + SETTLE_S
         late = [
             run
             for run in observations.environment.runs
             if run.started_at > bound + SENDING_S
             and run.attempt_id in request_by_attempt_id
-            and harm.part in request_by_attempt_id[run.attempt_id].parts
+            and _is_harmful(harm, request_by_attempt_id[run.attempt_id])
             and observations.is_undisturbed(
                 request_by_attempt_id[run.attempt_id].node, bound, run.started_at
             )
         ]
         if len(late) > LATE_HARMFUL_REQUESTS:
-            lines.append(f"{harm.part} reached backend servers {len(late)} times more")
+            name = harm.part or harm.target
+            lines.append(f"{name} reached backend servers {len(late)} times more")
     return lines
 
 
+def _is_harmful(harm: Harm, request: SentRequest) -> bool:
+    if harm.target:
+        return request.target == harm.target
+    return harm.part in request.parts
+
+
 def _limit_problems(observations: Observations) -> list[str]:
     """Check that nodes together keep to each limit that a backend server named."""
     node_by_attempt_id = {r.attempt_id: r.node for r in observations.requests}
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -1,6 +1,7 @@
 """Environment of a soak's nodes: store, backend servers and network paths to them."""
 
 import time
+from collections import deque
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from functools import partial
@@ -27,6 +28,8 @@
 HEARTBEAT_S = 0.5
 ENTRY_EXPIRY_S = 1.5
 CRASH_S = 2.0
+# The platform can restore its store from copies of this age.
+MAX_COPY_AGE_S = 10.0
 STREAM_TIMEOUT_MS = 5000
 CALL_TIMEOUT_MS = 1500
 
@@ -71,15 +74,21 @@
 
 @dataclass
 class Harm:
-    """A prompt part that crashes backend servers for some time.
+    """A prompt part, or one request, that crashes backend servers for some time.
 
     Attributes
     ----------
+    part : str
+        Part of a prompt, empty for a request.
+    kind, target : str
+        Kind and target of the request, empty for a part.
     crashes : list of (str, float)
         Backend servers that crashed, and the monotonic times.
     """
 
-    part: str
+    part: str = ""
+    kind: str = ""
+    target: str = ""
     crashes: list[tuple[str, float]] = field(default_factory=list)
 
 
@@ -102,6 +111,8 @@
     harms: list[Harm] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
     current_harm: Harm | None = None
+    current_harmful_request: Harm | None = None
+    evacuated: set[str] = field(default_factory=set)
     version: int = 0
 
     def __post_init__(self):
@@ -111,6 +122,7 @@
         self._exit_stack.callback(self.store.close)
         self.pool = Pool(ENGINE)
         self.worker_by_id: dict[str, ProxiedWorker] = {}
+        self._copies: deque[tuple[float, tuple]] = deque()
         self._add_workers()
         self.publish()
         heartbeats = eventlet.spawn(self._send_heartbeats)
@@ -156,19 +168,52 @@
         document["tenants"] = [
             {"name": name, "api_keys": [key]} for name, key in KEYS.items()
         ]
+        self._document = document
         self.store.put("op/config", document)
         self.changes.append(Change(time.monotonic(), version=self.version))
 
     def evacuate(self, zone: str) -> None:
         """Write the operator's order to send no new requests to a zone."""
+        self.evacuated.add(zone)
         self.store.put(f"op/evacuate/{zone}", {})
         self.changes.append(Change(time.monotonic(), zone=zone))
 
     def restore_zone(self, zone: str) -> None:
         """Remove the operator's order to evacuate a zone."""
+        self.evacuated.discard(zone)
         self.store.remove(f"op/evacuate/{zone}")
         self.changes.append(Change(time.monotonic(), zone=f"-{zone}"))
 
+    def restore_store(self, age_s: float, down_s: float) -> None:
+        """Take the store down, and bring it back from a copy of about this age.
+
+        The operator writes again what it has written; backend servers do with their
+        next heartbeat.
+        """
+        self.store.down = True
+        eventlet.sleep(down_s)
+        before = time.monotonic() - age_s
+        copy = next((c for at, c in reversed(self._copies) if at <= before), None)
+        self.store.restore(copy or self._copies[0][1])
+        self._copies.clear()
+        self.store.down = False
+        self.store.put("op/config", self._document)
+        for zone in ZONES:
+            if zone in self.evacuated:
+                self.store.put(f"op/evacuate/{zone}", {})
+            else:
+                self.store.remove(f"op/evacuate/{zone}")
+
+    def begin_harmful_request(self, kind: str, number: int) -> None:
+        """Let backend servers crash on one request, until `end_harmful_request`."""
+        harm = Harm(kind=kind, target=f"/{kind}/bad{number}?n={number}")
+        self.current_harmful_request = harm
+        self.harms.append(harm)
+
+    def end_harmful_request(self) -> None:
+        """Let backend servers answer all requests again."""
+        self.current_harmful_request = None
+
     def begin_harm(self, part: str) -> None:
         """Let backend servers crash on prompts with a part, until `end_harm`."""
         self.current_harm = Harm(part)
@@ -193,9 +238,11 @@
 
     def crash(self, id: str) -> None:
         """Let a backend server crash and restart it after some seconds."""
-        self.worker_by_id[id].silent_since = time.monotonic()
-        self.pool.by_id[id].silent = True
-        self.set_path(self.worker_by_id[id].path, "cut")
+        worker = self.worker_by_id[id]
+        worker.silent_since = time.monotonic()
+        if isinstance(worker.server, ModelWorker):
+            self.pool.by_id[id].silent = True
+        self.set_path(worker.path, "cut")
         eventlet.spawn_after(CRASH_S, self.restart, id)
 
     def silence(self, id: str) -> None:
@@ -243,11 +290,17 @@
         for index in range(PLAIN_WORKERS):
             server = PlainWorker(f"p-{index}", self.runs)
             server.work_s = PLAIN_WORK_S
+            server.on_begin = partial(self._begin, server.id)
             self._add(server.id, server, "ledger", ZONES[index % len(ZONES)])
 
     def _begin(self, id: str, request: Request) -> None:
         harm = self.current_harm
-        if harm is not None and harm.part in request.headers.get(PROMPT_PARTS, ""):
+        if harm is not None and harm.part not in request.headers.get(PROMPT_PARTS, ""):
+            harm = None
+        harmful_request = self.current_harmful_request
+        if harmful_request is not None and request.target == harmful_request.target:
+            harm = harmful_request
+        if harm is not None:
             harm.crashes.append((id, time.monotonic()))
             self.crash(id)
             raise BackendFailed("crashed", sent=True)
@@ -261,12 +314,19 @@
         while True:
             for id, worker in self.worker_by_id.items():
                 self._write_or_expire(id, worker)
+            now = time.monotonic()
+            self._copies.append((now, self.store.copy()))
+            while self._copies[0][0] < now - MAX_COPY_AGE_S:
+                self._copies.popleft()
             eventlet.sleep(HEARTBEAT_S)
 
     def _write_or_expire(self, id: str, worker: ProxiedWorker) -> None:
         if worker.silent_since is None:
             self._write_entry(id, worker)
-        elif time.monotonic() > worker.silent_since + ENTRY_EXPIRY_S:
+        elif (
+            not self.store.down
+            and time.monotonic() > worker.silent_since + ENTRY_EXPIRY_S
+        ):
             self.store.remove(f"servers/{id}")
 
     def _write_entry(self, id: str, worker: ProxiedWorker) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,6 +16,7 @@
 RESTART_DELAY_S = 0.4
 PATH_DELAY_S = 0.15
 LIMIT_PER_S = 3.0
+HARMFUL_KINDS = ("look", "draft", "pay")
 PATH_MODES = ("freeze", "drop_up", "drop_down", "cut", "forget")
 ANSWER_FAULTS = (
     "lost",
@@ -110,10 +111,10 @@
 
 
 def draw_troubles(seed: int, length_s: float) -> list[Fault]:
-    """Return a harmful part, a limit, old reports and slow streams for most of the run.
+    """Return faults of requests and backend servers for most of the run, and restores.
 
-    They are drawn apart from the other faults, which stay the same for a seed. They
-    excuse nothing, so they count as planned.
+    They are drawn apart from the other faults, which stay the same for a seed. All but
+    the restores of the store excuse nothing, so they count as planned.
     """
     rng = random.Random(seed + 2)
     return [
@@ -124,7 +125,22 @@
             rng.randrange(1000),
             planned=True,
         )
-        for kind in ("harmful_part", "limit", "repeated_reports", "slow_streams")
+        for kind in (
+            "harmful_part",
+            "limit",
+            "repeated_reports",
+            "slow_streams",
+            "harmful_request",
+        )
+    ] + [
+        Fault(
+            "store_restored",
+            rng.uniform(0.2, 0.9) * length_s,
+            rng.uniform(0.1, 1.5),
+            rng.randrange(1000),
+            planned=False,
+        )
+        for _ in range(rng.choice((1, 2)))
     ]
 
 
@@ -204,6 +220,13 @@
                 environment.begin_harm(f"bad{fault.target}")
                 eventlet.sleep(fault.duration_s)
                 environment.end_harm()
+            case "harmful_request":
+                kind = HARMFUL_KINDS[fault.target % len(HARMFUL_KINDS)]
+                environment.begin_harmful_request(kind, fault.target)
+                eventlet.sleep(fault.duration_s)
+                environment.end_harmful_request()
+            case "store_restored":
+                environment.restore_store(2.0 + fault.target % 8, fault.duration_s)
             case "limit":
                 id, _ = self._choose_worker(fault, plain=True)
                 limit = environment.begin_limit(id, LIMIT_PER_S)
@@ -251,13 +274,18 @@
         self._environment.set_path(path, "pass")
 
     def _choose_worker(self, fault: Fault, plain: bool | None = None):
-        candidates = [
+        """Return the id and the backend server of a fault, once any is running."""
+        while not (candidates := self._running_workers(plain)):
+            eventlet.sleep(0.1)
+        return candidates[fault.target % len(candidates)]
+
+    def _running_workers(self, plain: bool | None) -> list:
+        return [
             (id, worker)
             for id, worker in sorted(self._environment.worker_by_id.items())
             if worker.silent_since is None
             and (plain is None or plain != isinstance(worker.server, ModelWorker))
         ]
-        return candidates[fault.target % len(candidates)]
 
     def _silence(self, fault: Fault) -> None:
         id, _ = self._choose_worker(fault)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,11 +4,13 @@
 import json
 import socket
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from urllib.parse import parse_qs
 
 import eventlet
 
+from poplarspar.exceptions import BackendFailed
 from poplarspar.transport.addresses import bound_address, listen
 from poplarspar.transport.server import (
     HttpServer,
@@ -246,6 +248,8 @@
         Duration of a request in seconds.
     rate_limit : float or None
         Limit in requests per second that answers name, None for none.
+    on_begin : callable
+        Called with each request that begins to run; may raise `BackendFailed`.
     """
 
     def __init__(self, id: str, runs: list[Run] | None = None) -> None:
@@ -255,6 +259,7 @@
         self.answer_modes: list[str] = []
         self.work_s = 0.0
         self.rate_limit: float | None = None
+        self.on_begin: Callable[[Request], None] = lambda request: None
         super().__init__()
 
     def entry(self, service: str, **changes) -> dict:
@@ -283,6 +288,10 @@
             return Response(421, b"", None, headers)
         self.requests.append(request)
         self.runs.append(Run.from_request(self.id, request))
+        try:
+            self.on_begin(request)
+        except BackendFailed:
+            mode = "lost"
         eventlet.sleep(5.0 if mode == "slow" else self.work_s)
         if mode == "earlier_refusal":
             # The refusal of another request, once more.
