Send nothing to a backend server that says that it leaves

Cause: nothing read the header Server-Leaving. It is now decoded once, in the platform's headers, into a notice, which the node keeps by the server's incarnation. Whatever chooses a target leaves such a server out: streams, plain calls, resumed streams, retries and trials; entries, plans and outages of the store undo nothing. An answer with status 421 or another request's id is another server's. The planner reads it in the reports of groups' members, and treats these as draining. Other nodes learn it from their own first answer, the entry, or the plan: to tell them through the planner would save each node one request, which a leaving server still takes. Where all servers leave, a request is refused at once.

--- a/poplarspar/coordination/forwarding/__init__.py
+++ b/poplarspar/coordination/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from poplarspar.coordination.forwarding.attempts import Sender
 from poplarspar.coordination.forwarding.demand import DemandMeter
 from poplarspar.coordination.forwarding.forwarder import Answer, Forwarder
+from poplarspar.coordination.forwarding.notices import Leaving, Notice
 from poplarspar.coordination.forwarding.ports import (
     Attempt,
     Exchange,
@@ -25,6 +26,8 @@
     "DemandMeter",
     "Exchange",
     "Forwarder",
+    "Leaving",
+    "Notice",
     "RetryBudget",
     "RoutedRequest",
     "Sender",
--- a/poplarspar/coordination/forwarding/attempts.py
+++ b/poplarspar/coordination/forwarding/attempts.py
@@ -125,6 +125,8 @@
         if exchange.authentic or exchange.not_executed:
             limits = self._targets.rate_limits
             limits.observe(target.backend, exchange.rate_limit, sent_at)
+        for notice in exchange.notices:
+            self._targets.notices.record(target.backend, notice, exchange.status)
         if exchange.not_executed:
             exchange.close()
             return Rejected(target)
--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -142,6 +142,8 @@
             if target is not None:
                 return Ok(target)
             remaining_s = wait_until - time.monotonic()
+            if self._targets.are_all_leaving(routed):
+                return Error(self._refuse_without_target(routed, tried, RETRY_AFTER_S))
             limited_s = self._targets.rate_limited_s(routed, tried)
             if remaining_s <= max(0.0, limited_s):
                 retry_after_s = max(RETRY_AFTER_S, limited_s)
--- a/poplarspar/coordination/forwarding/ports.py
+++ b/poplarspar/coordination/forwarding/ports.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from poplarspar.coordination.forwarding.notices import Notice
 from poplarspar.state.backends import Load
 from poplarspar.state.callers import CallerRequest, Headers
 
@@ -59,6 +60,8 @@
     rate_limit : float or None
         Requests per second that the backend server takes from all nodes together,
         None for no limit.
+    notices : tuple of Notice
+        What the backend server asks of this node.
     """
 
     status: int
@@ -67,6 +70,7 @@
     not_executed: bool
     load: Load | None
     rate_limit: float | None
+    notices: tuple[Notice, ...]
     is_stream: bool
 
     def read_body(self) -> bytes:
--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -8,6 +8,7 @@
 import eventlet
 from eventlet.event import Event as Signal
 
+from poplarspar.coordination.forwarding.notices import ServerNotices
 from poplarspar.coordination.forwarding.overload import Overload
 from poplarspar.coordination.forwarding.rate_limits import RateLimits
 from poplarspar.coordination.forwarding.routing import RoutedRequest
@@ -76,6 +77,7 @@
         self._cold_limit = cold_limit
         self._fleet = Fleet()
         self.rate_limits = RateLimits(share)
+        self.notices = ServerNotices()
         self._overload = Overload()
         self._by_service: dict[str, list[Target]] = {}
         self.by_key: dict[object, Target] = {}
@@ -106,9 +108,11 @@
             if key not in targets_by_key:
                 self._abort_if_stalled(target)
                 self._closing.append(target)
-        self.rate_limits.retain(
-            {backend.incarnation for backend in fleet.backends_by_id.values()}
-        )
+        incarnations = {
+            backend.incarnation for backend in fleet.backends_by_id.values()
+        }
+        self.rate_limits.retain(incarnations)
+        self.notices.retain(incarnations)
         self.by_key = targets_by_key
         self._by_service = targets_by_service
         self.notify_waiters()
@@ -193,6 +197,17 @@
             return 0.0
         return self.rate_limits.next_slot_s()
 
+    def are_all_leaving(self, routed: RoutedRequest) -> bool:
+        """Return whether all targets have said that they leave, so none gets free."""
+        matching = [
+            target
+            for target in self._by_service.get(routed.service.name, ())
+            if routed.service.engine is None or target.model == routed.request.model
+        ]
+        return bool(matching) and all(
+            self.notices.is_leaving(target.backend) for target in matching
+        )
+
     def occupancy(self, routed: RoutedRequest) -> tuple[int, int]:
         """Return expected requests and slots of all targets usable for a request."""
         now = time.monotonic()
@@ -209,6 +224,7 @@
             for target in self._by_service.get(routed.service.name, ())
             if target not in tried
             and target.backend.zone not in self._fleet.evacuated_zones
+            and not self.notices.is_leaving(target.backend)
             and (routed.service.engine is None or target.model == routed.request.model)
         ]
         healthy = [
@@ -288,6 +304,7 @@
             if other is not target
             and other.model == target.model
             and other.backend.zone not in self._fleet.evacuated_zones
+            and not self.notices.is_leaving(other.backend)
             and other.stalled_s(now) < PROGRESS_INTERVAL_S
             and not other.stalled_for_others
             and other.current_failure_rate(now) < FAILURE_WEIGHT
--- a/poplarspar/coordination/pools/health_monitor.py
+++ b/poplarspar/coordination/pools/health_monitor.py
@@ -260,6 +260,15 @@
                 engine_state = replace(engine_state, model=previous.engine_state.model)
             report = replace(report, engine_state=engine_state)
         observation.report = report
+        has_restarted = previous is not None and (
+            previous.started_ms != report.started_ms
+        )
+        if has_restarted and not observation.backend.draining:
+            observation.draining_since = float("inf")
+        if report.leaving and observation.draining_since == float("inf"):
+            # Its entry in the store may say so later, or not at all.
+            observation.draining_since = time.monotonic()
+            self._on_change()
         if previous is None or previous.engine_state != report.engine_state:
             self._record_group_end(previous, report)
             self._on_change()
--- a/poplarspar/coordination/pools/planning_pass.py
+++ b/poplarspar/coordination/pools/planning_pass.py
@@ -137,7 +137,7 @@
         return Worker(
             observation,
             silent=observation.is_silent(self._now),
-            draining=backend.draining,
+            draining=backend.draining or observation.report.leaving,
             unlisted=not observation.listed,
             evacuated=zone_evacuated,
         )
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -144,6 +144,18 @@
         "It takes `limit` requests per second from all nodes together, or any number.",
         "Check the backend server; nodes keep to the limit.",
     )
+    BACKEND_LEAVING = (
+        234,
+        "backend server says that it is leaving",
+        "Its answer to a request had `status`; this node sends it no new requests.",
+        "Nothing if it is stopped on purpose; otherwise check its VM.",
+    )
+    HEADER_IGNORED = (
+        236,
+        "header of a backend server ignored",
+        "Its `value` is malformed or out of range.",
+        "Find out which version of the backend servers sends it.",
+    )
     DOCUMENT_MALFORMED = (
         232,
         "document can't be decoded",
--- a/poplarspar/platform/backends.py
+++ b/poplarspar/platform/backends.py
@@ -1,10 +1,11 @@
 """Reports of backend servers and orders to them, in the platform's format."""
 
 import json
+from dataclasses import replace
 
 from poplarspar.exceptions import BackendFailed, MalformedDocument, TransportError
 from poplarspar.platform.documents import parse_report
-from poplarspar.platform.headers import EXPECTED_BACKEND
+from poplarspar.platform.headers import EXPECTED_BACKEND, LEAVING, parse_leaving
 from poplarspar.state.backends import BackendReport, BackendServer
 from poplarspar.state.orders import (
     Accepted,
@@ -49,7 +50,8 @@
             )
             if answer.status != OK:
                 raise BackendFailed(f"report: status {answer.status}", sent=True)
-            return parse_report(backend.id, answer.body.decode())
+            report = parse_report(backend.id, answer.body.decode())
+            return replace(report, leaving=parse_leaving(answer.headers.get(LEAVING)))
         except (TransportError, MalformedDocument, UnicodeDecodeError) as error:
             self.disconnect(backend)
             raise BackendFailed(f"report: {error}", sent=True) from error
--- a/poplarspar/platform/headers.py
+++ b/poplarspar/platform/headers.py
@@ -2,6 +2,8 @@
 
 import re
 
+from poplarspar.events import Event
+from poplarspar.logs import log_event
 from poplarspar.state.backends import Load
 
 REQUEST_ID = "Attempt-Id"
@@ -25,6 +27,8 @@
 LOAD = "Server-Load"
 # Requests per second that the backend server takes from all nodes together.
 RATE_LIMIT = "Server-Limit"
+# A backend server that leaves has this header in all its answers.
+LEAVING = "Server-Leaving"
 # How often the store has been restored from an older copy.
 STORE_ERA = "Store-Era"
 
@@ -60,11 +64,13 @@
         "Content-Length",
         LOAD,
         RATE_LIMIT,
+        LEAVING,
     )
 )
 
 # Larger counts can't be meant, and their sums must fit into messages between nodes.
 MAX_COUNT_DIGITS = 9
+MAX_LOGGED_CHARS = 40
 _DIGITS = re.compile(r"[0-9]+")
 # A limit has at most as many digits as a rate can need.
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -91,3 +97,14 @@
     """Decode requests per second; None without a limit or if malformed."""
     text = (text or "").strip()
     return float(text) if _DECIMAL.fullmatch(text) else None
+
+
+def parse_leaving(text: str | None) -> bool:
+    """Decode whether a backend server leaves; other values are logged and ignored."""
+    if text is None:
+        return False
+    values = {value.strip() for value in text.split(",")}
+    if values != {"1"}:
+        log_event(Event.HEADER_IGNORED, header=LEAVING, value=text[:MAX_LOGGED_CHARS])
+        return False
+    return True
--- a/poplarspar/platform/upstream.py
+++ b/poplarspar/platform/upstream.py
@@ -2,7 +2,12 @@
 
 from collections.abc import Iterator
 
-from poplarspar.coordination.forwarding.ports import Attempt, StreamEvent
+from poplarspar.coordination.forwarding import (
+    Attempt,
+    Leaving,
+    Notice,
+    StreamEvent,
+)
 from poplarspar.exceptions import (
     BackendFailed,
     ConnectFailed,
@@ -14,6 +19,7 @@
     DEADLINE_MS,
     EXPECTED_BACKEND,
     LAST_EVENT_ID,
+    LEAVING,
     LOAD,
     NOT_EXECUTED,
     NOT_RETURNED,
@@ -22,6 +28,7 @@
     REQUEST_ID,
     SIGNATURE,
     WORKSPACE,
+    parse_leaving,
     parse_load,
     parse_rate_limit,
 )
@@ -55,6 +62,9 @@
         self.authentic = (
             is_own and SIGNATURE in headers and "Content-Encoding" not in headers
         )
+        # Another backend server at this address speaks of itself.
+        speaks_of_itself = is_own and stream.status != MISDIRECTED
+        self.notices = _notices(headers) if speaks_of_itself else ()
         self.is_stream = headers.get("Content-Type", "").startswith(EVENT_STREAM)
         self.headers = _answer_headers(headers)
 
@@ -137,6 +147,10 @@
     return headers
 
 
+def _notices(headers) -> tuple[Notice, ...]:
+    return (Leaving(),) if parse_leaving(headers.get(LEAVING)) else ()
+
+
 def _answer_headers(headers) -> Headers:
     connection_headers = {
         name.strip().lower() for name in headers.get("Connection", "").split(",")
--- a/poplarspar/state/backends.py
+++ b/poplarspar/state/backends.py
@@ -105,6 +105,8 @@
     ----------
     slowdown : float
         Factor on the engine's configured times; above 1 for a slow backend server.
+    leaving : bool
+        Whether the backend server is about to stop.
     """
 
     id: str
@@ -114,3 +116,4 @@
     waiting: int
     busy: bool
     slowdown: float
+    leaving: bool = False
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -248,6 +248,8 @@
         Duration of a request in seconds.
     rate_limit : float or None
         Limit in requests per second that answers name, None for none.
+    extra_headers : dict of str to str
+        Headers of all its answers.
     on_begin : callable
         Called with each request that begins to run; may raise `BackendFailed`.
     """
@@ -259,6 +261,7 @@
         self.answer_modes: list[str] = []
         self.work_s = 0.0
         self.rate_limit: float | None = None
+        self.extra_headers: dict[str, str] = {}
         self.on_begin: Callable[[Request], None] = lambda request: None
         super().__init__()
 
@@ -280,6 +283,7 @@
     def handle(self, request: Request) -> Response:
         mode = self.answer_modes.pop(0) if self.answer_modes else "ok"
         headers = {"Attempt-Id": request.headers.get("Attempt-Id", "")}
+        headers |= self.extra_headers
         if self.rate_limit is not None:
             headers["Server-Limit"] = str(self.rate_limit)
         if mode == "shed":
--- a/standins/pool.py
+++ b/standins/pool.py
@@ -78,6 +78,7 @@
     epoch: int = 0
     silent: bool = False
     draining: bool = False
+    says_leaving: bool = False
     ready_for: set = field(default_factory=set)
     history: list = field(default_factory=list)
 
@@ -166,7 +167,14 @@
         worker.history = [(at, h) for at, h in worker.history if at > now - 1.0]
         engine_state = visible[-1] if visible else worker.history[0][1]
         return BackendReport(
-            worker.id, worker.started_ms, engine_state, 0, 0, False, 1.0
+            worker.id,
+            worker.started_ms,
+            engine_state,
+            0,
+            0,
+            False,
+            1.0,
+            worker.says_leaving,
         )
 
     def disconnect(self, backend: BackendServer) -> None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -127,6 +127,7 @@
         self.not_executed = options.get("not_executed", False)
         self.load = options.get("load")
         self.rate_limit = options.get("rate_limit")
+        self.notices = options.get("notices", ())
         self.is_stream = "numbers" in options
         self._event_numbers = options.get("numbers", ())
         self._break_after = options.get("break_after")
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -211,10 +211,17 @@
         )
 
     def test_draining_member_leaves_serving_groups(self):
+        self.check_leaving_member("draining")
+
+    # Guards against a group that keeps a member whose entry says nothing of it.
+    def test_member_that_says_it_leaves_leaves_serving_groups(self):
+        self.check_leaving_member("says_leaving")
+
+    def check_leaving_member(self, attribute):
         self.start()
         self.wait_serving(4)
         leaving = self.member(1)
-        leaving.draining = True
+        setattr(leaving, attribute, True)
         wait_until(
             lambda: (
                 not any(
