Leave a backend server alone for as long as it asks for

Cause: nothing read Retry-After in answers of backend servers. With status 503 it is now a notice that holds for the node that got it, for at most 300 s. That is plainly another mechanism than the limits of rate_limits.py: a limit is one of all nodes, which divide it, and a pause one of this node, which needs no messages. Both block a target, and a request that no other target can take before the first of them ends is refused at once, with that time to come back. After a pause a node goes back to all slots within a second, step by step, so that those who waited do not arrive at once. A group whose leader asks for a pause is one target, so it pauses as a whole.

--- a/poplarspar/coordination/forwarding/__init__.py
+++ b/poplarspar/coordination/forwarding/__init__.py
@@ -3,7 +3,7 @@
 from poplarspar.coordination.forwarding.attempts import Sender
 from poplarspar.coordination.forwarding.demand import DemandMeter
 from poplarspar.coordination.forwarding.forwarder import Answer, Forwarder
-from poplarspar.coordination.forwarding.notices import Leaving, Notice
+from poplarspar.coordination.forwarding.notices import Leaving, Notice, Pause
 from poplarspar.coordination.forwarding.ports import (
     Attempt,
     Exchange,
@@ -28,6 +28,7 @@
     "Forwarder",
     "Leaving",
     "Notice",
+    "Pause",
     "RetryBudget",
     "RoutedRequest",
     "Sender",
--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -144,11 +144,11 @@
             remaining_s = wait_until - time.monotonic()
             if self._targets.are_all_leaving(routed):
                 return Error(self._refuse_without_target(routed, tried, RETRY_AFTER_S))
-            limited_s = self._targets.rate_limited_s(routed, tried)
-            if remaining_s <= max(0.0, limited_s):
-                retry_after_s = max(RETRY_AFTER_S, limited_s)
+            blocked_s = self._targets.blocked_s(routed, tried)
+            if remaining_s <= max(0.0, blocked_s):
+                retry_after_s = max(RETRY_AFTER_S, blocked_s)
                 return Error(self._refuse_without_target(routed, tried, retry_after_s))
-            self._targets.wait_for_change(min(remaining_s, limited_s or remaining_s))
+            self._targets.wait_for_change(min(remaining_s, blocked_s or remaining_s))
 
     def _refuse_without_target(
         self, routed: RoutedRequest, tried: set[Target], retry_after_s: float
--- a/poplarspar/coordination/forwarding/rate_limits.py
+++ b/poplarspar/coordination/forwarding/rate_limits.py
@@ -118,6 +118,10 @@
         usage = self._current_usage(limit)
         return usage.sent < usage.carried + usage.share
 
+    def wait_s(self, backend: BackendServer) -> float:
+        """Return the time in seconds until this node may send a request."""
+        return 0.0 if self.may_send(backend) else self.next_slot_s()
+
     def record_sent(self, backend: BackendServer) -> None:
         """Count a request to a backend server, if it has a limit."""
         limit = self._by_incarnation.get(backend.incarnation)
--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -187,15 +187,22 @@
         now = time.monotonic()
         return next(self._usable(routed, tried, now), None) is not None
 
-    def rate_limited_s(self, routed: RoutedRequest, tried: set[Target]) -> float:
-        """Return the time until any usable target's limit admits the request.
+    def blocked_s(self, routed: RoutedRequest, tried: set[Target]) -> float:
+        """Return the time until any usable target may get the request.
 
-        It is 0 if a target has no limit, or has not yet reached it.
+        It is 0 if one has neither asked for a pause nor reached its limit.
         """
-        usable = list(self._usable(routed, tried, time.monotonic()))
-        if not usable or any(self.rate_limits.may_send(t.backend) for t in usable):
-            return 0.0
-        return self.rate_limits.next_slot_s()
+        now = time.monotonic()
+        return min(
+            (
+                max(
+                    self.notices.paused_s(target.backend, now),
+                    self.rate_limits.wait_s(target.backend),
+                )
+                for target in self._usable(routed, tried, now)
+            ),
+            default=0.0,
+        )
 
     def are_all_leaving(self, routed: RoutedRequest) -> bool:
         """Return whether all targets have said that they leave, so none gets free."""
@@ -219,12 +226,13 @@
     def _usable(
         self, routed: RoutedRequest, tried: set[Target], now: float
     ) -> Iterator[Target]:
+        leaving = self.notices.left_at_by_incarnation
         candidates = [
             target
             for target in self._by_service.get(routed.service.name, ())
             if target not in tried
             and target.backend.zone not in self._fleet.evacuated_zones
-            and not self.notices.is_leaving(target.backend)
+            and not (leaving and target.backend.incarnation in leaving)
             and (routed.service.engine is None or target.model == routed.request.model)
         ]
         healthy = [
@@ -236,6 +244,8 @@
     def _is_full(self, routed: RoutedRequest, target: Target, now: float) -> bool:
         if target.expected_in_flight(now) >= self._admitted_in_flight(target):
             return True
+        if self.notices.pause_ends_at_by_incarnation and self._is_paused(target, now):
+            return True
         if not self.rate_limits.may_send(target.backend):
             return True
         if routed.service.engine is not None and target.pending_prefill_tokens:
@@ -245,6 +255,10 @@
                 return True
         return now < target.cold_until and not self._is_below_cold_limit(target, now)
 
+    def _is_paused(self, target: Target, now: float) -> bool:
+        admitted = self.notices.admitted_in_flight(target.backend, target.slots, now)
+        return admitted is not None and target.in_flight >= admitted
+
     def _admitted_in_flight(self, target: Target) -> int:
         """Return the expected requests from which on a target counts as full."""
         if target.group is None or self._knows_all_load():
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -150,6 +150,12 @@
         "Its answer to a request had `status`; this node sends it no new requests.",
         "Nothing if it is stopped on purpose; otherwise check its VM.",
     )
+    BACKEND_PAUSED = (
+        235,
+        "backend server asks for a pause",
+        "It wants no requests of this node for `duration_s`.",
+        "Check the backend server if it recurs; the node uses the others.",
+    )
     HEADER_IGNORED = (
         236,
         "header of a backend server ignored",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -379,6 +379,7 @@
                 self._quarantine_exchange.quarantine.entries()
             ),
             "backend_servers_leaving": self._targets.notices.leaving_count(),
+            "backend_servers_paused": self._targets.notices.paused_count(),
             "backend_servers_limited": self._targets.rate_limits.count(),
             "evacuated_zones": len(self._fleet_updater.fleet.evacuated_zones),
             "memory_peak_bytes": usage.ru_maxrss * 1024,
--- a/poplarspar/platform/headers.py
+++ b/poplarspar/platform/headers.py
@@ -29,6 +29,8 @@
 RATE_LIMIT = "Server-Limit"
 # A backend server that leaves has this header in all its answers.
 LEAVING = "Server-Leaving"
+# Seconds for which a backend server wants no requests of this node.
+PAUSE = "Retry-After"
 # How often the store has been restored from an older copy.
 STORE_ERA = "Store-Era"
 
@@ -99,6 +101,16 @@
     return float(text) if _DECIMAL.fullmatch(text) else None
 
 
+def parse_pause(text: str | None) -> float | None:
+    """Decode a pause in seconds; malformed ones are logged and ignored."""
+    if text is None:
+        return None
+    if not _DECIMAL.fullmatch(text.strip()):
+        log_event(Event.HEADER_IGNORED, header=PAUSE, value=text[:MAX_LOGGED_CHARS])
+        return None
+    return float(text)
+
+
 def parse_leaving(text: str | None) -> bool:
     """Decode whether a backend server leaves; other values are logged and ignored."""
     if text is None:
--- a/poplarspar/platform/upstream.py
+++ b/poplarspar/platform/upstream.py
@@ -6,6 +6,7 @@
     Attempt,
     Leaving,
     Notice,
+    Pause,
     StreamEvent,
 )
 from poplarspar.exceptions import (
@@ -23,6 +24,7 @@
     LOAD,
     NOT_EXECUTED,
     NOT_RETURNED,
+    PAUSE,
     PRIORITY,
     RATE_LIMIT,
     REQUEST_ID,
@@ -30,6 +32,7 @@
     WORKSPACE,
     parse_leaving,
     parse_load,
+    parse_pause,
     parse_rate_limit,
 )
 from poplarspar.protocol.server_sent_events import split_events
@@ -39,6 +42,7 @@
 # Status of a request to an address that another backend server has taken over.
 MISDIRECTED = 421
 CLIENT_ERROR = 400
+UNAVAILABLE = 503
 EVENT_STREAM = "text/event-stream"
 # The platform's priorities range from 0, the highest, to 9.
 LOWEST_PRIORITY = 9
@@ -64,7 +68,7 @@
         )
         # Another backend server at this address speaks of itself.
         speaks_of_itself = is_own and stream.status != MISDIRECTED
-        self.notices = _notices(headers) if speaks_of_itself else ()
+        self.notices = _notices(stream) if speaks_of_itself else ()
         self.is_stream = headers.get("Content-Type", "").startswith(EVENT_STREAM)
         self.headers = _answer_headers(headers)
 
@@ -147,8 +151,15 @@
     return headers
 
 
-def _notices(headers) -> tuple[Notice, ...]:
-    return (Leaving(),) if parse_leaving(headers.get(LEAVING)) else ()
+def _notices(stream: HttpStream) -> tuple[Notice, ...]:
+    notices: list[Notice] = []
+    if parse_leaving(stream.headers.get(LEAVING)):
+        notices.append(Leaving())
+    if stream.status == UNAVAILABLE:
+        pause_s = parse_pause(stream.headers.get(PAUSE))
+        if pause_s is not None:
+            notices.append(Pause(pause_s))
+    return tuple(notices)
 
 
 def _answer_headers(headers) -> Headers:
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -1,14 +1,19 @@
-"""Backend servers that say in their answers that they leave."""
+"""Backend servers that say in their answers that they leave, or ask for a pause."""
 
 import standins.common  # noqa: F401  # isort: skip
 
 import json
 import time
 import unittest
+from dataclasses import replace
+from unittest import mock
 
-from poplarspar.coordination.forwarding import Leaving
+import eventlet
+
+from poplarspar.coordination.forwarding import Leaving, Pause
+from poplarspar.coordination.forwarding.notices import ServerNotices
 from poplarspar.platform.backends import PlatformReportReader
-from poplarspar.platform.headers import parse_leaving
+from poplarspar.platform.headers import parse_leaving, parse_pause
 from tests.test_foreign_answers import RawServer
 from tests.test_forwarding import (
     FakeExchange,
@@ -22,7 +27,7 @@
 LEAVING = {"Server-Leaving": "1"}
 
 
-class LeavingTest(NodeTestCase):
+class LeavingTestCase(NodeTestCase):
     def setUp(self):
         super().setUp()
         self.leaving, self.other = self.workers
@@ -62,6 +67,12 @@
             self.send("/look/1")
         self.assertGreater(len(self.leaving.requests), before)
 
+    def is_used(self):
+        before = len(self.leaving.requests)
+        return self.send("/look/1") and len(self.leaving.requests) > before
+
+
+class LeavingTest(LeavingTestCase):
     # Guards against requests to a server that has told this node that it leaves.
     def test_server_that_leaves_gets_no_more_requests(self):
         self.tell()
@@ -142,6 +153,119 @@
             events.close()
             self.assertEqual([other], [a.backend_id for a in self.upstream.attempts])
 
+    # Guards against streams at a leader that has asked for a pause.
+    def test_head_that_asks_for_a_pause_gets_no_streams(self):
+        refused = FakeExchange(503, not_executed=True, notices=(Pause(30.0),))
+        sound = FakeExchange(numbers=(1,))
+        result = self.serve(request("/draft/1", model="m0"), refused, sound)
+        self.answered(result).events.close()
+        paused, other = (attempt.backend_id for attempt in self.upstream.attempts)
+        for _ in range(REQUESTS):
+            result = self.serve(
+                request("/draft/1", model="m0"), FakeExchange(numbers=(1,))
+            )
+            self.answered(result).events.close()
+            self.assertEqual([other], [a.backend_id for a in self.upstream.attempts])
+        self.assertNotEqual(paused, other)
+
+
+class PauseTest(LeavingTestCase):
+    def test_server_gets_nothing_until_its_pause_ends(self):
+        began = time.monotonic()
+        self.tell("shed", **{"Retry-After": "1.5"})
+        while time.monotonic() < began + 1.4:
+            self.assert_left_alone()
+        wait_until(
+            lambda: self.send("/look/1") and self.is_used(),
+            "it is used after the pause",
+        )
+
+    # Guards against a time to come back at which the request is refused again.
+    def test_request_is_refused_at_once_until_the_first_pause_ends(self):
+        self.other.extra_headers = {"Retry-After": "9"}
+        self.other.answer_modes = ["shed"]
+        wait_until(lambda: self.send("/look/1") and self.paused() == 1, "one pauses")
+        self.tell("shed", **{"Retry-After": "1.2"})
+        wait_until(lambda: self.send("/look/1") and self.paused() == 2, "both pause")
+        began = time.monotonic()
+        answer = self.send("/pay/1")
+        self.assertLess(time.monotonic() - began, 0.1)
+        self.assertEqual(429, answer.status)
+        retry_after_s = float(answer.headers["Retry-After"])
+        self.assertTrue(0.3 < retry_after_s <= 1.2, retry_after_s)
+        eventlet.sleep(retry_after_s + 0.1)
+        self.assertEqual(200, self.send("/pay/1").status)
+
+    def paused(self):
+        return self.node._targets.notices.paused_count()
+
+    def test_retry_after_with_other_statuses_says_nothing(self):
+        self.tell(**{"Retry-After": "30"})
+        self.assertEqual(0, self.paused())
+        self.assert_used()
+
+    def test_malformed_pauses_are_ignored(self):
+        for value in (
+            *("-1", "1e3", "", "5, 5", "inf", "nan", "0x5", "1.", "\u00b2", "9" * 400),
+            "Wed, 21 Oct 2026 07:28:00 GMT",
+        ):
+            with self.subTest(value=value):
+                self.assertIsNone(parse_pause(value))
+        self.tell("shed", **{"Retry-After": "Wed, 21 Oct 2026 07:28:00 GMT"})
+        self.assertEqual(0, self.paused())
+        self.assert_used()
+
+
+class ServerNoticesTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 1000.0
+        patcher = mock.patch("time.monotonic", lambda: self.now)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.notices = ServerNotices()
+        self.server = backend("s1")
+
+    def pause(self, duration_s):
+        self.notices.record(self.server, Pause(duration_s), 503)
+
+    def rest(self):
+        return self.notices.paused_s(self.server, self.now)
+
+    # Guards against a server that takes itself out of use for good.
+    def test_pause_is_bounded(self):
+        self.pause(999_999_999.0)
+        self.assertEqual(300.0, self.rest())
+
+    # Guards against a pause that an answer from before it ends.
+    def test_shorter_pause_does_not_end_a_longer_one(self):
+        self.pause(5.0)
+        self.pause(1.0)
+        self.assertEqual(5.0, self.rest())
+
+    # Guards against a burst of all that waited when a pause ends.
+    def test_requests_return_step_by_step(self):
+        self.pause(2.0)
+        admitted = []
+        for at in (0.0, 1.9, 2.1, 2.5, 2.9, 3.1):
+            self.now = 1000.0 + at
+            admitted.append(self.notices.admitted_in_flight(self.server, 10, self.now))
+        self.assertEqual([0, 0, 2, 5, 9, None], admitted)
+
+    def test_pause_is_of_one_incarnation(self):
+        self.pause(5.0)
+        restarted = replace(self.server, started_ms=2)
+        self.assertEqual(0.0, self.notices.paused_s(restarted, self.now))
+
+    def test_what_is_not_listed_any_more_is_dropped_after_a_while(self):
+        self.notices.record(self.server, Leaving(), 200)
+        self.notices.retain(set())
+        self.assertTrue(self.notices.is_leaving(self.server))
+        self.now += 61.0
+        self.notices.retain({self.server.incarnation})
+        self.assertTrue(self.notices.is_leaving(self.server))
+        self.notices.retain(set())
+        self.assertFalse(self.notices.is_leaving(self.server))
+
 
 class LeavingMemberTest(unittest.TestCase):
     # Guards against a planner that learns of it only from the store.
