Let the soak's backend servers say that they leave, or ask for pauses

Draining ones send Server-Leaving in all answers; one plain one refuses all requests for a second at a time, with Retry-After 0.3, 1.5 or 4 s. The check on pauses has a test of its own.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -39,6 +39,9 @@
 # From the time at which a node sends a request to that at which it begins to run.
 SENDING_S = 0.5
 LIMIT_WINDOW_S = 4.0
+# So many requests of a node may arrive later than this in a pause.
+PAUSE_NOTICE_S = 0.5
+PAUSE_REQUESTS = 2
 # A node knows a limit this long after its request began to run.
 TOLD_S = 0.6
 
@@ -98,6 +101,7 @@
     lines += _recovery_problems(observations)
     lines += _quarantine_problems(observations)
     lines += _limit_problems(observations)
+    lines += _pause_problems(observations)
     return lines
 
 
@@ -385,6 +389,26 @@
     return lines
 
 
+def _pause_problems(observations: Observations) -> list[str]:
+    """Check that nodes leave backend servers alone for as long as these ask for."""
+    node_by_attempt_id = {r.attempt_id: r.node for r in observations.requests}
+    lines = []
+    for id, worker in observations.environment.worker_by_id.items():
+        arrivals = [
+            (node_by_attempt_id[attempt_id], at, pause_s)
+            for attempt_id, at, pause_s in worker.arrivals
+            if attempt_id in node_by_attempt_id
+        ]
+        for node, refused_at, pause_s in arrivals:
+            begin, end = refused_at + PAUSE_NOTICE_S, refused_at + pause_s
+            count = sum(other is node and begin < at < end for other, at, _ in arrivals)
+            if count > PAUSE_REQUESTS and _has_run_since(
+                observations, node, refused_at, end
+            ):
+                lines.append(f"{node.name} sent {id} {count} requests in its pause")
+    return lines
+
+
 def _has_run_since(
     observations: Observations, node: Node, begin: float, end: float
 ) -> bool:
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -28,6 +28,7 @@
 HEARTBEAT_S = 0.5
 ENTRY_EXPIRY_S = 1.5
 CRASH_S = 2.0
+LEAVING = {"Server-Leaving": "1"}
 # The platform can restore its store from copies of this age.
 MAX_COPY_AGE_S = 10.0
 STREAM_TIMEOUT_MS = 5000
@@ -71,6 +72,11 @@
     silent_since: float | None = None
     seq: int = 0
 
+    @property
+    def arrivals(self) -> list[tuple[str, float, float]]:
+        """Requests that have arrived at a plain backend server."""
+        return [] if isinstance(self.server, ModelWorker) else self.server.arrivals
+
 
 @dataclass
 class Harm:
@@ -80,16 +86,16 @@
     ----------
     part : str
         Part of a prompt, empty for a request.
-    kind, target : str
-        Kind and target of the request, empty for a part.
     crashes : list of (str, float)
         Backend servers that crashed, and the monotonic times.
+    kind, target : str
+        Kind and target of the request, empty for a part.
     """
 
     part: str = ""
+    crashes: list[tuple[str, float]] = field(default_factory=list)
     kind: str = ""
     target: str = ""
-    crashes: list[tuple[str, float]] = field(default_factory=list)
 
 
 @dataclass
@@ -264,9 +270,12 @@
         worker.started_ms += 1
         worker.silent_since = None
         worker.draining = False
+        worker.server.extra_headers = {}
         if isinstance(worker.server, ModelWorker):
             self.pool.restart(id)
             self.pool.by_id[id].started_ms = worker.started_ms
+        else:
+            worker.server.end_pauses()
         self.set_path(worker.path, "cut")
         self.set_path(worker.path, "pass")
 
@@ -274,6 +283,7 @@
         """Mark a backend server as draining in its store entry."""
         worker = self.worker_by_id[id]
         worker.draining = True
+        worker.server.extra_headers = LEAVING
         if isinstance(worker.server, ModelWorker):
             self.pool.by_id[id].draining = True
         self._write_entry(id, worker)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,6 +16,8 @@
 RESTART_DELAY_S = 0.4
 PATH_DELAY_S = 0.15
 LIMIT_PER_S = 3.0
+PAUSES_S = (0.3, 1.5, 4.0)
+PAUSING_S = 1.0
 HARMFUL_KINDS = ("look", "draft", "pay")
 PATH_MODES = ("freeze", "drop_up", "drop_down", "cut", "forget")
 ANSWER_FAULTS = (
@@ -131,6 +133,7 @@
             "repeated_reports",
             "slow_streams",
             "harmful_request",
+            "pauses",
         )
     ] + [
         Fault(
@@ -225,6 +228,8 @@
                 environment.begin_harmful_request(kind, fault.target)
                 eventlet.sleep(fault.duration_s)
                 environment.end_harmful_request()
+            case "pauses":
+                self._let_pause(fault)
             case "store_restored":
                 environment.restore_store(2.0 + fault.target % 8, fault.duration_s)
             case "limit":
@@ -302,6 +307,16 @@
             eventlet.sleep(1.0)
             self._environment.restart(id)
 
+    def _let_pause(self, fault: Fault) -> None:
+        """Let a plain backend server refuse all requests for some time, in turns."""
+        _, worker = self._choose_worker(fault, plain=True)
+        ends_at = time.monotonic() + fault.duration_s
+        while time.monotonic() < ends_at:
+            worker.server.pause_s = self._rng.choice(PAUSES_S)
+            eventlet.sleep(PAUSING_S)
+            worker.server.pause_s = None
+            eventlet.sleep(PAUSING_S)
+
     def _disturb_answers(self, fault: Fault) -> None:
         _, worker = self._choose_worker(fault, plain=True)
         ends_at = time.monotonic() + fault.duration_s
--- a/standins/engines.py
+++ b/standins/engines.py
@@ -79,6 +79,8 @@
         Whether it writes its report of some time ago in place of some newer ones.
     slows_streams : bool
         Whether its streams pause between events, and send comments meanwhile.
+    extra_headers : dict of str to str
+        Headers of all its answers to requests.
     on_begin : callable
         Called with each request before the first event; may raise `BackendFailed`.
     """
@@ -91,6 +93,7 @@
         self.running = 0
         self.repeats_reports = False
         self.slows_streams = False
+        self.extra_headers: dict[str, str] = {}
         self._earlier_report: Response | None = None
         self.on_begin: Callable[[Request], None] = lambda request: None
         super().__init__()
@@ -115,6 +118,7 @@
         """Answer a request for a report, an order or a caller's request."""
         backend = self._pool.entries()[self.id]
         headers = {"Attempt-Id": request.headers.get("Attempt-Id", "")}
+        headers |= self.extra_headers
         if request.headers.get("Expect-Instance") != self.id:
             return Response(421, b"", None, headers)
         try:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -250,6 +250,11 @@
         Limit in requests per second that answers name, None for none.
     extra_headers : dict of str to str
         Headers of all its answers.
+    pause_s : float or None
+        Time that it names as it refuses all requests, None to take them.
+    arrivals : list of (str, float, float)
+        Id and monotonic time of each request that arrived, and the pause that it was
+        refused with, 0 for none.
     on_begin : callable
         Called with each request that begins to run; may raise `BackendFailed`.
     """
@@ -261,10 +266,16 @@
         self.answer_modes: list[str] = []
         self.work_s = 0.0
         self.rate_limit: float | None = None
+        self.pause_s: float | None = None
+        self.arrivals: list[tuple[str, float, float]] = []
         self.extra_headers: dict[str, str] = {}
         self.on_begin: Callable[[Request], None] = lambda request: None
         super().__init__()
 
+    def end_pauses(self) -> None:
+        """End the pauses that it has named, since it starts again."""
+        self.arrivals = [(id, at, 0.0) for id, at, _ in self.arrivals]
+
     def entry(self, service: str, **changes) -> dict:
         """Return the backend server's entry in the store."""
         fields = {
@@ -284,6 +295,12 @@
         mode = self.answer_modes.pop(0) if self.answer_modes else "ok"
         headers = {"Attempt-Id": request.headers.get("Attempt-Id", "")}
         headers |= self.extra_headers
+        pause_s = self.pause_s
+        arrival = (headers["Attempt-Id"], time.monotonic(), pause_s or 0.0)
+        self.arrivals.append(arrival)
+        if pause_s is not None:
+            refusal = {"Not-Executed": "1", "Retry-After": str(pause_s)}
+            return Response(503, b"", None, headers | refusal)
         if self.rate_limit is not None:
             headers["Server-Limit"] = str(self.rate_limit)
         if mode == "shed":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -140,8 +140,8 @@
             limits=[],
             pool=SimpleNamespace(breaches=[]),
             worker_by_id={
-                "p-0": SimpleNamespace(zone="z-a"),
-                "p-1": SimpleNamespace(zone="z-b"),
+                "p-0": SimpleNamespace(zone="z-a", arrivals=[]),
+                "p-1": SimpleNamespace(zone="z-b", arrivals=[]),
             },
         )
 
@@ -300,6 +300,19 @@
         pause = Disturbance("node_pause", 104.0, 112.0, "front-0")
         self.assertEqual([], self.check(requests, runs, disturbances=[pause]))
 
+    def test_backend_server_gets_requests_in_its_pause(self):
+        requests = [
+            sent_request("look", attempt_id=f"look-{number}") for number in range(5)
+        ]
+        arrivals = [("look-0", 100.0, 4.0), ("look-1", 100.3, 0.0)]
+        arrivals += [("look-2", 101.0, 0.0), ("look-3", 102.0, 0.0)]
+        self.environment.worker_by_id["p-0"].arrivals = arrivals
+        for request in requests[1:]:
+            request.node = requests[0].node
+        self.assertEqual([], self.check(requests))
+        arrivals.append(("look-4", 103.9, 0.0))
+        self.assert_found("front-0 sent p-0 3 requests in its pause", requests)
+
     def test_stop_is_not_blamed_for_a_crash_of_the_backend_server(self):
         request = sent_request("draft", complete=False)
         stop = PlannedStop(request.node, 99.0, 101.0)
