Convict a harmful request that another one hides

A request whose crashes are all crashes of another one too counts as explained, and a pool of three crashes under both, so the second one needs a further crash after the first one is refused. A sound request that is hit by crashes is gone when its caller gives up; one that is there at two separate moments, with three crashed servers and no answer in between, is now convicted whether another one was there or not.

Evidence: test_both_requests_that_recur_at_the_same_crashes_are_convicted failed without the change.

--- a/poplarspar/coordination/quarantine/evidence.py
+++ b/poplarspar/coordination/quarantine/evidence.py
@@ -163,6 +163,7 @@
     ) -> tuple[frozenset[str], ...]:
         """Return the convicted sets of some parts by the crashes that need them."""
         parts_by_case: dict[_Case, set[str]] = defaultdict(set)
+        recurring: set[_Case] = set()
         for part in parts:
             requests = self._unanswered_by_part[part]
             crashed_at = {
@@ -173,12 +174,16 @@
             if self._is_conclusive(part, crashed_at):
                 case = _Case(frozenset(crashed_at), frozenset(requests))
                 parts_by_case[case].add(part)
+                if is_request_part(part) and _count_moments(crashed_at.values()) > 1:
+                    # A sound request is not there again after its caller has given up.
+                    recurring.add(case)
         if len(parts_by_case) > MAX_CONVICTED_SETS:
             return ()
         return tuple(
             frozenset(parts)
             for case, parts in parts_by_case.items()
-            if not any(case.is_explained_by(other) for other in parts_by_case)
+            if case in recurring
+            or not any(case.is_explained_by(other) for other in parts_by_case)
         )
 
 
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -400,6 +400,21 @@
         self.assertTrue(self.is_refused(self.bad))
         self.assertFalse(self.is_refused("request:innocent"))
 
+    # Guards against one of two harmful requests that the other one hides, since a small
+    # pool crashes under both.
+    def test_both_requests_that_recur_at_the_same_crashes_are_convicted(self):
+        other = "request:other"
+        for first in (1, 4):
+            self.crash_in_turn(first, first + 1, first + 2)
+            observation = self.admit(other)
+            for number in (first, first + 2):
+                observation.record_disconnected(backend(f"s{number}"))
+            observation.close()
+            self.now += 4.0
+        self.check_for(1.0)
+        self.assertTrue(self.is_refused(self.bad))
+        self.assertTrue(self.is_refused(other))
+
     # Guards against a trial each ten minutes of a request that always crashes.
     def test_request_has_few_trials(self):
         self.hold(30.0, self.bad)
