End a quarantine that a node knows to be wrong

Its verdict was stored, and the others, which knew better, followed it. A node now ends a quarantine of parts that it has seen answered lately and that its evidence does not convict; evidence is applied before entries, so that it is complete. The classes of one request's admission have a module of their own.

--- a/poplarspar/coordination/quarantine/__init__.py
+++ b/poplarspar/coordination/quarantine/__init__.py
@@ -6,13 +6,15 @@
     QuarantineDocuments,
     QuarantineExchange,
 )
-from poplarspar.coordination.quarantine.quarantine import (
-    CONVICTION_DELAY_S,
+from poplarspar.coordination.quarantine.observations import (
     Admitted,
     Observation,
-    Quarantine,
     Quarantined,
 )
+from poplarspar.coordination.quarantine.quarantine import (
+    CONVICTION_DELAY_S,
+    Quarantine,
+)
 
 __all__ = [
     "CONVICTION_DELAY_S",
--- a/poplarspar/coordination/quarantine/exchange.py
+++ b/poplarspar/coordination/quarantine/exchange.py
@@ -162,8 +162,11 @@
         self.apply(items)
 
     def apply(self, items: tuple[Change, ...]) -> None:
-        """Apply changes of keys under the prefix, in order."""
-        for item in items:
+        """Apply changes of keys under the prefix, in order.
+
+        Evidence comes first, since it tells whether entries are right.
+        """
+        for item in sorted(items, key=lambda item: item.key == ENTRIES_KEY):
             try:
                 self._apply(item)
             except ProtocolError as error:
--- /dev/null
+++ b/poplarspar/coordination/quarantine/observations.py
@@ -0,0 +1,85 @@
+"""Admission of single requests by the quarantine, and their outcomes."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from poplarspar.state.backends import BackendServer
+
+
+class OutcomeRecords(Protocol):
+    """Records of the outcomes of requests; see `Quarantine`."""
+
+    def is_suspected(self, parts: tuple[str, ...]) -> bool:
+        """Return whether requests with one of the parts have failed repeatedly."""
+
+    def record_begun(self, parts: tuple[str, ...], pool: str) -> None:
+        """Clear the parts of a request whose answer has begun."""
+
+    def record_unanswered(
+        self, parts: tuple[str, ...], pool: str, backends: list[str]
+    ) -> None:
+        """Add a request that was not answered to the evidence."""
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """The request may be sent; its sender reports to the observation and closes it."""
+
+    observation: "Observation"
+
+
+@dataclass(frozen=True)
+class Quarantined:
+    """The request would crash its backend server."""
+
+    retry_after_s: float
+
+
+Admission = Admitted | Quarantined
+
+
+class Observation:
+    """Outcome of one admitted request, for the evidence.
+
+    Attributes
+    ----------
+    is_trial : bool
+        Whether the request has quarantined parts and shows if they are sound.
+    """
+
+    def __init__(
+        self,
+        records: "OutcomeRecords",
+        parts: tuple[str, ...],
+        pool: str,
+        is_trial: bool,
+    ) -> None:
+        self._records = records
+        self._parts = parts
+        self._pool = pool
+        self._is_trial = is_trial
+        self._lost_backends: list[str] = []
+        self._begun = False
+
+    def may_retry(self) -> bool:
+        """Return whether the request may be sent to another backend server."""
+        if self._begun:
+            return True
+        return not self._is_trial and not self._records.is_suspected(self._parts)
+
+    def record_disconnected(self, backend: BackendServer) -> None:
+        """Record that a backend server disconnected before its answer was complete."""
+        if not self._begun:
+            self._lost_backends.append(f"{backend.id}/{backend.started_ms}")
+
+    def record_begun(self) -> None:
+        """Record that the answer has begun."""
+        if not self._begun:
+            self._begun = True
+            self._records.record_begun(self._parts, self._pool)
+
+    def close(self) -> None:
+        """Record the outcome; safe to call more than once."""
+        lost_backends, self._lost_backends = self._lost_backends, []
+        if lost_backends and self._parts and not self._begun:
+            self._records.record_unanswered(self._parts, self._pool, lost_backends)
--- a/poplarspar/coordination/quarantine/quarantine.py
+++ b/poplarspar/coordination/quarantine/quarantine.py
@@ -5,7 +5,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from poplarspar.coordination.quarantine.evidence import (
     EVIDENCE_TTL_S,
@@ -18,10 +18,15 @@
     HeldParts,
     next_hold_s,
 )
+from poplarspar.coordination.quarantine.observations import (
+    Admission,
+    Admitted,
+    Observation,
+    Quarantined,
+)
 from poplarspar.coordination.quarantine.outcomes import PoolOutcomes
 from poplarspar.events import Event
 from poplarspar.logs import log_event
-from poplarspar.state.backends import BackendServer
 from poplarspar.state.quarantine import (
     Evidence,
     QuarantinedParts,
@@ -43,70 +48,6 @@
 MIN_RETRY_AFTER_S = 1.0
 
 
-@dataclass(frozen=True)
-class Admitted:
-    """The request may be sent; its sender reports to the observation and closes it."""
-
-    observation: "Observation"
-
-
-@dataclass(frozen=True)
-class Quarantined:
-    """The request would crash its backend server."""
-
-    retry_after_s: float
-
-
-Admission = Admitted | Quarantined
-
-
-class Observation:
-    """Outcome of one admitted request, for the evidence.
-
-    Attributes
-    ----------
-    is_trial : bool
-        Whether the request has quarantined parts and shows if they are sound.
-    """
-
-    def __init__(
-        self,
-        quarantine: "Quarantine",
-        parts: tuple[str, ...],
-        pool: str,
-        is_trial: bool,
-    ) -> None:
-        self._quarantine = quarantine
-        self._parts = parts
-        self._pool = pool
-        self._is_trial = is_trial
-        self._lost_backends: list[str] = []
-        self._begun = False
-
-    def may_retry(self) -> bool:
-        """Return whether the request may be sent to another backend server."""
-        if self._begun:
-            return True
-        return not self._is_trial and not self._quarantine.is_suspected(self._parts)
-
-    def record_disconnected(self, backend: BackendServer) -> None:
-        """Record that a backend server disconnected before its answer was complete."""
-        if not self._begun:
-            self._lost_backends.append(f"{backend.id}/{backend.started_ms}")
-
-    def record_begun(self) -> None:
-        """Record that the answer has begun."""
-        if not self._begun:
-            self._begun = True
-            self._quarantine.record_begun(self._parts, self._pool)
-
-    def close(self) -> None:
-        """Record the outcome; safe to call more than once."""
-        lost_backends, self._lost_backends = self._lost_backends, []
-        if lost_backends and self._parts and not self._begun:
-            self._quarantine.record_unanswered(self._parts, self._pool, lost_backends)
-
-
 class Quarantine:
     """Refuses requests whose prompts have parts that crash backend servers.
 
@@ -267,10 +208,27 @@
             if known is None or known.quarantined != quarantined:
                 self._entry_by_parts[parts] = HeldParts(quarantined, now, True, now)
             self._entry_by_parts[parts].stored = True
-            if known is None and any(map(self._evidence.is_cleared, parts)):
+            if known is None and self._knows_better(parts, now):
                 # The node that convicted them did not know of an answer here.
                 self._release(self._entry_by_parts[parts])
 
+    def _knows_better(self, parts: frozenset[str], now: float) -> bool:
+        """Return whether parts that another node has convicted are sound.
+
+        That node may have no answers with them, and take a common part for the cause
+        of crashes of several harmful parts or requests.
+        """
+        if any(map(self._evidence.is_cleared, parts)):
+            return True
+        self.report_served()
+        since = now - EVIDENCE_TTL_S
+        were_served = all(
+            self._served_at_by_part.get(part, float("-inf")) > since for part in parts
+        )
+        return were_served and not any(
+            convicted <= parts for convicted in self._evidence.convicted()
+        )
+
     def mark_unstored(self) -> None:
         """Write the entries again, since the store has lost them."""
         for entry in self._entry_by_parts.values():
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -264,6 +264,23 @@
         self.assertEqual((), self.quarantine.entries())
         self.assertTrue(self.quarantine.needs_write())
 
+    # Guards against a node without answers that takes a common part for the cause of
+    # crashes by several harmful ones.
+    def test_quarantine_of_a_common_part_that_the_evidence_does_not_convict_ends(self):
+        self.admit("a").record_begun()
+        for number, part in enumerate(("x", "y", "x", "y")):
+            self.crash(number, "a", part)
+        self.hold(30.0, "a")
+        self.assertEqual((), self.quarantine.entries())
+        self.assertTrue(self.quarantine.needs_write())
+
+    def test_quarantine_of_a_served_part_that_the_evidence_convicts_stays(self):
+        self.admit("a").record_begun()
+        for number in range(4):
+            self.crash(number, "a", f"x{number}")
+        entry = self.hold(30.0, "a")
+        self.assertEqual((entry,), self.quarantine.entries())
+
     def test_nodes_tell_each_other_which_suspected_parts_were_served(self):
         self.admit("a").record_begun()
         self.check_for(0.1)
@@ -524,6 +541,16 @@
         self.assertFalse(self.quarantine.needs_write())
         self.assertEqual({trial, second}, set(self.quarantine.entries()))
 
+    # Guards against a verdict on entries without the evidence that came with them.
+    def test_evidence_is_applied_before_entries(self):
+        self.quarantine.admit(("x",), "llm m0").observation.record_begun()
+        rows = tuple(unanswered(n, "x", at=self.now + n) for n in range(1, 5))
+        self.now += 5.0
+        entry = QuarantinedParts(frozenset({"x"}), 30.0)
+        changes = (self.entries_change(4, entry), self.change(5, Evidence(rows)))
+        self.exchange.replace(changes)
+        self.assertEqual((entry,), self.quarantine.entries())
+
     # Guards against evidence that other nodes have read from the store only.
     def test_evidence_is_shared_again_after_a_restore(self):
         observation = self.quarantine.admit(("x",), "llm m0").observation
