Share evidence again after a restore during its write

What callers could see: a harmful part or request crashes more backend servers, since the evidence of one node is under a lease that has ended, or is another node's by now.

Cause: the write that noticed the restore noted the evidence as shared, after the restore had asked for all of it again. The node's own key in the list of nodes has no such fault: a new lease makes it write the key again.

--- a/poplarspar/coordination/quarantine/exchange.py
+++ b/poplarspar/coordination/quarantine/exchange.py
@@ -223,15 +223,18 @@
             # The key has gone with the previous lease.
             self._evidence_revision = 0
         text = self._documents.evidence_text(evidence)
+        lease_id = self._lease.id
         try:
             self._evidence_revision = self._store.compare_and_swap(
-                self._evidence_key, self._evidence_revision, text, self._lease.id
+                self._evidence_key, self._evidence_revision, text, lease_id
             )
         except RevisionConflict:
             # The answer to an earlier write was lost; no other node uses this key.
             self._evidence_revision = self._store.read(self._evidence_key).revision
             raise
-        self._shared_evidence = evidence
+        # A restore of the store meanwhile has ended the lease.
+        if lease_id == self._lease.id:
+            self._shared_evidence = evidence
         self._note_evidence(self._evidence_revision)
 
     def _write_entries(self, entries: tuple[QuarantinedParts, ...]) -> None:
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -561,6 +561,23 @@
         self.exchange._share()
         self.assertEqual(2, len(self.store.writes))
 
+    # Guards against evidence under a lease of before, which may be another node's now.
+    def test_evidence_is_shared_again_after_a_restore_during_its_write(self):
+        write = self.store.compare_and_swap
+
+        def restore_and_write(*arguments):
+            self.store.compare_and_swap = write
+            self.exchange.share_again()
+            return write(*arguments)
+
+        self.store.compare_and_swap = restore_and_write
+        observation = self.quarantine.admit(("x",), "llm m0").observation
+        observation.record_disconnected(backend("s1"))
+        observation.close()
+        self.exchange._share()
+        self.exchange._share()
+        self.assertEqual(2, len(self.store.writes))
+
     # Guards against old answers that clear newer evidence at their new revision.
     def test_old_evidence_of_a_restored_store_is_not_merged_again(self):
         old = self.change(5, Evidence((), {"x": self.now}))
