Time the requests of a pause by their arrival

It now requires that no request arrives between the refusal and the end of the pause, by the times of arrival, which also covers the last 0.1 s.

--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -171,10 +171,16 @@
 
 class PauseTest(LeavingTestCase):
     def test_server_gets_nothing_until_its_pause_ends(self):
-        began = time.monotonic()
         self.tell("shed", **{"Retry-After": "1.5"})
-        while time.monotonic() < began + 1.4:
-            self.assert_left_alone()
+        refused_at = self.leaving.arrivals[-1][1]
+        while time.monotonic() < refused_at + 1.6:
+            self.assertEqual(200, self.send("/look/1").status)
+        early = [
+            at - refused_at
+            for _, at, _ in self.leaving.arrivals
+            if refused_at < at < refused_at + 1.5
+        ]
+        self.assertEqual([], early)
         wait_until(
             lambda: self.send("/look/1") and self.is_used(),
             "it is used after the pause",
