--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that the scripts of the review share."""
