--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 export PYTHONPATH="$PWD/target/deps:$PWD" PYTHONDONTWRITEBYTECODE=1
-python3 -c "import review.common.nodes, review.common.prompts"
+python3 -c "import review.common.plain, review.common.prompts"
