--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,10 +1,10 @@
 """Callers send prompts with a part that crashes workers, several at one moment."""
 
-import os
 from pathlib import Path
 
 import eventlet
 
+from review.common.nodes import end_with
 from review.common.prompts import MODELS, PART, Clients, run_case
 
 BATCH = 9
@@ -24,4 +24,5 @@
 
 
 if __name__ == "__main__":
-    os._exit(run_case(Path(__file__).resolve().parent, send_batches))
+    folder = Path(__file__).resolve().parent
+    end_with(lambda: run_case(folder, send_batches))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,12 +1,12 @@
 """Workers crash on a part of a prompt just after they have begun to write."""
 
-import os
 import time
 from pathlib import Path
 
 import eventlet
 
 from poplarspar.transport.server import Request
+from review.common.nodes import end_with
 from review.common.prompts import MODELS, PART, Clients, run_case
 from soak.environment import Environment
 
@@ -39,4 +39,4 @@
 
 if __name__ == "__main__":
     folder = Path(__file__).resolve().parent
-    os._exit(run_case(folder, send_singly, LaterCrashes))
+    end_with(lambda: run_case(folder, send_singly, LaterCrashes))
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,8 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 export PYTHONPATH="$PWD/target/deps:$PWD" PYTHONDONTWRITEBYTECODE=1
-exec timeout -k 5 112 python3 review/3/case.py
+# A time-out ends the nodes too, which are in the same process group.
+timeout -k 5 112 python3 review/3/case.py
+status=$?
+[ "$status" -le 2 ] || status=2
+exit "$status"
--- a/review/common/nodes.py
+++ b/review/common/nodes.py
@@ -1,11 +1,15 @@
 """Node processes, started with the command of the deploy file."""
 
+import standins.common  # noqa: F401  # isort: skip
+
 import os
 import shlex
 import socket
 import subprocess
 import time
 import tomllib
+import traceback
+from collections.abc import Callable
 from pathlib import Path
 
 import eventlet
@@ -138,6 +142,17 @@
         return answer.status == 200
 
 
+def end_with(run_case: Callable[[], int]) -> None:
+    """Run a case and end the process with its exit status, 2 if it raises."""
+    status = 2
+    try:
+        status = run_case()
+    except Exception:
+        traceback.print_exc()
+    # Tasks that still wait for a socket would delay an orderly end.
+    os._exit(status)
+
+
 def wait_until(condition, timeout_s: float) -> bool:
     """Wait until a condition holds; return False after the time-out."""
     ends_at = time.monotonic() + timeout_s
