--- a/review/common/prompts.py
+++ b/review/common/prompts.py
@@ -94,8 +94,15 @@
     """Clients that send each request on a connection of its own, to each node in turn.
 
     They send no request again.
+
+    Attributes
+    ----------
+    environment : Environment
+        Store and workers of the case.
     """
 
+    environment: Environment
+
     def __init__(self, nodes: list[NodeProcess]) -> None:
         self._nodes = itertools.cycle(nodes)
         self._numbers = itertools.count(1)
@@ -148,6 +155,7 @@
     folder: Path,
     send_harmful: Callable[[Clients], None],
     environment_type: type[Environment] = Environment,
+    judge: Callable[..., int] | None = None,
 ) -> int:
     """Run a case with its record, and return the exit status.
 
@@ -159,11 +167,16 @@
         Sends the requests with the part and returns after the last one.
     environment_type : type
         Workers and store; its `begin_harm` begins the crashes.
+    judge : callable or None
+        Checks another rule, given the record, the environment, the requests and the
+        time at which the disruption began.
     """
     files = Path(tempfile.mkdtemp())
     with (folder / "record.txt").open("w") as record, ExitStack() as stack:
         stack.callback(shutil.rmtree, files, ignore_errors=True)
-        status = _play(record, stack, files, send_harmful, environment_type)
+        status = _play(
+            record, stack, files, send_harmful, environment_type, judge or _judge
+        )
         print(f"exit status {status}", file=record)
     return status
 
@@ -174,6 +187,7 @@
     files: Path,
     send_harmful: Callable[[Clients], None],
     environment_type: type[Environment],
+    judge: Callable[..., int],
 ) -> int:
     environment = start_environment(environment_type)
     stack.callback(environment.close)
@@ -199,13 +213,14 @@
     began_at = time.monotonic()
     if TROUBLE:
         environment.begin_harm(PART)
+    clients.environment = environment
     send_harmful(clients)
     eventlet.sleep(2.0)
     ended = [node.name for node in nodes if node.process.poll() is not None]
     if ended:
         print(f"processes ended: {ended}", file=record)
         return 2
-    return _judge(record, environment, clients.sent, began_at)
+    return judge(record, environment, clients.sent, began_at)
 
 
 def _judge(record, environment: Environment, sent: list[Sent], began_at: float) -> int:
