Count a crash inside an answer as evidence

Cause: two rules on how an answer ends. An answer without a length or chunks that ends inside an event was a malformed answer, not a disconnection, so it left no evidence. And the first event of a stream counted as proof that the request is sound, so a crash after it left none either, a trial that crashed ended the quarantine, and the request was sent again.

The same cause elsewhere: a body without length or chunks that ends before its first byte was delivered as a success, and cleared the request; the stream of such an answer was handled already. A stream that a backend server ends itself, by its last chunk or its length, in the middle of an event is no crash, and stays none.

Fix: the end of the connection inside an event is a disconnection if nothing but the connection ends the answer. The time of the proof is the first event, so evidence from before it is cleared as before.

Tests changed: `record_begun` of an observation is `record_complete`, at the same places.

--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -265,7 +265,7 @@
             return None
         finally:
             self._sender.finish(began)
-        self._observation.record_begun()
+        self._observation.record_complete()
         answer = CompleteAnswer(
             exchange.status, exchange.headers, body, began.target.backend.id
         )
--- a/poplarspar/coordination/forwarding/ports.py
+++ b/poplarspar/coordination/forwarding/ports.py
@@ -62,6 +62,9 @@
         None for no limit.
     notices : tuple of Notice
         What the backend server asks of this node.
+    framed : bool
+        Whether the end of the answer is certain. The end of the connection ends other
+        answers, also if the backend server crashes.
     """
 
     status: int
@@ -72,6 +75,7 @@
     rate_limit: float | None
     notices: tuple[Notice, ...]
     is_stream: bool
+    framed: bool
 
     def read_body(self) -> bytes:
         """Return the whole body; raises `BackendFailed` if the connection breaks."""
--- a/poplarspar/coordination/forwarding/resuming.py
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -121,7 +121,7 @@
             except BackendFailed as failure:
                 self._record_failure(failure)
                 return Error(Refusal(Reason.BACKEND, str(failure), Ran.UNKNOWN))
-            self._observation.record_begun()
+            self._observation.record_complete()
             return Ok(CompleteAnswer(exchange.status, exchange.headers, body))
 
     def __iter__(self) -> Iterator[bytes]:
@@ -139,6 +139,8 @@
                 continue
             if event is None:
                 self._began.target.record_success()
+                if self._began.exchange.framed:
+                    self._observation.record_complete()
                 return
             made_progress = event.number is not None and (
                 self._last_event is None or event.number > self._last_event
@@ -150,7 +152,7 @@
                 self._progress_at = time.monotonic()
                 self._numbering.record(event.number)
                 self._began.target.record_progress()
-                self._observation.record_begun()
+                self._observation.record_event()
                 self._last_event = event.number
             if made_progress or event.number is None:
                 yield event.data
@@ -208,6 +210,7 @@
                         continue
                     self._began = began
                     self._progress_at = time.monotonic()
+                    self._observation.record_sent()
                     self._events = began.exchange.events()
                     if began.exchange.is_stream:
                         began.target.streams.add(self)
--- a/poplarspar/coordination/quarantine/quarantine.py
+++ b/poplarspar/coordination/quarantine/quarantine.py
@@ -34,8 +34,8 @@
     is_request_part,
 )
 
-# Time for other nodes to report that an answer with a suspected part has begun, which
-# this node reads with its next watch of the store.
+# Time for other nodes to report a sound answer with a suspected part, which this node
+# reads with its next watch of the store.
 CONVICTION_DELAY_S = 0.7
 MAX_QUARANTINED = 64
 MAX_OWN_EVIDENCE = 32
@@ -129,20 +129,19 @@
         self._evidence.add(request)
         self._on_change()
 
-    def record_begun(self, parts: tuple[str, ...], pool: str) -> None:
-        """Clear the parts of a request whose answer has begun."""
-        now = time.monotonic()
+    def record_begun(self, parts: tuple[str, ...], pool: str, begun_at: float) -> None:
+        """Clear the parts of a request whose answer began and did not break off."""
         self._outcomes.record(pool, begun=True)
         for entry in self._matching(parts):
             self._release(entry)
         for part in parts:
             if not is_request_part(part):
-                self._record_served(part, now)
+                self._record_served(part, begun_at)
             if not self._evidence.is_accused(part):
                 continue
             if self._evidence.moments(part) >= SUSPECTED_MOMENTS:
-                self._report_begun(part, now)
-            self._evidence.record_begun(part, now)
+                self._report_begun(part, begun_at)
+            self._evidence.record_begun(part, begun_at)
 
     def merge_evidence(self, evidence: Evidence) -> None:
         """Add the evidence of another node."""
@@ -309,9 +308,9 @@
         pools = self._evidence.pools(parts)
         return was_served and not self._outcomes.are_serving(pools)
 
-    def _record_served(self, part: str, now: float) -> None:
-        self._served_at_by_part.pop(part, None)
-        self._served_at_by_part[part] = now
+    def _record_served(self, part: str, begun_at: float) -> None:
+        latest_at = max(begun_at, self._served_at_by_part.pop(part, begun_at))
+        self._served_at_by_part[part] = latest_at
         if len(self._served_at_by_part) > MAX_SERVED_PARTS:
             del self._served_at_by_part[next(iter(self._served_at_by_part))]
 
@@ -324,9 +323,9 @@
                 self._evidence.record_begun(part, served_at)
                 self._report_begun(part, served_at)
 
-    def _report_begun(self, part: str, now: float) -> None:
-        self._own_begun_at_by_part.pop(part, None)
-        self._own_begun_at_by_part[part] = now
+    def _report_begun(self, part: str, begun_at: float) -> None:
+        latest_at = max(begun_at, self._own_begun_at_by_part.pop(part, begun_at))
+        self._own_begun_at_by_part[part] = latest_at
         if len(self._own_begun_at_by_part) > MAX_OWN_BEGUN:
             del self._own_begun_at_by_part[next(iter(self._own_begun_at_by_part))]
         self._on_change()
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -375,7 +375,7 @@
     )
     REQUEST_UNANSWERED = (
         418,
-        "backend servers disconnected before a request's answer began",
+        "backend servers disconnected, and none answered a request",
         "They crashed, perhaps on the request or one of the `parts` of its prompt.",
         "Nothing for one; event 260 follows if requests with a part go on failing.",
     )
--- a/poplarspar/exceptions.py
+++ b/poplarspar/exceptions.py
@@ -67,6 +67,10 @@
     """A message, document or settings file does not follow its format."""
 
 
+class AnswerTruncated(ProtocolError):
+    """An answer ended inside one of its events."""
+
+
 class InvalidSettings(ProtocolError):
     """A settings file failed validation."""
 
--- a/poplarspar/platform/upstream.py
+++ b/poplarspar/platform/upstream.py
@@ -10,6 +10,7 @@
     StreamEvent,
 )
 from poplarspar.exceptions import (
+    AnswerTruncated,
     BackendFailed,
     ConnectFailed,
     PeerDisconnected,
@@ -41,6 +42,7 @@
 
 # Status of a request to an address that another backend server has taken over.
 MISDIRECTED = 421
+REDIRECTION = 300
 CLIENT_ERROR = 400
 UNAVAILABLE = 503
 EVENT_STREAM = "text/event-stream"
@@ -70,14 +72,18 @@
         speaks_of_itself = is_own and stream.status != MISDIRECTED
         self.notices = _notices(stream) if speaks_of_itself else ()
         self.is_stream = headers.get("Content-Type", "").startswith(EVENT_STREAM)
+        self.framed = stream.framed
         self.headers = _answer_headers(headers)
 
     def read_body(self) -> bytes:
         """Return the complete body; raises `BackendFailed` if it breaks off."""
         try:
-            return read_body(self._stream)
+            body = read_body(self._stream)
         except TransportError as error:
             raise _failure(error) from error
+        if not body and self.status < REDIRECTION:
+            self._check_begun("the answer ended before its body")
+        return body
 
     def events(self) -> Iterator[StreamEvent]:
         """Yield complete events; raises `BackendFailed` if the stream breaks off."""
@@ -86,12 +92,23 @@
             for event in split_events(self._stream.chunks()):
                 count += 1
                 yield event
+        except AnswerTruncated as error:
+            # A backend server that frames its answer has not ended it by a crash.
+            disconnected = not self.framed
+            raise BackendFailed(
+                str(error), sent=True, disconnected=disconnected
+            ) from error
         except (TransportError, ProtocolError) as error:
             raise _failure(error) from error
-        if not count and not self._stream.framed:
-            # Without a length or chunks, a crash before the first event looks like an
-            # orderly end.
-            message = "the stream ended before its first event"
+        if not count:
+            self._check_begun("the stream ended before its first event")
+
+    def _check_begun(self, message: str) -> None:
+        """Raise `BackendFailed` if an answer without content may have broken off.
+
+        Without a length or chunks, a crash after the head looks like an orderly end.
+        """
+        if not self.framed:
             raise BackendFailed(message, sent=True, disconnected=True)
 
     def set_read_timeout(self, timeout_s: float) -> None:
--- a/poplarspar/protocol/server_sent_events.py
+++ b/poplarspar/protocol/server_sent_events.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 
 from poplarspar.coordination.forwarding.ports import StreamEvent
-from poplarspar.exceptions import ProtocolError
+from poplarspar.exceptions import AnswerTruncated, ProtocolError
 
 MAX_EVENT_BYTES = 262_144
 MAX_EVENT_ID_DIGITS = 18
@@ -20,8 +20,10 @@
     Raises
     ------
     ProtocolError
-        If an event is too large or has lines that are no fields, its id is not a
-        number, or the stream ends inside an event.
+        If an event is too large or has lines that are no fields, or its id is not a
+        number.
+    AnswerTruncated
+        If the stream ends inside an event.
     """
     buffer = b""
     for chunk in chunks:
@@ -34,7 +36,7 @@
                 raise ProtocolError("a server-sent event has a line that is no field")
             yield StreamEvent(_parse_id(event), event + EVENT_END)
     if buffer:
-        raise ProtocolError("the stream ended inside an event")
+        raise AnswerTruncated("the stream ended inside an event")
 
 
 def _parse_id(event: bytes) -> int | None:
--- a/poplarspar/state/quarantine.py
+++ b/poplarspar/state/quarantine.py
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True)
 class UnansweredRequest:
-    """A request whose backend servers disconnected before its answer began.
+    """A request whose backend servers disconnected and that none has answered.
 
     Attributes
     ----------
@@ -66,7 +66,7 @@
     Attributes
     ----------
     begun_at_by_part : dict of str to float
-        Monotonic time at which an answer to a prompt with the part last began.
+        Monotonic time at which a sound answer to a prompt with the part last began.
     """
 
     unanswered: tuple[UnansweredRequest, ...] = ()
--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -90,8 +90,9 @@
 
     @property
     def framed(self) -> bool:
-        """Whether the body has a length or chunks, so that its end is certain."""
-        return "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+        """Whether the body has a length or chunks, or none, so its end is certain."""
+        answer = self._answer
+        return answer.length_remaining is not None or answer.chunked
 
     def chunks(self) -> Iterator[bytes]:
         """Yield chunks of the body as they arrive; raises `ConnectionLost`."""
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -11,7 +11,7 @@
 from poplarspar.exceptions import BackendFailed
 from poplarspar.platform.headers import PROMPT_PARTS
 from poplarspar.transport.server import Request
-from standins.engines import ModelWorker, engine_document
+from standins.engines import STREAM_TYPE, ModelWorker, engine_document
 from standins.faultproxy import FaultProxy
 from standins.platform import PlainWorker, Run, Store, configuration
 from standins.pool import Pool, small_engine
@@ -28,6 +28,8 @@
 HEARTBEAT_S = 0.5
 ENTRY_EXPIRY_S = 1.5
 CRASH_S = 2.0
+# What a backend server has written reaches the node before its connection ends.
+WRITE_S = 0.015
 LEAVING = {"Server-Leaving": "1"}
 # The platform can restore its store from copies of this age.
 MAX_COPY_AGE_S = 10.0
@@ -90,12 +92,17 @@
         Backend servers that crashed, and the monotonic times.
     kind, target : str
         Kind and target of the request, empty for a part.
+    writes_before_crash : str
+        What backend servers write of a stream without length or chunks before they
+        crash, with the next event's number and the request's id in place of `{number}`
+        and `{attempt}`; empty for nothing.
     """
 
     part: str = ""
     crashes: list[tuple[str, float]] = field(default_factory=list)
     kind: str = ""
     target: str = ""
+    writes_before_crash: str = ""
 
 
 @dataclass
@@ -220,9 +227,9 @@
         """Let backend servers answer all requests again."""
         self.current_harmful_request = None
 
-    def begin_harm(self, part: str) -> None:
+    def begin_harm(self, part: str, writes_before_crash: str = "") -> None:
         """Let backend servers crash on prompts with a part, until `end_harm`."""
-        self.current_harm = Harm(part)
+        self.current_harm = Harm(part, writes_before_crash=writes_before_crash)
         self.harms.append(self.current_harm)
 
     def end_harm(self) -> None:
@@ -311,6 +318,8 @@
         if harmful_request is not None and request.target == harmful_request.target:
             harm = harmful_request
         if harm is not None:
+            if harm.writes_before_crash and "Token-Count" in request.headers:
+                _begin_answer(id, request, harm.writes_before_crash)
             harm.crashes.append((id, time.monotonic()))
             self.crash(id)
             raise BackendFailed("crashed", sent=True)
@@ -358,6 +367,20 @@
         self.store.put(f"servers/{id}", entry)
 
 
+def _begin_answer(id: str, request: Request, written: str) -> None:
+    """Write the head of a stream and the beginning of an event."""
+    number = int(request.headers.get("Last-Event-Id", 0)) + 1
+    attempt = request.headers["Attempt-Id"]
+    head = (
+        f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n"
+        f"Response-Signature: s.{id}\r\nContent-Type: {STREAM_TYPE}\r\n"
+        "Connection: close\r\n\r\n"
+    )
+    text = head + written.format(number=number, attempt=attempt)
+    request.connection.sendall(text.encode())
+    eventlet.sleep(WRITE_S)
+
+
 def _route(route: dict, name: str, **fields) -> dict:
     named = {"name": name, "host": HOST, "path_prefix": f"/{name}/"}
     return {**route, **named, **fields}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,12 @@
 LIMIT_PER_S = 3.0
 PAUSES_S = (0.3, 1.5, 4.0)
 PAUSING_S = 1.0
+# What backend servers write of a stream before they crash on a harmful part.
+CRASH_WRITES = (
+    "",
+    "id: {number}\nda",
+    "id: {number}\ndata: {attempt}.{number}\n\nid",
+)
 HARMFUL_KINDS = ("look", "draft", "pay")
 PATH_MODES = ("freeze", "drop_up", "drop_down", "cut", "forget")
 ANSWER_FAULTS = (
@@ -220,7 +226,8 @@
                 eventlet.sleep(fault.duration_s)
                 environment.restore_zone(zone)
             case "harmful_part":
-                environment.begin_harm(f"bad{fault.target}")
+                written = CRASH_WRITES[fault.target % len(CRASH_WRITES)]
+                environment.begin_harm(f"bad{fault.target}", written)
                 eventlet.sleep(fault.duration_s)
                 environment.end_harm()
             case "harmful_request":
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -195,7 +195,7 @@
     def test_request_that_another_backend_server_answers_accuses_nothing(self):
         observation = self.admit("x")
         observation.record_disconnected(backend("s1"))
-        observation.record_begun()
+        observation.record_complete()
         observation.close()
         self.assertEqual((), self.quarantine.own_evidence().unanswered)
 
@@ -208,19 +208,19 @@
 
     def test_answer_that_begins_is_reported_once_parts_are_suspected(self):
         self.crash(1, "x")
-        self.admit("x").record_begun()
+        self.admit("x").record_complete()
         self.assertEqual({}, self.quarantine.own_evidence().begun_at_by_part)
         self.crash(2, "x")
         self.crash(3, "x")
-        self.admit("x", "z").record_begun()
+        self.admit("x", "z").record_complete()
         begun = self.quarantine.own_evidence().begun_at_by_part
         self.assertEqual(["x"], list(begun))
 
     def test_part_is_quarantined_some_time_after_its_conviction(self):
-        self.admit("y").record_begun()
+        self.admit("y").record_complete()
         for number in (1, 2, 3):
             self.crash(number, "y", "x")
-            self.admit("y").record_begun()
+            self.admit("y").record_complete()
         self.check_for(0.5)
         self.admit("x")
         self.check_for(0.5)
@@ -229,13 +229,13 @@
 
     # Guards against quarantine of common parts when all backend servers crash.
     def test_served_part_is_not_quarantined_while_a_whole_pool_fails(self):
-        self.admit("x").record_begun()
+        self.admit("x").record_complete()
         for number in range(9):
             self.crash(number, "x", f"y{number}")
         self.check_for(2.0)
         self.assertEqual((), self.quarantine.entries())
         for _ in range(4):
-            self.admit("y").record_begun()
+            self.admit("y").record_complete()
         self.check_for(2.0)
         (entry,) = self.quarantine.entries()
         self.assertEqual({"x"}, entry.parts)
@@ -259,7 +259,7 @@
     # Guards against refusing sound requests until the hold ends.
     def test_quarantine_that_contradicts_an_answer_here_ends_at_once(self):
         self.crash(1, "x")
-        self.admit("x").record_begun()
+        self.admit("x").record_complete()
         self.hold(30.0, "x")
         self.assertEqual((), self.quarantine.entries())
         self.assertTrue(self.quarantine.needs_write())
@@ -267,7 +267,7 @@
     # Guards against a node without answers that takes a common part for the cause of
     # crashes by several harmful ones.
     def test_quarantine_of_a_common_part_that_the_evidence_does_not_convict_ends(self):
-        self.admit("a").record_begun()
+        self.admit("a").record_complete()
         for number, part in enumerate(("x", "y", "x", "y")):
             self.crash(number, "a", part)
         self.hold(30.0, "a")
@@ -275,14 +275,14 @@
         self.assertTrue(self.quarantine.needs_write())
 
     def test_quarantine_of_a_served_part_that_the_evidence_convicts_stays(self):
-        self.admit("a").record_begun()
+        self.admit("a").record_complete()
         for number in range(4):
             self.crash(number, "a", f"x{number}")
         entry = self.hold(30.0, "a")
         self.assertEqual((entry,), self.quarantine.entries())
 
     def test_nodes_tell_each_other_which_suspected_parts_were_served(self):
-        self.admit("a").record_begun()
+        self.admit("a").record_complete()
         self.check_for(0.1)
         self.assertEqual({}, self.quarantine.own_evidence().begun_at_by_part)
         served_at = self.now - 0.1
@@ -313,7 +313,7 @@
 
     def test_answered_trial_ends_the_quarantine(self):
         self.hold(0.0, "x")
-        self.admit("x").record_begun()
+        self.admit("x").record_complete()
         self.assertEqual((), self.quarantine.entries())
         self.assertTrue(self.quarantine.needs_write())
         self.admit("x")
@@ -376,7 +376,7 @@
         for number in range(3):
             self.now += 0.5
             self.crash_in_turn(number, parts=("x",))
-            self.admit("x", "request:other").record_begun()
+            self.admit("x", "request:other").record_complete()
         self.check_for(1.0)
         (entry,) = self.quarantine.entries()
         self.assertEqual({self.bad}, entry.parts)
@@ -445,9 +445,9 @@
 
     # Guards against the loss of what a node knows of shared parts.
     def test_requests_do_not_displace_shared_parts(self):
-        self.admit("a").record_begun()
+        self.admit("a").record_complete()
         for number in range(5000):
-            self.admit(f"request:{number}").record_begun()
+            self.admit(f"request:{number}").record_complete()
         for number in (1, 2):
             self.crash(number, "a", "x")
         self.check_for(0.2)
@@ -543,7 +543,7 @@
 
     # Guards against a verdict on entries without the evidence that came with them.
     def test_evidence_is_applied_before_entries(self):
-        self.quarantine.admit(("x",), "llm m0").observation.record_begun()
+        self.quarantine.admit(("x",), "llm m0").observation.record_complete()
         rows = tuple(unanswered(n, "x", at=self.now + n) for n in range(1, 5))
         self.now += 5.0
         entry = QuarantinedParts(frozenset({"x"}), 30.0)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -129,8 +129,10 @@
         self.rate_limit = options.get("rate_limit")
         self.notices = options.get("notices", ())
         self.is_stream = "numbers" in options
+        self.framed = options.get("framed", True)
         self._event_numbers = options.get("numbers", ())
         self._break_after = options.get("break_after")
+        self._disconnected = options.get("disconnected", False)
         self._broken_body = options.get("broken_body", False)
         self._body = body
         self.closed = False
@@ -144,7 +146,8 @@
     def events(self):
         for position, number in enumerate(self._event_numbers):
             if position == self._break_after:
-                raise BackendFailed("reset", sent=True)
+                disconnected = self._disconnected
+                raise BackendFailed("reset", sent=True, disconnected=disconnected)
             yield StreamEvent(number, b"id: %d\n\n" % number)
 
     def set_read_timeout(self, timeout_s):
