Take malformed answers for faults, not for crashes

What callers could see: sound requests refused as harmful, since backend servers that write bytes which are no answer counted as crashed on them.

Cause: any error of the HTTP library but a time-out was a disconnection, so also a status line, a header or a head that is no HTTP.

Evidence: test_malformed_answers_show_no_crash failed for five of seven answers without the change. A malformed chunk can't be told from one that is cut off, and still counts.

--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator, Mapping
 from contextlib import ExitStack
 from dataclasses import dataclass
-from http.client import HTTPException
+from http.client import HTTPException, IncompleteRead
 from typing import Any
 
 import eventlet
@@ -191,12 +191,20 @@
 
 
 def _connection_error(message: str, error: Exception) -> ConnectionLost:
-    """Return the error of a broken exchange, which tells time-outs apart."""
-    if isinstance(error, (ReadTimeoutError, TimeoutError)):
+    """Return the error of a broken exchange, which tells disconnections apart."""
+    if isinstance(error, (ReadTimeoutError, TimeoutError)) or _is_malformed(error):
         return ConnectionLost(message)
     return PeerDisconnected(message)
 
 
+def _is_malformed(error: Exception) -> bool:
+    """Return whether a peer has sent bytes that are no answer."""
+    # A disconnection in the head is an `OSError` too. The library reports a malformed
+    # chunk like one that is cut off.
+    disconnected = isinstance(error, (OSError, IncompleteRead))
+    return isinstance(error, (HTTPException, ValueError)) and not disconnected
+
+
 def _exchange(
     connection: HTTPConnection,
     method: str,
--- a/tests/test_answer_endings.py
+++ b/tests/test_answer_endings.py
@@ -52,6 +52,21 @@
                     data = answer(earlier + FIRST_EVENT[:size])
                     self.assertIs(True, self.ending(self.read_events, data))
 
+    # Guards against sound requests that are refused since faulty backend servers have
+    # answered them with other bytes.
+    def test_malformed_answers_show_no_crash(self):
+        for data in (
+            b"no answer\r\n\r\n",
+            b"HTTP/1.1 x OK\r\n\r\n",
+            b"HTTP/9.9 200 OK\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 200 + b"\r\n",
+            b"HTTP/1.1 200 OK\r\na: " + b"b" * 100_000 + b"\r\n\r\n",
+            answer("no event\n\n"),
+            answer("id: x\n\n", CHUNKED.replace("chunked", "identity")),
+        ):
+            with self.subTest(data=data[:40]):
+                self.assertIs(False, self.ending(self.read_events, data))
+
     def test_endings_of_streams(self):
         expected_by_data = {
             answer(FIRST_EVENT): None,
