Confirm a group's members before it opens again

A worker joined one group while its old one was open again: requests ran in a group that had lost a member and stood still for `stall_ms`.

Cause: a group whose member did not answer for a second was closed, and its other members were ordered elsewhere. If those orders were not answered and the member came back, the group was complete and the planner opened it. The order to open raises the fencing token at the head alone, so a member still accepted the late order.

Fix: a group opens only when each other member refuses all orders from before. It does if it has accepted a join of this group with a token of this planner's term after all other orders to join or leave. If not, the planner sends it that join again, which changes nothing but the token. Where tokens are not enforced, the group ends and its members join a new one, whose epoch protects them. A refusal of such a join for its epoch does not count as a newer planner.

Related paths: a member of an open group may have a late order to leave, sent while the head did not answer, and a head a late order to close; both are made to refuse it.

--- a/poplarspar/coordination/pools/dispatch.py
+++ b/poplarspar/coordination/pools/dispatch.py
@@ -13,6 +13,7 @@
     HealthMonitor,
     Observation,
 )
+from poplarspar.coordination.pools.membership_orders import MembershipOrders
 from poplarspar.coordination.supervision import spawn_logged
 from poplarspar.events import Event
 from poplarspar.logs import log_event
@@ -41,6 +42,9 @@
 # lag by up to a few hundred milliseconds.
 MAX_REPEATS = 4
 REPEAT_INTERVAL_S = 0.03
+# A group that is to open waits for its members to confirm their membership.
+CONFIRMATION_TRIES = 4
+CONFIRMATION_TIMEOUT_S = 0.1
 COMPLETION_MARGIN_S = 0.005
 REFUSED_MARGIN_S = 0.05
 
@@ -87,12 +91,17 @@
         self._busy_until_by_id: dict[str, float] = {}
         self._last_order_by_id: dict[str, Order] = {}
         self._last_token_by_id: dict[str, int] = {}
+        self.membership_orders = MembershipOrders(tokens)
         self.on_result: Callable[[Order, OrderResult], None] = lambda *_: None
 
     def is_busy(self, id: str) -> bool:
         """Return whether an order to a backend server is in flight or running."""
         return time.monotonic() < self._busy_until_by_id.get(id, 0.0)
 
+    def last_order(self, id: str) -> Order | None:
+        """Return the last order to a backend server, which it may not have accepted."""
+        return self._last_order_by_id.get(id)
+
     def dispatch(
         self, observation: Observation, order: Order, duration_s: float | None = None
     ) -> bool:
@@ -118,15 +127,44 @@
         spawn_logged(self._dispatch, observation, order, duration_s)
         return True
 
+    def confirm(self, observation: Observation, join: Join) -> None:
+        """Order a member to join the group that it reports, unless it is busy.
+
+        This changes nothing but that the member then refuses earlier orders, so the
+        order is sent again soon if it is not answered.
+        """
+        id = observation.backend.id
+        if self.is_busy(id):
+            return
+        self._busy_until_by_id[id] = (
+            time.monotonic() + CONFIRMATION_TRIES * CONFIRMATION_TIMEOUT_S
+        )
+        self._last_order_by_id[id] = join
+        tries, timeout_s = CONFIRMATION_TRIES, CONFIRMATION_TIMEOUT_S
+        spawn_logged(self._dispatch, observation, join, None, tries, timeout_s)
+
     def _dispatch(
-        self, observation: Observation, order: Order, duration_s: float | None
+        self,
+        observation: Observation,
+        order: Order,
+        duration_s: float | None,
+        tries: int = 1,
+        timeout_s: float = ORDER_TIMEOUT_S,
     ) -> None:
         id = observation.backend.id
         engine_state = observation.report.engine_state
         # Since the last report, another planner may have ordered the backend server
         # into a group. Open, Close and Leave are safe, since they name their group.
         expected = engine_state.accepted_orders if isinstance(order, Join) else None
-        result = self._send(observation, order, expected)
+        changes_membership = isinstance(order, (Join, Leave))
+        if changes_membership:
+            self.membership_orders.record_sent(id, order)
+        result = Unanswered()
+        while tries and isinstance(result, Unanswered):
+            result = self._send(observation, order, expected, timeout_s)
+            tries -= 1
+        if changes_membership and isinstance(result, Accepted):
+            self.membership_orders.record_accepted(id, self._last_token_by_id[id])
         if isinstance(result, Refused):
             # A refused order has no effect; a probe corrects the outdated state.
             eventlet.spawn_after(MAX_REPORT_LAG_S, self._health_monitor.probe_now, id)
@@ -155,7 +193,7 @@
             # older of the two, or the older might undo the newer.
             busy_until = self._busy_until_by_id[id]
             self._busy_until_by_id[id] = time.monotonic() + ORDER_TIMEOUT_S
-            result = self._send(observation, order, None)
+            result = self._send(observation, order, None, ORDER_TIMEOUT_S)
             self._busy_until_by_id[id] = busy_until
             if result == Accepted(done=True):
                 after = _state_after(
@@ -167,7 +205,11 @@
             pause_s = REPEAT_INTERVAL_S
 
     def _send(
-        self, observation: Observation, order: Order, expected: int | None
+        self,
+        observation: Observation,
+        order: Order,
+        expected: int | None,
+        timeout_s: float,
     ) -> OrderResult:
         fence = self.tokens.next()
         self._last_token_by_id[observation.backend.id] = fence
@@ -176,7 +218,7 @@
             order,
             fence=fence,
             accepted_before=expected,
-            timeout_s=ORDER_TIMEOUT_S,
+            timeout_s=timeout_s,
         )
         self._log_result(observation.backend, order, result, fence)
         return result
@@ -202,7 +244,13 @@
                     status=status,
                     fence=fence,
                 )
-                if fenced and fence >= self._last_token_by_id.get(backend.id, 0):
+                # A group of an earlier term may be older than the last one that the
+                # backend server joined.
+                is_outdated = isinstance(order, Join) and not self.tokens.is_of_term(
+                    order.epoch
+                )
+                is_last = fence >= self._last_token_by_id.get(backend.id, 0)
+                if fenced and is_last and not is_outdated:
                     # This planner sent no newer order, so another planner did.
                     self.tokens.mark_superseded()
             case Unanswered():
@@ -233,9 +281,9 @@
     """Return a backend server's state after an order, None if unknown."""
     if not isinstance(result, Accepted):
         return None
-    after = replace(
-        engine_state, accepted_orders=engine_state.accepted_orders + (not repeat)
-    )
+    # A join takes longer than its answer, so one that is done has begun nothing.
+    counts = not repeat and not (isinstance(order, Join) and result.done)
+    after = replace(engine_state, accepted_orders=engine_state.accepted_orders + counts)
     match order:
         case Join(group, epoch, model, members):
             phase = MemberPhase.READY if result.done else MemberPhase.JOINING
--- a/poplarspar/coordination/pools/fencing.py
+++ b/poplarspar/coordination/pools/fencing.py
@@ -10,9 +10,15 @@
 
     A backend server refuses an order with a lower token than its last one, so a
     delayed order can't undo a newer one.
+
+    Parameters
+    ----------
+    enforced : bool
+        Whether backend servers check the tokens.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, enforced: bool = True) -> None:
+        self.enforced = enforced
         self.last = 0
         self.superseded = False
         self._revision = 0
@@ -38,6 +44,10 @@
         self.last += 1
         return self.last
 
+    def is_of_term(self, token: int) -> bool:
+        """Return whether a token, or an epoch, is of the present term."""
+        return token > self._revision * TOKENS_PER_TERM
+
     def mark_superseded(self) -> None:
         """Record that a newer planner has sent orders."""
         self.superseded = True
--- a/poplarspar/coordination/pools/group_lifecycle.py
+++ b/poplarspar/coordination/pools/group_lifecycle.py
@@ -56,6 +56,7 @@
         self._term = term
         self._health_monitor = health_monitor
         self._dispatcher = dispatcher
+        self._membership_orders = dispatcher.membership_orders
         self._workers_by_id = {worker.id: worker for worker in workers}
         self._groups = groups
         self._spares = [
@@ -193,11 +194,12 @@
         """Open a complete group when its head is ready."""
         name, epoch = group.key
         match group.phase:
-            case MemberPhase.READY:
+            case MemberPhase.READY if self._confirm_members(group):
                 # The planner may have closed the group while a member was silent.
                 self._term.closed.discard(group.key)
                 self._send_order(group.head, Open(name, epoch), self._engine.open_s)
             case MemberPhase.OPEN:
+                self._refuse_late_orders(group)
                 if self._term.forming.pop(group.key, None) is not None:
                     log_event(
                         Event.GROUP_OPENED,
@@ -207,6 +209,46 @@
                         head=group.head.id,
                     )
 
+    def _confirm_members(self, group: Group) -> bool:
+        """Return whether no late order can make a member leave a ready group.
+
+        The orders may be this planner's, after it released the members, or those of an
+        earlier planner. Members that could accept one are ordered to join their group
+        again. The head refuses such orders once it has accepted the order to open.
+        """
+        unconfirmed = [
+            worker
+            for rank, worker in group.members_by_rank.items()
+            if rank and not self._membership_orders.are_settled(worker.id, *group.key)
+        ]
+        if unconfirmed and not self._dispatcher.tokens.enforced:
+            # Only the epoch of a new group makes the members refuse late orders.
+            self._term.retired.add(group.key)
+            return False
+        self._order_to_stay(group, unconfirmed)
+        return not unconfirmed
+
+    def _refuse_late_orders(self, group: Group) -> None:
+        """Make the members of an open group refuse late orders to end it.
+
+        The planner sent them while it could not reach a member, or the head.
+        """
+        if isinstance(self._dispatcher.last_order(group.head.id), Close):
+            self._send_order(group.head, Open(*group.key))
+        leaving = [
+            worker
+            for rank, worker in group.members_by_rank.items()
+            if rank and self._membership_orders.may_end(worker.id, *group.key)
+        ]
+        self._order_to_stay(group, leaving)
+
+    def _order_to_stay(self, group: Group, workers: list[Worker]) -> None:
+        """Order members to join the group that they are in, which changes nothing."""
+        ids = tuple(group.members_by_rank[rank].id for rank in range(group.size))
+        for worker in workers:
+            join = Join(*group.key, group.model, ids)
+            self._dispatcher.confirm(worker.observation, join)
+
     def dissolve(self, group: Group) -> None:
         """Order a broken group to end, the head first, then release its members."""
         name, epoch = group.key
--- a/poplarspar/coordination/pools/groups.py
+++ b/poplarspar/coordination/pools/groups.py
@@ -120,6 +120,11 @@
         } - {""}
         return next(iter(names)) if len(names) == 1 else ""
 
+    @property
+    def size(self) -> int:
+        """Number of members that report the group."""
+        return len(self.members_by_rank)
+
     @property
     def domain(self) -> str:
         """Fabric domain of the head, or else of any member."""
--- a/poplarspar/coordination/pools/planner.py
+++ b/poplarspar/coordination/pools/planner.py
@@ -172,6 +172,10 @@
                 forming_group = self._term.forming.get((group, epoch))
                 if forming_group is not None and forming_group.warming:
                     del self._term.forming[(group, epoch)]
+                elif result.fenced:
+                    # The backend server has seen a later epoch, so it can't confirm
+                    # its membership, and the group may not open again.
+                    self._term.retired.add((group, epoch))
             case Close(group, epoch), Accepted():
                 # The fencing token of this order makes the head refuse a late
                 # order that would open the group again.
--- a/poplarspar/planning.py
+++ b/poplarspar/planning.py
@@ -80,7 +80,7 @@
         self._plan_received_at = float("-inf")
         self._has_planners_plan = False
         self.plan = FleetPlan()
-        self.fencing = FencingTokens()
+        self.fencing = FencingTokens(settings.fencing_required)
 
     def start(
         self, reports: ReportPort, orders: OrderPort, secret: str, stack: ExitStack
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,6 +24,9 @@
     "id: {number}\nda",
     "id: {number}\ndata: {attempt}.{number}\n\nid",
 )
+LATE_ORDERS = 0.35
+LATE_S = (1.0, 6.0)
+CUT_S = 1.2
 HARMFUL_KINDS = ("look", "draft", "pay")
 PATH_MODES = ("freeze", "drop_up", "drop_down", "cut", "forget")
 ANSWER_FAULTS = (
@@ -122,35 +125,49 @@
     """Return faults of requests and backend servers for most of the run, and restores.
 
     They are drawn apart from the other faults, which stay the same for a seed. All but
-    the restores of the store excuse nothing, so they count as planned.
+    the restores of the store and the late orders, beside which backend servers are cut
+    off for a moment, excuse nothing, so they count as planned.
     """
     rng = random.Random(seed + 2)
-    return [
-        Fault(
-            kind,
-            rng.uniform(0.0, length_s / 4),
-            rng.uniform(0.6, 0.9) * length_s,
-            rng.randrange(1000),
-            planned=True,
-        )
-        for kind in (
-            "harmful_part",
-            "limit",
-            "repeated_reports",
-            "slow_streams",
-            "harmful_request",
-            "pauses",
-        )
-    ] + [
-        Fault(
-            "store_restored",
-            rng.uniform(0.2, 0.9) * length_s,
-            rng.uniform(0.1, 1.5),
-            rng.randrange(1000),
-            planned=False,
-        )
-        for _ in range(rng.choice((1, 2)))
-    ]
+    return (
+        [
+            Fault(
+                kind,
+                rng.uniform(0.0, length_s / 4),
+                rng.uniform(0.6, 0.9) * length_s,
+                rng.randrange(1000),
+                planned=True,
+            )
+            for kind in (
+                "harmful_part",
+                "limit",
+                "repeated_reports",
+                "slow_streams",
+                "harmful_request",
+                "pauses",
+            )
+        ]
+        + [
+            Fault(
+                "store_restored",
+                rng.uniform(0.2, 0.9) * length_s,
+                rng.uniform(0.1, 1.5),
+                rng.randrange(1000),
+                planned=False,
+            )
+            for _ in range(rng.choice((1, 2)))
+        ]
+        + [
+            Fault(
+                "late_orders",
+                rng.uniform(0.1, 0.8) * length_s,
+                rng.uniform(2.0, MAX_FAULT_S),
+                rng.randrange(1000),
+                planned=False,
+            )
+            for _ in range(2)
+        ]
+    )
 
 
 class Injector:
@@ -250,6 +267,8 @@
             case "slow_streams":
                 server = self._choose_worker(fault, plain=False)[1].server
                 self._set_for(server, "slows_streams", fault.duration_s)
+            case "late_orders":
+                self._delay_orders(fault)
             case "worker_drain":
                 self._drain_and_restart(fault)
         return ""
@@ -314,6 +333,23 @@
             eventlet.sleep(1.0)
             self._environment.restart(id)
 
+    def _delay_orders(self, fault: Fault) -> None:
+        """Delay orders, and cut members of open groups off from all nodes in turn."""
+        pool = self._environment.pool
+        ends_at = time.monotonic() + fault.duration_s
+        pool.late_share, pool.late_s = LATE_ORDERS, LATE_S
+        while time.monotonic() < ends_at:
+            members = {
+                id for key in pool.serving() for id in pool.head(key).members[1:]
+            }
+            path = self._environment.worker_by_id[
+                self._rng.choice(sorted(members) or sorted(pool.by_id))
+            ].path
+            self._environment.set_path(path, "freeze")
+            eventlet.sleep(CUT_S)
+            self._environment.set_path(path, "pass")
+        pool.late_share = 0.0
+
     def _let_pause(self, fault: Fault) -> None:
         """Let a plain backend server refuse all requests for some time, in turns."""
         _, worker = self._choose_worker(fault, plain=True)
--- a/standins/pool.py
+++ b/standins/pool.py
@@ -33,6 +33,8 @@
 REPORT_LAG_S = 0.2
 REJOIN_S = 0.05
 STALL_S = 2.0
+# An order that is not answered is executed after a time between these.
+LATE_S = (0.5, 2.0)
 
 
 def small_engine(slots: int) -> Engine:
@@ -113,11 +115,17 @@
     ----------
     late_share : float
         Share of orders that are executed late and whose answer is lost.
+
+    Attributes
+    ----------
+    late_s : tuple of float
+        Shortest and longest delay of such orders, in seconds.
     """
 
     def __init__(self, engine: Engine, late_share: float = 0.0, seed: int = 0) -> None:
         self._engine = engine
-        self._late_share = late_share
+        self.late_share = late_share
+        self.late_s = LATE_S
         self._random = random.Random(seed)
         self.by_id: dict[str, Worker] = {}
         self.breaches: list[str] = []
@@ -158,6 +166,10 @@
         """Return the open groups that have all their members."""
         return [key for key in self._open_groups() if not self._missing_members(key)]
 
+    def head(self, key: tuple[str, int]) -> Worker:
+        """Return the head of an open group."""
+        return self._open_groups()[key]
+
     def read(self, backend: BackendServer, timeout_s: float) -> BackendReport:
         """Return a report that lags by `REPORT_LAG_S`."""
         worker = self._find_responsive(backend, timeout_s)
@@ -187,8 +199,8 @@
         except BackendFailed:
             return Unanswered()
         self.orders += 1
-        if self._random.random() < self._late_share:
-            delay_s = self._random.uniform(0.5, 2.0)
+        if self._random.random() < self.late_share:
+            delay_s = self._random.uniform(*self.late_s)
             eventlet.spawn_after(
                 delay_s, self._execute, worker, order, fence, accepted_before
             )
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -44,24 +44,51 @@
 class RecordedOrders:
     """Records orders and sends none."""
 
-    def __init__(self):
+    def __init__(self, joined=True):
         self.sent = []
+        self.joined = joined
+        self.tokens = FencingTokens()
+        self.membership_orders = self
+        self.last_order_by_id = {}
 
     def is_busy(self, id):
         return False
 
+    def are_settled(self, id, group, epoch):
+        return self.joined
+
+    def may_end(self, id, group, epoch):
+        return not self.joined
+
+    def confirm(self, observation, join):
+        self.sent.append((observation.backend.id, join))
+
+    def last_order(self, id):
+        return self.last_order_by_id.get(id)
+
     def dispatch(self, observation, order, duration_s=None):
         self.sent.append((observation.backend.id, order))
         return True
 
 
 class LifecycleTestCase(unittest.TestCase):
+    orders = None
+
+    def recorded_orders(self, joined=True):
+        """Return the record that all passes of the test share."""
+        self.orders = RecordedOrders(joined)
+        return self.orders
+
+    def term(self):
+        return TermState(started_at=0.0)
+
     def run_pass(self, term, silent=(), phase=MemberPhase.READY):
         members = [
             Worker(observation(id, rank, phase), id in silent, False, False, False)
             for rank, id in enumerate(("h", "m"))
         ]
-        orders = RecordedOrders()
+        orders = self.orders or RecordedOrders()
+        orders.sent = []
         lifecycle = GroupLifecycle(
             ENGINE,
             term,
