Do not take a cut watch for an outage of the store

Requests reached a server up to 3.4 s after its entry had been removed, 2 s allowed, and the server may be gone by then.

Cause: any call without an answer was a failure of the whole store. Within seconds of one, nodes keep servers whose entries lapse in use, since an outage makes entries lapse too. But the store may cut a waiting watch at any time.

Fix: a closed connection, or a refusal for the rate of calls (429), is an interruption. The watcher logs it (event 309) and reads all values shortly after; if that call is interrupted too, the store counts as unavailable. Silence, a failure to connect and other refusals show an outage as before, so entries that lapse in one keep their grace period. The same call failed for the planner's announcements, which a cut watch withdrew from all nodes of a large fleet, and for reads on behalf of other nodes.

--- a/poplarspar/coordination/prefix_watcher.py
+++ b/poplarspar/coordination/prefix_watcher.py
@@ -14,13 +14,15 @@
 )
 from poplarspar.coordination.supervision import spawn_logged
 from poplarspar.events import Event
-from poplarspar.exceptions import HistoryLost, StoreUnavailable
+from poplarspar.exceptions import CallInterrupted, HistoryLost, StoreUnavailable
 from poplarspar.logs import log_event
 
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.4
 # The longest pause of a node for which the planner reads, which tries more often.
 FOLLOWER_MAX_BACKOFF_S = 1.6
+# Interrupted calls of one watcher without an answered one in between.
+MAX_INTERRUPTIONS = 1
 # While one watcher tries an unavailable store, the others only do after this time, in
 # case that its attempt hangs. Its calls have shorter time-outs.
 MAX_TURN_WAIT_S = 5.0
@@ -153,6 +155,7 @@
         # The same, but kept after a failure; 0 after lost history.
         self._applied_revision = 0
         self._backoff_s = MIN_BACKOFF_S
+        self._interruptions = 0
         self._started_at = time.monotonic()
         self._read_all_at = float("-inf")
         self._catching_up = False
@@ -194,6 +197,8 @@
     def _read_during_watch(self) -> None:
         try:
             self._read_all()
+        except CallInterrupted as error:
+            log_event(Event.CALL_INTERRUPTED, prefix=self._prefix, cause=str(error))
         except StoreUnavailable as error:
             # The watcher reads all values when its watch request has ended.
             self._health.record_failure(str(error))
@@ -210,8 +215,10 @@
                 return
             self._read_all()
             self.newest_revision = max(self.newest_revision, revision)
-        except StoreUnavailable as error:
+        except CallInterrupted as error:
             # The next message of the other node starts another attempt.
+            log_event(Event.CALL_INTERRUPTED, prefix=self._prefix, cause=str(error))
+        except StoreUnavailable as error:
             self._health.record_failure(str(error))
         finally:
             self._catching_up = False
@@ -225,14 +232,27 @@
                 log_event(Event.HISTORY_LOST, prefix=self._prefix)
                 self._known_revision = None
                 self._applied_revision = 0
+            except CallInterrupted as error:
+                log_event(Event.CALL_INTERRUPTED, prefix=self._prefix, cause=str(error))
+                self._interruptions += 1
+                if self._interruptions > MAX_INTERRUPTIONS:
+                    self._wait_while_unavailable(str(error))
+                else:
+                    # A short read shows whether the store still answers.
+                    self._known_revision = None
+                    eventlet.sleep(MIN_BACKOFF_S * random.uniform(0.5, 1.0))
             except StoreUnavailable as error:
-                self._health.record_failure(str(error))
-                # The answer to a waiting watch request would be lost in an outage, so
-                # the watcher sends short reads of all values until one succeeds.
-                self._known_revision = None
-                backoff_s = self._backoff_s * random.uniform(0.5, 1.0)
-                self._health.wait_for_turn(self, backoff_s)
-                self._backoff_s = min(2 * self._backoff_s, self._max_backoff_s())
+                self._wait_while_unavailable(str(error))
+
+    def _wait_while_unavailable(self, cause: str) -> None:
+        """Record a failure of the store and wait until this watcher may call it."""
+        self._health.record_failure(cause)
+        # The answer to a waiting watch request would be lost in an outage, so the
+        # watcher sends short reads of all values until one succeeds.
+        self._known_revision = None
+        backoff_s = self._backoff_s * random.uniform(0.5, 1.0)
+        self._health.wait_for_turn(self, backoff_s)
+        self._backoff_s = min(2 * self._backoff_s, self._max_backoff_s())
 
     def _max_backoff_s(self) -> float:
         return FOLLOWER_MAX_BACKOFF_S if self._is_follower() else MAX_BACKOFF_S
@@ -249,6 +269,7 @@
         else:
             self._watch(self._known_revision)
         self._health.record_success()
+        self._interruptions = 0
         self._backoff_s = MIN_BACKOFF_S
         self._pause()
 
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -271,6 +271,13 @@
         "The store answered this process again after an outage.",
         "Nothing.",
     )
+    CALL_INTERRUPTED = (
+        309,
+        "store interrupted a call",
+        "The store closed a connection, or takes no more calls for the moment; the "
+        "process reads the values under `prefix` again.",
+        "Nothing, unless it goes on.",
+    )
     HISTORY_LOST = (
         302,
         "store has lost its history",
--- a/poplarspar/exceptions.py
+++ b/poplarspar/exceptions.py
@@ -31,6 +31,13 @@
     """The store did not answer, so the outcome is unknown."""
 
 
+class CallInterrupted(StoreUnavailable):
+    """The store closed a connection or limited the rate of calls.
+
+    Unlike silence, one such call does not show that the store is unavailable.
+    """
+
+
 class RevisionConflict(CoordinationError):
     """A compare-and-swap expected a revision that is no longer current."""
 
--- a/poplarspar/platform/store.py
+++ b/poplarspar/platform/store.py
@@ -15,8 +15,10 @@
 )
 from poplarspar.events import Event
 from poplarspar.exceptions import (
+    CallInterrupted,
     HistoryLost,
     LeaseEnded,
+    PeerDisconnected,
     RevisionConflict,
     StoreUnavailable,
     TransportError,
@@ -32,6 +34,7 @@
 NOT_FOUND = 404
 GONE = 410
 CONFLICT = 412
+TOO_MANY_REQUESTS = 429
 JSON_HEADERS = {"Content-Type": "application/json"}
 # The store gives out revisions again after a restore. Here the era is the high part of
 # a revision, so that revisions only grow.
@@ -315,8 +318,12 @@
                 read_timeout_s=ANSWER_TIMEOUT_S + wait_s,
                 headers=JSON_HEADERS if data else None,
             )
+        except PeerDisconnected as error:
+            raise CallInterrupted(f"store: {error}") from error
         except TransportError as error:
             raise StoreUnavailable(f"store: {error}") from error
+        if answer.status == TOO_MANY_REQUESTS:
+            raise CallInterrupted("store: too many calls")
         era = parse_count(answer.headers.get(STORE_ERA, ""))
         if era is None:
             era = self.era
--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -366,7 +366,7 @@
             raise ConnectFailed(f"no connection to {pool.host}:{pool.port}") from error
         except (HTTPError, HTTPException, OSError, ValueError) as error:
             message = f"no answer from {pool.host}:{pool.port}: {type(error).__name__}"
-            raise ConnectionLost(message) from error
+            raise _connection_error(message, error) from error
         return HttpAnswer(answer.status, data, answer.headers)
 
     def close(self) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -159,13 +159,13 @@
         ]
         + [
             Fault(
-                "late_orders",
+                kind,
                 rng.uniform(0.1, 0.8) * length_s,
                 rng.uniform(2.0, MAX_FAULT_S),
                 rng.randrange(1000),
-                planned=False,
+                planned=kind == "watches_interrupted",
             )
-            for _ in range(2)
+            for kind in ("late_orders", "late_orders", "watches_interrupted")
         ]
     )
 
@@ -269,6 +269,10 @@
                 self._set_for(server, "slows_streams", fault.duration_s)
             case "late_orders":
                 self._delay_orders(fault)
+            case "watches_interrupted":
+                environment.store.interrupt_watches()
+                eventlet.sleep(fault.duration_s)
+                environment.store.interrupt_watches()
             case "worker_drain":
                 self._drain_and_restart(fault)
         return ""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,6 +23,8 @@
 LIMITS = ServerLimits(4_000_000, header_timeout_s=30.0, idle_timeout_s=60.0)
 PREFIX = "/poplarspar/"
 POLL_S = 0.01
+# Stands for a watch whose connection is closed.
+INTERRUPTED = Response(0, b"")
 
 
 @dataclass(frozen=True)
@@ -95,6 +97,7 @@
         self.lose_answers = False
         self.oldest_revision = 0
         self.era = 0
+        self._interruptions = 0
         super().__init__()
 
     def copy(self) -> tuple:
@@ -130,12 +133,19 @@
             deletion = {"key": key, "revision": self.revision, "deleted": True}
             self.log.append(deletion)
 
+    def interrupt_watches(self) -> None:
+        """Close the connections of all waiting watches."""
+        self._interruptions += 1
+
     def forget_history(self) -> None:
         """Drop the history before the present revision."""
         self.oldest_revision = self.revision
 
     def handle(self, request: Request) -> Response:
         response = self._handle(request)
+        if response is INTERRUPTED:
+            request.connection.shutdown(socket.SHUT_RDWR)
+            return response
         headers = {**(response.headers or {}), "Store-Era": str(self.era)}
         return replace(response, headers=headers)
 
@@ -185,7 +195,10 @@
         if after > self.revision:
             return json_response(410, {})
         ends_at = time.monotonic() + int(query["wait_ms"]) / 1000
+        interruptions = self._interruptions
         while True:
+            if self._interruptions != interruptions:
+                return INTERRUPTED
             if after < self.oldest_revision:
                 return json_response(410, {})
             events = [
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -13,7 +13,12 @@
     Change,
     Changes,
 )
-from poplarspar.exceptions import HistoryLost, MalformedDocument, StoreUnavailable
+from poplarspar.exceptions import (
+    CallInterrupted,
+    HistoryLost,
+    MalformedDocument,
+    StoreUnavailable,
+)
 from poplarspar.state.backends import EngineState, MemberPhase, Membership
 from poplarspar.state.serving import CallerLimits, ServingConfiguration
 from tests.test_forwarding import backend
@@ -28,6 +33,7 @@
         self.log = []
         self.omits_changes = False
         self.unavailable = False
+        self.interruptions = 0
         self.oldest_known = 0
         self.reads = 0
         self.old_reads = 0
@@ -47,16 +53,21 @@
         self.reads += 1
         self.calls += 1
         self.old_reads += may_be_old
-        if self.unavailable:
-            raise StoreUnavailable("down")
+        self.check_available()
         if may_be_old and self.old_state is not None:
             return self.old_state
         return Changes(tuple(self.items.values()), self.revision)
 
-    def changes(self, prefix, after, wait_s):
-        self.calls += 1
+    def check_available(self):
+        if self.interruptions:
+            self.interruptions -= 1
+            raise CallInterrupted("closed")
         if self.unavailable:
             raise StoreUnavailable("down")
+
+    def changes(self, prefix, after, wait_s):
+        self.calls += 1
+        self.check_available()
         if after < self.oldest_known:
             raise HistoryLost("forgotten")
         found = (
@@ -107,6 +118,36 @@
             while self.store.calls < until:
                 eventlet.sleep(0)
 
+    def interrupt(self, times):
+        """Let the next calls be interrupted, and wait until all have been."""
+        self.store.interruptions = times
+        with eventlet.Timeout(5, AssertionError("no call was interrupted")):
+            while self.store.interruptions:
+                eventlet.sleep(0.005)
+
+    # Guards against requests to servers that are gone, which nodes keep in use for
+    # seconds after a failure of the store.
+    def test_interrupted_watch_says_nothing_of_the_store(self):
+        self.wait_for_calls(3)
+        healthy_s = self.health.healthy_s()
+        for _ in range(3):
+            self.interrupt(1)
+            self.wait_for_calls(3)
+        self.assertGreater(self.health.healthy_s(), healthy_s)
+
+    def test_all_values_are_read_after_an_interrupted_watch(self):
+        self.wait_for_calls(3)
+        self.store.omits_changes = True
+        self.store.put("op/a", "1")
+        self.interrupt(1)
+        self.wait_for_value("op/a", "1")
+
+    # Guards against a store that closes each connection and passes for available.
+    def test_interrupted_calls_in_a_row_are_a_failure(self):
+        self.wait_for_calls(3)
+        self.interrupt(2)
+        self.assertEqual(0.0, self.health.healthy_s())
+
     # Guards against many more calls than are needed to notice that the store is back.
     def test_one_of_several_watchers_tries_an_unavailable_store(self):
         others = [
