Remove servers that went in an outage when their grace period ends

What callers could see: requests to a server that is gone, for up to a watch of the entries and the pause before it (some 2.4 s) after the grace period of 2.5 s, and likewise if the entry is removed 3 s after an outage that the node noticed late.

Cause: the node looked again only with its next watch, and it took entries that lapse within 3 s of an outage for lapsed in it although entries are back after 2.5 s.

Fix: a timer reads the entries when the grace period ends, and an entry that lapses later is removed at once.

--- a/poplarspar/coordination/fleet.py
+++ b/poplarspar/coordination/fleet.py
@@ -18,8 +18,6 @@
 # A running backend server rewrites an entry that expired during a store outage about
 # 2 s after the store is available again.
 EXPIRY_GRACE_S = 2.5
-# Once the store has answered for this long, no entry expires because of an outage.
-STORE_HEALTHY_S = 3.0
 # After a restore of the store, entries of backend servers that have gone end again
 # within this time, and the others have been written again.
 RESTORE_HOLD_S = 6.0
@@ -185,6 +183,10 @@
         if items or removed or listed:
             self._on_change()
 
+    def has_overdue(self) -> bool:
+        """Return whether an entry that expired in an outage should be back by now."""
+        return bool(self._expired_ids) and self._health.healthy_s() >= EXPIRY_GRACE_S
+
     def _count_needed(
         self, previous: BackendServer | None, current: BackendServer | None
     ) -> None:
@@ -271,20 +273,20 @@
         self._held_item_by_id.pop(id, None)
         if id not in self.fleet.backends_by_id:
             return
-        if self._health.healthy_s() > STORE_HEALTHY_S:
+        if self._health.healthy_s() >= EXPIRY_GRACE_S:
             self._remove(id)
         else:
             self._expired_ids.add(id)
 
     def _remove_expired(self) -> bool:
-        if not self._expired_ids or self._health.healthy_s() < EXPIRY_GRACE_S:
+        if not self.has_overdue():
             return False
-        for id in self._expired_ids:
+        for id in tuple(self._expired_ids):
             self._remove(id)
-        self._expired_ids.clear()
         return True
 
     def _remove(self, id: str) -> None:
+        self._expired_ids.discard(id)
         backend = self.fleet.backends_by_id.pop(id, None)
         if backend is not None:
             self._record_gone(backend)
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -22,17 +22,12 @@
     Targets,
     Upstream,
 )
-from poplarspar.coordination.pools import (
-    OrderPort,
-    ReportPort,
-)
+from poplarspar.coordination.pools import OrderPort, ReportPort
 from poplarspar.coordination.prefix_watcher import StoreHealth
 from poplarspar.coordination.quarantine import QuarantineExchange
 from poplarspar.coordination.session import Session
 from poplarspar.coordination.sharing import even_share
-from poplarspar.coordination.store_ports import (
-    WatchedStore,
-)
+from poplarspar.coordination.store_ports import WatchedStore
 from poplarspar.coordination.supervision import spawn_supervised
 from poplarspar.coordination.timers import TimerService
 from poplarspar.events import Event
@@ -188,6 +183,8 @@
         self._stack.close()
 
     def _start(self) -> None:
+        self._timers = TimerService()
+        self._stack.callback(self._timers.close)
         self._start_serving()
         self._start_watchers()
         self._start_planning()
@@ -203,8 +200,7 @@
             self._demand_meter,
             self._quarantine_exchange.quarantine,
         )
-        timers = TimerService()
-        self._stack.callback(timers.close)
+        timers = self._timers
         timers.every(STALL_CHECK_INTERVAL_S, StallDetector(self._targets).check)
         timers.every(
             QUARANTINE_CHECK_INTERVAL_S, self._quarantine_exchange.quarantine.check
@@ -263,6 +259,7 @@
             adapters.store,
             self._store_health,
             self._stack,
+            self._timers,
             self._follows_plan,
             self._announcements,
         )
--- a/poplarspar/watching.py
+++ b/poplarspar/watching.py
@@ -17,6 +17,7 @@
     WatchedStore,
 )
 from poplarspar.coordination.supervision import spawn_supervised
+from poplarspar.coordination.timers import TimerService
 
 # A new watch request replaces a watch that silently stopped reporting changes. The
 # planner renews its watch often enough to apply a configuration within 2 s. Each plan
@@ -42,6 +43,8 @@
 BACKEND_WATCH_TIMEOUT_S = 1.0
 BACKEND_WATCH_MARGIN_S = 0.6
 BACKEND_RESYNC_INTERVAL_S = 60.0
+# Longer than a read of the entries takes while the store answers.
+OVERDUE_CHECK_INTERVAL_S = 0.5
 # In a large fleet the planner reads entries for all nodes. Changes that it doesn't
 # announce concern members of groups.
 PLANNER_BACKEND_WATCH_INTERVAL_S = 0.8
@@ -75,12 +78,14 @@
         store: WatchedStore,
         health: StoreHealth,
         stack: ExitStack,
+        timers: TimerService,
         follows_plan: Callable[[], bool],
         announcements: Announcements,
     ) -> None:
         self._store = store
         self._health = health
         self._stack = stack
+        self._timers = timers
         self._follows_plan = follows_plan
         self._announcements = announcements
 
@@ -100,6 +105,17 @@
             backends=self._watch_backends(backend_prefix, updater, drain_s),
             nodes=self._watch_nodes(session),
         )
+        self._timers.every(
+            OVERDUE_CHECK_INTERVAL_S, lambda: self._check_overdue(updater)
+        )
+
+    def _check_overdue(self, updater: FleetUpdater) -> None:
+        """Read the entries if some that expired in an outage should be back by now.
+
+        The next watch may be later than nodes must notice that a server has gone.
+        """
+        if updater.has_overdue():
+            self._announcements.watchers.backends.read_again()
 
     def _watch_operator(self, prefix: str, updater: FleetUpdater) -> PrefixWatcher:
         """Follow the operator's configuration and evacuations."""
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -431,6 +431,25 @@
         self.updater.apply_backend_changes((Change("s1", 6, None),))
         self.assertEqual({}, self.fleet.backends_by_id)
 
+    # Guards against requests to a server whose entry went long after the outage.
+    def test_entry_that_expires_after_the_grace_period_is_removed_at_once(self):
+        self.updater.replace_backend_entries((Change("s1", 5, "1"),))
+        self.health.healthy_s = lambda: 2.6
+        self.updater.apply_backend_changes((Change("s1", 6, None),))
+        self.assertEqual({}, self.fleet.backends_by_id)
+        self.assertFalse(self.updater.has_overdue())
+
+    def test_overdue_entry_is_known_until_it_is_back_or_removed(self):
+        self.updater.replace_backend_entries((Change("s1", 5, "1"),))
+        self.health.healthy_s = lambda: 0.5
+        self.updater.apply_backend_changes((Change("s1", 6, None),))
+        self.assertFalse(self.updater.has_overdue())
+        self.health.healthy_s = lambda: 2.6
+        self.assertTrue(self.updater.has_overdue())
+        self.updater.replace_backend_entries((Change("s1", 7, "1"),))
+        self.assertFalse(self.updater.has_overdue())
+        self.assertIn("s1", self.fleet.backends_by_id)
+
     def test_entry_that_expired_in_an_outage_has_a_grace_period(self):
         self.updater.replace_backend_entries(
             (Change("s1", 5, "1"), Change("s2", 5, "1"))
--- a/tests/test_interrupted_watches.py
+++ b/tests/test_interrupted_watches.py
@@ -36,6 +36,24 @@
         self.assertGreater(self.node._store_health.healthy_s(), STABLE_WINDOW_S)
 
 
+class OverdueEntryTest(NodeTestCase):
+    # Guards against requests to a server that went in an outage, for as long as the
+    # next watch of the entries takes.
+    def test_server_that_went_in_an_outage_is_removed_when_the_grace_period_ends(self):
+        self.store.down = True
+        wait_until(
+            lambda: not self.node._store_health.is_available, "the outage is noticed"
+        )
+        self.store.remove("servers/i-0")
+        self.store.down = False
+        wait_until(lambda: self.node._store_health.is_available, "the store is back")
+        fleet = self.node._fleet_updater.fleet
+        with eventlet.Timeout(3.4, AssertionError("the server is still listed")):
+            while "i-0" in fleet.backends_by_id:
+                eventlet.sleep(0.02)
+        self.assertGreater(self.node._store_health.healthy_s(), 2.0)
+
+
 class ClientTest(unittest.TestCase):
     """What the end of one call says of the store."""
 
