Read numbers of any length, and keep what an unreadable one says nothing of

Cause: the decoder took at most nine digits after the point and returned None for others, as for an answer that names no limit. So such a value also ended a limit that was known, and no line was logged. `Retry-After` of servers had the same decoder, and lists of counts a like one: a caller's `Deadline-Ms` of ten digits was answered with 400, a load of ten digits was ignored, an event id of 19 digits ended its stream.

Fix: decimal numbers of any length are read, at most 1e9. What an answer says of a limit is one of three data classes; an unreadable one changes nothing. Counts have up to 18 digits and at most 999,999,999, event ids up to 38.

The soak's limit has all digits of 10 / 3.

Tests changed: "9" * 99 as a limit and "9" * 400 as a pause counted as malformed. They are decimal numbers, and are now expected to be read as the highest limit and pause.

--- a/poplarspar/coordination/forwarding/__init__.py
+++ b/poplarspar/coordination/forwarding/__init__.py
@@ -10,6 +10,12 @@
     StreamEvent,
     Upstream,
 )
+from poplarspar.coordination.forwarding.rate_limits import (
+    NamedLimit,
+    NoLimit,
+    ObservedLimit,
+    UnreadableLimit,
+)
 from poplarspar.coordination.forwarding.retry_budget import RetryBudget
 from poplarspar.coordination.forwarding.routing import RoutedRequest, route_request
 from poplarspar.coordination.forwarding.stall_detector import (
@@ -27,7 +33,10 @@
     "Exchange",
     "Forwarder",
     "Leaving",
+    "NamedLimit",
+    "NoLimit",
     "Notice",
+    "ObservedLimit",
     "Pause",
     "RetryBudget",
     "RoutedRequest",
@@ -36,6 +45,7 @@
     "StreamEvent",
     "Target",
     "Targets",
+    "UnreadableLimit",
     "Upstream",
     "route_request",
 ]
--- a/poplarspar/coordination/forwarding/ports.py
+++ b/poplarspar/coordination/forwarding/ports.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from poplarspar.coordination.forwarding.notices import Notice
+from poplarspar.coordination.forwarding.rate_limits import ObservedLimit
 from poplarspar.state.backends import Load
 from poplarspar.state.callers import CallerRequest, Headers
 
@@ -57,9 +58,9 @@
         will.
     load : Load or None
         Load that the backend server reports with the answer, None without a report.
-    rate_limit : float or None
-        Requests per second that the backend server takes from all nodes together,
-        None for no limit.
+    rate_limit : ObservedLimit
+        What the answer says of the requests that the backend server takes from all
+        nodes together.
     notices : tuple of Notice
         What the backend server asks of this node.
     framed : bool
@@ -72,7 +73,7 @@
     authentic: bool
     not_executed: bool
     load: Load | None
-    rate_limit: float | None
+    rate_limit: ObservedLimit
     notices: tuple[Notice, ...]
     is_stream: bool
     framed: bool
--- a/poplarspar/coordination/forwarding/rate_limits.py
+++ b/poplarspar/coordination/forwarding/rate_limits.py
@@ -26,6 +26,26 @@
 UNLISTED_TTL_S = 30.0
 
 
+@dataclass(frozen=True)
+class NamedLimit:
+    """An answer names the requests per second of all nodes together."""
+
+    requests_per_s: float
+
+
+@dataclass(frozen=True)
+class NoLimit:
+    """An answer names no limit."""
+
+
+@dataclass(frozen=True)
+class UnreadableLimit:
+    """An answer names a limit that can't be decoded, which changes nothing."""
+
+
+ObservedLimit = NamedLimit | NoLimit | UnreadableLimit
+
+
 @dataclass
 class _Usage:
     """A node's requests to one backend server in a slot.
@@ -66,7 +86,7 @@
         self._usage_by_incarnation: dict[tuple[str, int], _Usage] = {}
 
     def observe(
-        self, backend: BackendServer, requests_per_s: float | None, sent_at: float
+        self, backend: BackendServer, observed: ObservedLimit, sent_at: float
     ) -> None:
         """Record the limit in an answer to a request sent at a monotonic time.
 
@@ -74,8 +94,13 @@
         answer that named it, since answers may overtake each other.
         """
         known = self._by_incarnation.get(backend.incarnation)
-        if requests_per_s is None and (known is None or sent_at < known.observed_at):
-            return
+        match observed:
+            case NamedLimit(requests_per_s):
+                pass
+            case NoLimit() if known is not None and sent_at >= known.observed_at:
+                requests_per_s = None
+            case _:
+                return
         limit = RateLimit(*backend.incarnation, requests_per_s, time.monotonic())
         self._own_by_incarnation[backend.incarnation] = limit
         self._set(limit)
--- a/poplarspar/platform/backends.py
+++ b/poplarspar/platform/backends.py
@@ -3,7 +3,9 @@
 import json
 from dataclasses import replace
 
+from poplarspar.events import Event
 from poplarspar.exceptions import BackendFailed, MalformedDocument, TransportError
+from poplarspar.logs import log_event
 from poplarspar.platform.documents import parse_report
 from poplarspar.platform.headers import EXPECTED_BACKEND, LEAVING, parse_leaving
 from poplarspar.state.backends import BackendReport, BackendServer
@@ -33,6 +35,7 @@
 
     def __init__(self) -> None:
         self._client_by_address: dict[str, HttpClient] = {}
+        self._malformed_by_id: dict[str, str] = {}
 
     def read(self, backend: BackendServer, timeout_s: float) -> BackendReport:
         """Return a backend server's report; raises `BackendFailed`."""
@@ -50,12 +53,25 @@
             )
             if answer.status != OK:
                 raise BackendFailed(f"report: status {answer.status}", sent=True)
-            report = parse_report(backend.id, answer.body.decode())
-            return replace(report, leaving=parse_leaving(answer.headers.get(LEAVING)))
-        except (TransportError, MalformedDocument, UnicodeDecodeError) as error:
+            report = self._parse(backend.id, answer.body)
+            leaving = parse_leaving(answer.headers.get(LEAVING, ""))
+            return replace(report, leaving=bool(leaving))
+        except (TransportError, MalformedDocument) as error:
             self.disconnect(backend)
             raise BackendFailed(f"report: {error}", sent=True) from error
 
+    def _parse(self, id: str, body: bytes) -> BackendReport:
+        """Decode a report; logs once why it is malformed, until it no longer is."""
+        try:
+            report = parse_report(id, body.decode(errors="replace"))
+        except MalformedDocument as error:
+            if self._malformed_by_id.get(id) != str(error):
+                self._malformed_by_id[id] = str(error)
+                log_event(Event.DOCUMENT_MALFORMED, key=id, cause=str(error))
+            raise
+        self._malformed_by_id.pop(id, None)
+        return report
+
     def disconnect(self, backend: BackendServer) -> None:
         """Close the connection to a backend server."""
         client = self._client_by_address.pop(backend.address, None)
--- a/poplarspar/platform/callers.py
+++ b/poplarspar/platform/callers.py
@@ -29,6 +29,7 @@
     REQUEST_ID,
     TOKEN_COUNT,
     parse_count,
+    parse_integer,
 )
 from poplarspar.protocol.refusals import STATUS_BY_REASON, refusal_body
 from poplarspar.protocol.server_sent_events import MAX_EVENT_ID_DIGITS
@@ -198,7 +199,7 @@
     connection_headers = {
         name.strip().lower() for name in headers.get("Connection", "").split(",")
     }
-    timeout_ms = _parse_integer(headers, DEADLINE_MS)
+    timeout_ms = _parse_timeout_ms(headers)
     return CallerRequest(
         id=headers.get(REQUEST_ID, ""),
         method=request.method,
@@ -214,7 +215,7 @@
         body=request.body,
         api_key=headers.get(AUTHORIZATION, "").removeprefix(AUTHORIZATION_SCHEME),
         timeout_s=None if timeout_ms is None else timeout_ms / 1000,
-        last_event=_parse_integer(headers, LAST_EVENT_ID, MAX_EVENT_ID_DIGITS),
+        last_event=_parse_last_event(headers),
         model=headers.get(MODEL, ""),
         prompt_tokens=prompt_tokens,
         max_answer_tokens=answer_tokens,
@@ -224,20 +225,26 @@
     )
 
 
-def _parse_integer(
-    headers: dict[str, str], name: str, max_digits: int = MAX_COUNT_DIGITS
-) -> int | None:
-    text = headers.get(name)
-    if text is None:
-        return None
-    number = parse_count(text, max_digits)
-    if number is None:
-        raise InvalidRequest(
-            f"header {name}: must be a whole number of up to {max_digits} digits"
-        )
+def _parse_timeout_ms(headers: dict[str, str]) -> int | None:
+    text = headers.get(DEADLINE_MS)
+    timeout_ms = None if text is None else parse_count(text)
+    if text is not None and timeout_ms is None:
+        raise InvalidRequest(_number_error(DEADLINE_MS, MAX_COUNT_DIGITS))
+    return timeout_ms
+
+
+def _parse_last_event(headers: dict[str, str]) -> int | None:
+    text = headers.get(LAST_EVENT_ID)
+    number = None if text is None else parse_integer(text, MAX_EVENT_ID_DIGITS)
+    if text is not None and number is None:
+        raise InvalidRequest(_number_error(LAST_EVENT_ID, MAX_EVENT_ID_DIGITS))
     return number
 
 
+def _number_error(header: str, max_digits: int) -> str:
+    return f"header {header}: must be a whole number of up to {max_digits} digits"
+
+
 def _parse_estimate(text: str) -> int | None:
     """Return an estimate, or None if malformed, which affects only its sender."""
     return parse_count(text)
--- a/poplarspar/platform/headers.py
+++ b/poplarspar/platform/headers.py
@@ -2,6 +2,12 @@
 
 import re
 
+from poplarspar.coordination.forwarding import (
+    NamedLimit,
+    NoLimit,
+    ObservedLimit,
+    UnreadableLimit,
+)
 from poplarspar.events import Event
 from poplarspar.logs import log_event
 from poplarspar.state.backends import Load
@@ -70,15 +76,37 @@
     )
 )
 
-# Larger counts can't be meant, and their sums must fit into messages between nodes.
-MAX_COUNT_DIGITS = 9
+# The sums of counts must fit into messages between nodes.
+MAX_COUNT = 999_999_999
+MAX_COUNT_DIGITS = 18
+# A backend server that names a higher limit takes all requests.
+MAX_REQUESTS_PER_S = 1e9
+MAX_PAUSE_S = 1e9
 MAX_LOGGED_CHARS = 40
+# Backend servers and headers whose last ignored value is known.
+MAX_IGNORED_KNOWN = 1024
 _DIGITS = re.compile(r"[0-9]+")
-# A limit has at most as many digits as a rate can need.
-_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+# Programs print fractions with any number of digits.
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]+)?")
+
+
+class IgnoredHeaders:
+    """Logs each malformed value once, although all answers of a server may have it."""
+
+    def __init__(self) -> None:
+        self._value_by_header: dict[tuple[str, str], str] = {}
+
+    def record(self, peer: str, header: str, value: str) -> None:
+        """Log that the value of a peer's header is malformed, unless it is known."""
+        key, shown = (peer, header), value[:MAX_LOGGED_CHARS]
+        if self._value_by_header.pop(key, None) != shown:
+            log_event(Event.HEADER_IGNORED, peer=peer, header=header, value=shown)
+        self._value_by_header[key] = shown
+        if len(self._value_by_header) > MAX_IGNORED_KNOWN:
+            del self._value_by_header[next(iter(self._value_by_header))]
 
 
-def parse_count(text: str, max_digits: int = MAX_COUNT_DIGITS) -> int | None:
+def parse_integer(text: str, max_digits: int) -> int | None:
     """Decode a whole number of up to `max_digits` digits; None if malformed."""
     text = text.strip()
     if len(text) > max_digits or not _DIGITS.fullmatch(text):
@@ -86,37 +114,42 @@
     return int(text)
 
 
-def parse_load(text: str | None) -> Load | None:
+def parse_count(text: str) -> int | None:
+    """Decode a count, at most `MAX_COUNT`; None if malformed."""
+    count = parse_integer(text, MAX_COUNT_DIGITS)
+    return None if count is None else min(count, MAX_COUNT)
+
+
+def parse_load(text: str) -> Load | None:
     """Decode running requests, waiting requests and slots; None if malformed."""
-    parts = (text or "").split(",")
-    counts = [parse_count(part) for part in parts]
+    counts = [parse_count(part) for part in text.split(",")]
     if len(counts) != 3 or None in counts:
         return None
     return Load(*counts)
 
 
-def parse_rate_limit(text: str | None) -> float | None:
-    """Decode requests per second; None without a limit or if malformed."""
-    text = (text or "").strip()
-    return float(text) if _DECIMAL.fullmatch(text) else None
+def parse_rate_limit(text: str | None) -> ObservedLimit:
+    """Decode the header with a limit on requests per second."""
+    if text is None:
+        return NoLimit()
+    requests_per_s = _parse_decimal(text)
+    if requests_per_s is None:
+        return UnreadableLimit()
+    return NamedLimit(min(requests_per_s, MAX_REQUESTS_PER_S))
 
 
-def parse_pause(text: str | None) -> float | None:
-    """Decode a pause in seconds; malformed ones are logged and ignored."""
-    if text is None:
-        return None
-    if not _DECIMAL.fullmatch(text.strip()):
-        log_event(Event.HEADER_IGNORED, header=PAUSE, value=text[:MAX_LOGGED_CHARS])
-        return None
-    return float(text)
+def parse_pause(text: str) -> float | None:
+    """Decode a pause in seconds; None if malformed."""
+    pause_s = _parse_decimal(text)
+    return None if pause_s is None else min(pause_s, MAX_PAUSE_S)
 
 
-def parse_leaving(text: str | None) -> bool:
-    """Decode whether a backend server leaves; other values are logged and ignored."""
-    if text is None:
-        return False
+def parse_leaving(text: str) -> bool | None:
+    """Decode whether a backend server leaves; None if malformed."""
     values = {value.strip() for value in text.split(",")}
-    if values != {"1"}:
-        log_event(Event.HEADER_IGNORED, header=LEAVING, value=text[:MAX_LOGGED_CHARS])
-        return False
-    return True
+    return True if values == {"1"} else None
+
+
+def _parse_decimal(text: str) -> float | None:
+    text = text.strip()
+    return float(text) if _DECIMAL.fullmatch(text) else None
--- a/poplarspar/platform/upstream.py
+++ b/poplarspar/platform/upstream.py
@@ -1,6 +1,7 @@
 """Requests to backend servers with the platform's headers."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from typing import TypeVar
 
 from poplarspar.coordination.forwarding import (
     Attempt,
@@ -8,6 +9,7 @@
     Notice,
     Pause,
     StreamEvent,
+    UnreadableLimit,
 )
 from poplarspar.exceptions import (
     AnswerTruncated,
@@ -31,6 +33,7 @@
     REQUEST_ID,
     SIGNATURE,
     WORKSPACE,
+    IgnoredHeaders,
     parse_leaving,
     parse_load,
     parse_pause,
@@ -40,6 +43,8 @@
 from poplarspar.state.callers import Headers
 from poplarspar.transport.http import HttpStream, open_stream, read_body
 
+T = TypeVar("T")
+
 # Status of a request to an address that another backend server has taken over.
 MISDIRECTED = 421
 REDIRECTION = 300
@@ -53,12 +58,19 @@
 class PlatformExchange:
     """An answer of a backend server; see `forwarding.ports.Exchange`."""
 
-    def __init__(self, stream: HttpStream, request_id: str) -> None:
+    def __init__(
+        self, stream: HttpStream, attempt: Attempt, ignored: IgnoredHeaders
+    ) -> None:
         headers = stream.headers
+        request_id = attempt.request.id
         self._stream = stream
+        self._backend_id = attempt.backend_id
+        self._ignored = ignored
         self.status = stream.status
-        self.load = parse_load(headers.get(LOAD))
+        self.load = self._parse(LOAD, parse_load)
         self.rate_limit = parse_rate_limit(headers.get(RATE_LIMIT))
+        if self.rate_limit == UnreadableLimit():
+            ignored.record(self._backend_id, RATE_LIMIT, headers[RATE_LIMIT])
         # A faulty backend server may repeat an answer to another request, whose refusal
         # says nothing of this one.
         is_own = headers.get(REQUEST_ID, request_id) == request_id
@@ -70,11 +82,31 @@
         )
         # Another backend server at this address speaks of itself.
         speaks_of_itself = is_own and stream.status != MISDIRECTED
-        self.notices = _notices(stream) if speaks_of_itself else ()
+        self.notices = self._parse_notices() if speaks_of_itself else ()
         self.is_stream = headers.get("Content-Type", "").startswith(EVENT_STREAM)
         self.framed = stream.framed
         self.headers = _answer_headers(headers)
 
+    def _parse(self, header: str, parse: Callable[[str], T | None]) -> T | None:
+        """Return the value of a header, None if it is absent or malformed."""
+        text = self._stream.headers.get(header)
+        if text is None:
+            return None
+        value = parse(text)
+        if value is None:
+            self._ignored.record(self._backend_id, header, text)
+        return value
+
+    def _parse_notices(self) -> tuple[Notice, ...]:
+        notices: list[Notice] = []
+        if self._parse(LEAVING, parse_leaving):
+            notices.append(Leaving())
+        if self.status == UNAVAILABLE:
+            pause_s = self._parse(PAUSE, parse_pause)
+            if pause_s is not None:
+                notices.append(Pause(pause_s))
+        return tuple(notices)
+
     def read_body(self) -> bytes:
         """Return the complete body; raises `BackendFailed` if it breaks off."""
         try:
@@ -127,6 +159,9 @@
 class PlatformUpstream:
     """Backend servers on the platform; see `forwarding.ports.Upstream`."""
 
+    def __init__(self) -> None:
+        self._ignored = IgnoredHeaders()
+
     def send(self, attempt: Attempt) -> PlatformExchange:
         """Send a request on a connection of its own; raises `BackendFailed`."""
         request = attempt.request
@@ -144,7 +179,7 @@
             raise BackendFailed(str(error), sent=False) from error
         except TransportError as error:
             raise _failure(error) from error
-        exchange = PlatformExchange(stream, request.id)
+        exchange = PlatformExchange(stream, attempt, self._ignored)
         exchange.set_read_timeout(attempt.response_timeout_s)
         return exchange
 
@@ -168,17 +203,6 @@
     return headers
 
 
-def _notices(stream: HttpStream) -> tuple[Notice, ...]:
-    notices: list[Notice] = []
-    if parse_leaving(stream.headers.get(LEAVING)):
-        notices.append(Leaving())
-    if stream.status == UNAVAILABLE:
-        pause_s = parse_pause(stream.headers.get(PAUSE))
-        if pause_s is not None:
-            notices.append(Pause(pause_s))
-    return tuple(notices)
-
-
 def _answer_headers(headers) -> Headers:
     connection_headers = {
         name.strip().lower() for name in headers.get("Connection", "").split(",")
--- a/poplarspar/protocol/server_sent_events.py
+++ b/poplarspar/protocol/server_sent_events.py
@@ -7,7 +7,7 @@
 from poplarspar.exceptions import AnswerTruncated, ProtocolError
 
 MAX_EVENT_BYTES = 262_144
-MAX_EVENT_ID_DIGITS = 18
+MAX_EVENT_ID_DIGITS = 38
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 # Each line of an event is a field with its name, or a comment without one.
@@ -44,6 +44,6 @@
         if line.startswith(ID_FIELD):
             value = line.removeprefix(ID_FIELD).strip()
             if not value.isdigit() or len(value) > MAX_EVENT_ID_DIGITS:
-                raise ProtocolError("an event id is not a number of 64 bits")
+                raise ProtocolError("an event id is not a number")
             return int(value)
     return None
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,7 +15,8 @@
 MAX_FAULT_S = 4.0
 RESTART_DELAY_S = 0.4
 PATH_DELAY_S = 0.15
-LIMIT_PER_S = 3.0
+# Printed with all its digits.
+LIMIT_PER_S = 10 / 3
 PAUSES_S = (0.3, 1.5, 4.0)
 PAUSING_S = 1.0
 # What backend servers write of a stream before they crash on a harmful part.
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -7,6 +7,7 @@
 from poplarspar.coordination.forwarding import (
     DemandMeter,
     Forwarder,
+    NoLimit,
     RetryBudget,
     Sender,
     StallDetector,
@@ -126,7 +127,7 @@
         self.authentic = options.get("authentic", True)
         self.not_executed = options.get("not_executed", False)
         self.load = options.get("load")
-        self.rate_limit = options.get("rate_limit")
+        self.rate_limit = options.get("rate_limit", NoLimit())
         self.notices = options.get("notices", ())
         self.is_stream = "numbers" in options
         self.framed = options.get("framed", True)
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -17,6 +17,7 @@
 
 import eventlet
 
+from poplarspar.coordination.forwarding import NoLimit, UnreadableLimit
 from poplarspar.coordination.pools import HealthMonitor
 from poplarspar.coordination.store_ports import (
     Change,
@@ -285,8 +286,8 @@
             load, limit = parse_load(text), parse_rate_limit(text)
             if load is not None:
                 float(load.running + load.waiting + load.slots)
-            if limit is not None:
-                self.assertLess(limit, 1e10)
+            if limit not in (NoLimit(), UnreadableLimit()):
+                self.assertLess(limit.requests_per_s, 1e10)
 
         def case(mutator):
             data = mutator.random.choice([*ODD_TEXTS, "3,0,8"]).encode("latin-1")
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -13,7 +13,7 @@
 from poplarspar.coordination.forwarding import Leaving, Pause
 from poplarspar.coordination.forwarding.notices import ServerNotices
 from poplarspar.platform.backends import PlatformReportReader
-from poplarspar.platform.headers import parse_leaving, parse_pause
+from poplarspar.platform.headers import MAX_PAUSE_S, parse_leaving, parse_pause
 from tests.test_foreign_answers import RawServer
 from tests.test_forwarding import (
     FakeExchange,
@@ -111,7 +111,7 @@
     def test_malformed_values_are_ignored(self):
         for value in ("0", "true", "", "11", "1, 0", "-1", "9" * 400):
             with self.subTest(value=value):
-                self.assertFalse(parse_leaving(value))
+                self.assertIsNone(parse_leaving(value))
         self.tell(**{"Server-Leaving": "yes"})
         self.assert_used()
 
@@ -210,9 +210,17 @@
         self.assertEqual(0, self.paused())
         self.assert_used()
 
+    # Guards against a pause that is ignored since a program prints it with many digits.
+    def test_pauses_of_any_length_are_read(self):
+        self.assertEqual(4 / 3, parse_pause(str(4 / 3)))
+        self.assertEqual(MAX_PAUSE_S, parse_pause("9" * 400))
+        self.assertEqual(30.0, parse_pause("0" * 400 + "30"))
+        self.tell("shed", **{"Retry-After": "30.3333333333333333"})
+        self.assertEqual(1, self.paused())
+
     def test_malformed_pauses_are_ignored(self):
         for value in (
-            *("-1", "1e3", "", "5, 5", "inf", "nan", "0x5", "1.", "\u00b2", "9" * 400),
+            *("-1", "1e3", "", "5, 5", "inf", "nan", "0x5", "1.", "\u00b2"),
             "Wed, 21 Oct 2026 07:28:00 GMT",
         ):
             with self.subTest(value=value):
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -8,10 +8,19 @@
 
 import eventlet
 
-from poplarspar.coordination.forwarding.rate_limits import RateLimits
+from poplarspar.coordination.forwarding.rate_limits import (
+    NamedLimit,
+    NoLimit,
+    RateLimits,
+    UnreadableLimit,
+)
 from poplarspar.coordination.pools.plan_exchange import PlanExchange
 from poplarspar.coordination.sharing import even_share
-from poplarspar.platform.headers import parse_rate_limit
+from poplarspar.platform.headers import (
+    MAX_REQUESTS_PER_S,
+    IgnoredHeaders,
+    parse_rate_limit,
+)
 from poplarspar.state.plan import NodeLoad
 from poplarspar.state.rate_limits import RateLimit
 from poplarspar.state.refusals import Ran, Reason
@@ -27,11 +36,49 @@
 
 
 class HeaderTest(unittest.TestCase):
-    def test_decimal_numbers_are_limits_and_other_texts_are_none(self):
-        self.assertEqual([2.4, 3.0, 0.0], [*map(parse_rate_limit, ("2.4", "3", "0"))])
-        for text in (None, "", "nan", "inf", "-1", "1e9", "2.4 a second", "9" * 99):
+    # Guards against a limit that is ignored since a program prints it with many digits.
+    def test_decimal_numbers_of_any_length_are_limits(self):
+        limits_by_text = {
+            "2.4": 2.4,
+            "3": 3.0,
+            "0": 0.0,
+            str(1 / 3): 1 / 3,
+            "0." + "3" * 400: 1 / 3,
+            "0" * 400 + "2.5": 2.5,
+            "0." + "0" * 400 + "1": 0.0,
+            "9" * 99: MAX_REQUESTS_PER_S,
+            "9" * 5000: MAX_REQUESTS_PER_S,
+        }
+        for text, limit in limits_by_text.items():
+            with self.subTest(text=text[:30]):
+                self.assertEqual(NamedLimit(limit), parse_rate_limit(text))
+
+    def test_other_texts_are_unreadable(self):
+        self.assertEqual(NoLimit(), parse_rate_limit(None))
+        for text in ("", "nan", "inf", "-1", "1e9", "2.4 a second", ".", "\u00b2"):
             with self.subTest(text=text):
-                self.assertIsNone(parse_rate_limit(text))
+                self.assertEqual(UnreadableLimit(), parse_rate_limit(text))
+
+    def test_malformed_value_is_logged_once(self):
+        ignored = IgnoredHeaders()
+        with mock.patch("poplarspar.platform.headers.log_event") as log:
+            for value in ("x", "x", "y", "y", "x"):
+                ignored.record("s1", "Server-Limit", value)
+            ignored.record("s2", "Server-Limit", "x")
+        self.assertEqual(4, log.call_count)
+
+
+class UnreadableLimitTest(unittest.TestCase):
+    # Guards against a value that can't be read and ends a limit that is known.
+    def test_unreadable_limit_changes_nothing(self):
+        limits, server = RateLimits(lambda total, subject: total), backend("s1")
+        limits.observe(server, UnreadableLimit(), time.monotonic())
+        self.assertEqual(0, limits.count())
+        limits.observe(server, NamedLimit(0.0), time.monotonic())
+        limits.observe(server, UnreadableLimit(), time.monotonic() + 1)
+        self.assertEqual(1, limits.count())
+        limits.observe(server, NoLimit(), time.monotonic() + 1)
+        self.assertEqual(0, limits.count())
 
 
 class SharesTest(unittest.TestCase):
@@ -108,20 +155,20 @@
         self.backend = backend("s1")
 
     def test_limit_ends_with_an_answer_without_it(self):
-        self.limits.observe(self.backend, 2.0, time.monotonic())
+        self.limits.observe(self.backend, NamedLimit(2.0), time.monotonic())
         self.assertEqual(1, self.limits.count())
-        self.limits.observe(self.backend, None, time.monotonic())
+        self.limits.observe(self.backend, NoLimit(), time.monotonic())
         self.assertEqual(0, self.limits.count())
 
     # Guards against lifting a limit by a late answer to an earlier request.
     def test_answer_to_an_earlier_request_does_not_end_a_limit(self):
         sent_at = time.monotonic()
-        self.limits.observe(self.backend, 2.0, sent_at)
-        self.limits.observe(self.backend, None, sent_at - 0.1)
+        self.limits.observe(self.backend, NamedLimit(2.0), sent_at)
+        self.limits.observe(self.backend, NoLimit(), sent_at - 0.1)
         self.assertEqual(1, self.limits.count())
 
     def test_newer_observation_of_another_node_applies(self):
-        self.limits.observe(self.backend, 2.0, time.monotonic())
+        self.limits.observe(self.backend, NamedLimit(2.0), time.monotonic())
         now = time.monotonic()
         self.limits.merge((RateLimit("s1", 1, None, now - 5.0),))
         self.assertEqual(1, self.limits.count())
@@ -129,13 +176,15 @@
         self.assertEqual(0, self.limits.count())
 
     def test_restarted_backend_server_has_no_limit(self):
-        self.limits.observe(self.backend, 0.0, time.monotonic())
+        self.limits.observe(self.backend, NamedLimit(0.0), time.monotonic())
         self.assertTrue(self.limits.may_send(backend("s1", started_ms=2)))
 
     # Guards against a table that grows with each backend server that ever had a limit.
     def test_limits_of_ended_backend_servers_are_dropped(self):
         for number in range(50):
-            self.limits.observe(backend(f"s{number}"), 2.0, time.monotonic())
+            self.limits.observe(
+                backend(f"s{number}"), NamedLimit(2.0), time.monotonic()
+            )
         self.limits.retain({("s1", 1)})
         self.assertEqual(50, self.limits.count())
         later = time.monotonic() + 31.0
@@ -145,7 +194,9 @@
 
     def test_reports_are_bounded(self):
         for number in range(100):
-            self.limits.observe(backend(f"s{number}"), 2.0, time.monotonic())
+            self.limits.observe(
+                backend(f"s{number}"), NamedLimit(2.0), time.monotonic()
+            )
         self.assertEqual(64, len(self.limits.reports()))
 
 
@@ -165,7 +216,8 @@
     def limit_all(self):
         for id in ("s1", "s2", "s3"):
             limits = self.targets.rate_limits
-            limits.observe(self.fleet.backends_by_id[id], 0.0, time.monotonic())
+            backend = self.fleet.backends_by_id[id]
+            limits.observe(backend, NamedLimit(0.0), time.monotonic())
             while limits.may_send(self.fleet.backends_by_id[id]):
                 limits.record_sent(self.fleet.backends_by_id[id])
 
@@ -182,7 +234,7 @@
     def test_unlimited_backend_server_gets_the_requests(self):
         self.limit_all()
         s2 = self.fleet.backends_by_id["s2"]
-        self.targets.rate_limits.observe(s2, None, time.monotonic())
+        self.targets.rate_limits.observe(s2, NoLimit(), time.monotonic())
         for _ in range(4):
             self.answered(self.serve(request(), FakeExchange()))
             self.assertEqual("s2", self.upstream.attempts[0].backend_id)
