Follow restores of a store whose eras begin with a large number

What callers could see: a store that names the time of day as its era could be restored unnoticed, and nodes would keep what it has lost, since eras of more than nine digits were ignored. With an era of 2,048 or more, fencing tokens passed 63 bits, and no replica group could form.

Fix: eras have up to 18 digits; revisions and tokens contain the era modulo 2,048, which is the era itself below that. Two eras 2,048 restores apart can't be told apart.

--- a/poplarspar/platform/store.py
+++ b/poplarspar/platform/store.py
@@ -24,7 +24,12 @@
     TransportError,
 )
 from poplarspar.logs import log_event
-from poplarspar.platform.headers import STORE_ERA, parse_count
+from poplarspar.platform.headers import (
+    MAX_COUNT_DIGITS,
+    STORE_ERA,
+    IgnoredHeaders,
+    parse_integer,
+)
 from poplarspar.state.snapshot import StoredValue
 from poplarspar.transport.http import HttpClient
 
@@ -39,6 +44,9 @@
 # The store gives out revisions again after a restore. Here the era is the high part of
 # a revision, so that revisions only grow.
 REVISIONS_PER_ERA = 1 << 32
+# Fencing tokens, which contain a revision, must be below 2 to the power of 63. An era
+# may begin with any number, since it only rises by one.
+ERAS = 1 << 11
 
 
 class _Message(BaseModel):
@@ -84,7 +92,7 @@
 
     def revision(self, number: int) -> int:
         """Return a revision of this era that is above those of all earlier eras."""
-        return number and self.era * REVISIONS_PER_ERA + number
+        return number and self.era % ERAS * REVISIONS_PER_ERA + number
 
 
 class PlatformStore:
@@ -106,6 +114,7 @@
         self._newest_revision = 0
         self._restore_callbacks: list[Callable[[], None]] = []
         self._has_era = False
+        self._ignored = IgnoredHeaders()
         self.era = 0
 
     def _connect(self) -> HttpClient:
@@ -168,8 +177,9 @@
             "since_rev": since,
             "wait_ms": int(wait_s * 1000),
         }
-        answer = self._get("kv-watch", query, wait_s) if era == self.era else None
-        if answer is None or answer.status == GONE or answer.era != era:
+        is_present = era == self.era % ERAS
+        answer = self._get("kv-watch", query, wait_s) if is_present else None
+        if answer is None or answer.status == GONE or answer.era % ERAS != era:
             raise HistoryLost(
                 f"store has discarded the history of {prefix!r} after {after}"
             )
@@ -274,7 +284,7 @@
         self, key: str, expected: int, puts: list = (), remove: list = ()
     ) -> _Answer:
         era, expected_number = divmod(expected, REVISIONS_PER_ERA)
-        if expected and era != self.era:
+        if expected and era != self.era % ERAS:
             raise RevisionConflict(f"{key!r} was read before the store was restored")
         body = {
             "expected": [{"key": key, "revision": expected_number}],
@@ -324,14 +334,21 @@
             raise StoreUnavailable(f"store: {error}") from error
         if answer.status == TOO_MANY_REQUESTS:
             raise CallInterrupted("store: too many calls")
-        era = parse_count(answer.headers.get(STORE_ERA, ""))
-        if era is None:
-            era = self.era
+        era = self._parse_era(answer.headers.get(STORE_ERA))
         if era < self.era and not may_be_old:
             raise self._reject_copy()
         self._record_era(era)
         return _Answer(answer.status, answer.body, era)
 
+    def _parse_era(self, text: str | None) -> int:
+        """Return the era in an answer, the known one if it is absent or malformed."""
+        era = None if text is None else parse_integer(text, MAX_COUNT_DIGITS)
+        if era is not None:
+            return era
+        if text is not None:
+            self._ignored.record("store", STORE_ERA, text)
+        return self.era
+
     @staticmethod
     def _parse(model: type, answer: _Answer):
         if answer.status != OK:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -8,6 +8,7 @@
 
 import eventlet
 
+from poplarspar.coordination.pools.fencing import TOKENS_PER_TERM
 from poplarspar.coordination.session import MEMBER_PREFIX, PLANNER_KEY
 from poplarspar.exceptions import HistoryLost, RevisionConflict, StoreUnavailable
 from poplarspar.platform.store import PlatformStore
@@ -115,6 +116,21 @@
             self.assertEqual("1", self.client.read("op/a").text)
             self.assertEqual(0, self.client.era)
 
+    # Guards against restores that go unnoticed, or tokens that backend servers can't
+    # read, since eras began with the time of day.
+    def test_eras_may_begin_with_a_large_number(self):
+        self.store.era = 1_765_000_000_000
+        revision = self.client.read_all("op/").as_of
+        copy = self.store.copy()
+        self.store.put("op/b", 2)
+        self.store.restore(copy)
+        newer_revision = self.client.read_all("op/").as_of
+        self.assertEqual(1_765_000_000_001, self.client.era)
+        self.assertGreater(newer_revision, revision)
+        self.assertLess(newer_revision * TOKENS_PER_TERM, 2**63)
+        with self.assertRaises(HistoryLost):
+            self.client.changes("op/", revision, 0.1)
+
 
 class RestoredNodeTest(NodeTestCase):
     @property
