Convict a part that several requests bring at one moment

Cause: crashes within 0.3 s count as one moment, since the loss of a rack fails many requests at once, and a part needs three moments.

Fix: a part with which no answer has begun is convicted at one moment too, if at least five servers crashed with it, two requests crashed the server of their retry as well, and it was there at three quarters of all crashes then. A rack that is lost does not crash the servers of retries, and fails requests with other parts. Nodes that have served such a part say so before it is convicted. Retries are still allowed after crashes at one moment.

A batch of requests that may not be retried still takes three moments.

--- a/poplarspar/coordination/quarantine/evidence.py
+++ b/poplarspar/coordination/quarantine/evidence.py
@@ -23,6 +23,11 @@
 SUSPECTED_MOMENTS = 2
 # The loss of a zone or rack fails many requests at one moment.
 MOMENT_S = 0.3
+# Unlike such a loss, a part that several requests bring at one moment crashes the
+# backend servers of their retries too, and is there at nearly all crashes.
+CRASHES_AT_ONCE = 5
+CRASHED_RETRIES_AT_ONCE = 2
+SHARE_AT_ONCE = 0.75
 # Where more sets of parts are convicted at once, their prompts are not the cause.
 MAX_CONVICTED_SETS = 256
 
@@ -36,6 +41,7 @@
         # Kept until the evidence changes.
         self._suspected: tuple[str, ...] | None = None
         self._convicted: tuple[frozenset[str], ...] | None = None
+        self._all_crash_times: dict[str, float] | None = None
 
     def add(self, request: UnansweredRequest) -> None:
         """Add a request; a request that is known already keeps its time."""
@@ -72,12 +78,13 @@
         return _count_moments(_crash_times(requests).values())
 
     def suspected(self) -> tuple[str, ...]:
-        """Return the parts on which backend servers crashed at several moments."""
+        """Return the parts that may be convicted unless answers with them begin."""
         if self._suspected is None:
             self._suspected = tuple(
                 part
-                for part in self._unanswered_by_part
+                for part, requests in self._unanswered_by_part.items()
                 if self.moments(part) >= SUSPECTED_MOMENTS
+                or self._is_there_at_once(part, _crash_times(requests.values()))
             )
         return self._suspected
 
@@ -128,7 +135,7 @@
         return self._convicted
 
     def _discard_decisions(self) -> None:
-        self._suspected = self._convicted = None
+        self._suspected = self._convicted = self._all_crash_times = None
 
     def _convict(self) -> tuple[frozenset[str], ...]:
         new_parts, served_parts = [], []
@@ -139,7 +146,7 @@
         explained = {
             backend
             for part in self.suspected()
-            if not self.is_served(part)
+            if not self.is_served(part) and self.moments(part) >= SUSPECTED_MOMENTS
             for request in self._unanswered_by_part[part].values()
             for backend in request.backends
         }
@@ -156,7 +163,27 @@
                 crashes >= CONCLUSIVE_CRASHES
                 and self.moments(part) >= SUSPECTED_MOMENTS
             )
-        return _count_moments(crashed_at.values()) >= CONCLUSIVE_MOMENTS
+        if _count_moments(crashed_at.values()) >= CONCLUSIVE_MOMENTS:
+            return True
+        return not self.is_served(part) and self._is_there_at_once(part, crashed_at)
+
+    def _is_there_at_once(self, part: str, crashed_at: dict[str, float]) -> bool:
+        """Return whether a part, and nothing else, explains crashes at one moment."""
+        if is_request_part(part) or len(crashed_at) < CRASHES_AT_ONCE:
+            return False
+        requests = self._unanswered_by_part[part].values()
+        if sum(len(r.backends) > 1 for r in requests) < CRASHED_RETRIES_AT_ONCE:
+            return False
+        if self._all_crash_times is None:
+            self._all_crash_times = _crash_times(
+                request
+                for by_id in self._unanswered_by_part.values()
+                for request in by_id.values()
+            )
+        begin = min(crashed_at.values()) - MOMENT_S
+        end = max(crashed_at.values()) + MOMENT_S
+        crashes = sum(begin <= at <= end for at in self._all_crash_times.values())
+        return len(crashed_at) >= SHARE_AT_ONCE * crashes
 
     def _convict_among(
         self, parts: list[str], explained: frozenset[str] = frozenset()
--- a/poplarspar/coordination/quarantine/quarantine.py
+++ b/poplarspar/coordination/quarantine/quarantine.py
@@ -139,7 +139,7 @@
                 self._record_served(part, begun_at)
             if not self._evidence.is_accused(part):
                 continue
-            if self._evidence.moments(part) >= SUSPECTED_MOMENTS:
+            if part in self._evidence.suspected():
                 self._report_begun(part, begun_at)
             self._evidence.record_begun(part, begun_at)
 
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -116,6 +116,31 @@
         self.add(*(unanswered(n, "x", at=1.0 + n / 100) for n in range(1, 9)))
         self.assertEqual((), self.table.convicted())
 
+    # Guards against a batch of harmful prompts that counts as the loss of a rack.
+    def test_requests_at_one_moment_whose_retries_crash_too_convict_a_part(self):
+        self.add(*(unanswered(n, "x", f"y{n}", at=1.0 + n / 100) for n in range(4)))
+        self.assertEqual((), self.table.convicted())
+        for n in (4, 5):
+            self.add(unanswered(n, "x", at=1.0, backends=(f"s{n}/1", f"t{n}/1")))
+        self.assertEqual((frozenset({"x"}),), self.table.convicted())
+
+    # Guards against quarantine of a new part after the loss of a rack, which fails
+    # other requests too.
+    def test_part_of_few_requests_at_one_moment_is_not_convicted(self):
+        for n in range(6):
+            self.add(unanswered(n, "x", at=1.0, backends=(f"s{n}/1", f"t{n}/1")))
+        self.add(*(unanswered(n, f"y{n}", at=1.1) for n in range(10, 16)))
+        self.assertEqual((), self.table.convicted())
+        self.table.record_begun("x", 0.5)
+        self.assertEqual((), self.table.convicted())
+
+    def test_served_part_at_one_moment_is_not_convicted(self):
+        self.table.record_begun("x", 0.5)
+        for n in range(6):
+            self.add(unanswered(n, "x", at=1.0, backends=(f"s{n}/1", f"t{n}/1")))
+        self.assertEqual((), self.table.convicted())
+        self.assertEqual(("x",), self.table.suspected())
+
     def test_one_faulty_backend_server_convicts_nothing(self):
         self.add(*(unanswered(n, "x", backends=("s1/1",)) for n in range(1, 9)))
         self.assertEqual((), self.table.convicted())
