--- a/poplarspar/coordination/quarantine/evidence.py
+++ b/poplarspar/coordination/quarantine/evidence.py
@@ -108,6 +108,12 @@
             for request in self._unanswered_by_part.get(part, {}).values()
         }
 
+    def describe(self, parts: frozenset[str]) -> list[str]:
+        """Return the backend servers that crashed on a set of parts, for the log."""
+        requests = self._unanswered_by_part.get(min(parts), {}).values()
+        crashed_at = _crash_times(requests)
+        return [f"{backend}@{at:.1f}" for backend, at in crashed_at.items()]
+
     def expire(self, now: float) -> None:
         """Drop evidence that is older than `EVIDENCE_TTL_S`."""
         since = now - EVIDENCE_TTL_S
--- a/poplarspar/coordination/quarantine/quarantine.py
+++ b/poplarspar/coordination/quarantine/quarantine.py
@@ -46,6 +46,7 @@
 # The nodes convict a part at the same time; one write to the store is enough.
 MAX_WRITE_DELAY_S = 1.0
 MIN_RETRY_AFTER_S = 1.0
+MAX_LOGGED_PARTS = 8
 
 
 class Quarantine:
@@ -270,7 +271,13 @@
         self._entry_by_parts[parts] = HeldParts(
             quarantined, now, False, self._write_time()
         )
-        log_event(Event.PARTS_QUARANTINED, parts=sorted(parts))
+        log_event(
+            Event.PARTS_QUARANTINED,
+            parts=sorted(parts),
+            served=sorted(filter(self._evidence.is_served, parts)),
+            crashes=self._evidence.describe(parts),
+            suspected=self._evidence.suspected()[:MAX_LOGGED_PARTS],
+        )
 
     def _release(self, entry: HeldParts) -> None:
         parts = entry.quarantined.parts
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -231,7 +231,8 @@
     PARTS_QUARANTINED = (
         260,
         "prompt parts quarantined",
-        "Requests with these `parts`, and no other cause, crash backend servers.",
+        "Requests with these `parts`, and no other cause, crash backend servers; "
+        "`crashes` lists these.",
         "Find the caller (event 418) and the fault of the backend servers.",
     )
     QUARANTINE_TRIAL = (
