Do not hold requests to servers that are down against their prompts

Cause: what is sent to a server after its crash fails too, until the plan leaves it out, and counted as a request that was there at the crash. With many prompts a second each common part was so at nearly every crash, and two such failures 0.3 s apart counted as two crashes.

Fix: a node counts a disconnection for 0.15 s after the first one of that start of the server; an answer of it ends that. Evidence: test_requests_after_a_crash_accuse_nothing failed before.

--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -206,6 +206,7 @@
             self.may_have_run = True
             match self._send(target):
                 case Began() as began:
+                    self._observation.record_answering(target.backend)
                     answer = self._read_answer(began)
                     if answer is not None:
                         return Ok(answer)
--- a/poplarspar/coordination/forwarding/resuming.py
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -210,7 +210,7 @@
                         continue
                     self._began = began
                     self._progress_at = time.monotonic()
-                    self._observation.record_sent()
+                    self._observation.record_answering(target.backend)
                     self._events = began.exchange.events()
                     if began.exchange.is_stream:
                         began.target.streams.add(self)
--- a/poplarspar/coordination/quarantine/observations.py
+++ b/poplarspar/coordination/quarantine/observations.py
@@ -17,6 +17,12 @@
     def is_suspected(self, parts: tuple[str, ...]) -> bool:
         """Return whether requests with one of the parts have failed repeatedly."""
 
+    def record_disconnected(self, backend: str) -> bool:
+        """Record that an incarnation disconnected; False if it had crashed before."""
+
+    def record_answering(self, backend: str) -> None:
+        """Record that an incarnation of a backend server runs."""
+
     def record_begun(self, parts: tuple[str, ...], pool: str, begun_at: float) -> None:
         """Clear the parts of a request whose answer began and did not break off."""
 
@@ -75,12 +81,14 @@
 
     def record_disconnected(self, backend: BackendServer) -> None:
         """Record that a backend server disconnected before its answer was complete."""
-        if not self._sound:
-            self._lost_backends.append(f"{backend.id}/{backend.started_ms}")
+        incarnation = _incarnation(backend)
+        if self._records.record_disconnected(incarnation) and not self._sound:
+            self._lost_backends.append(incarnation)
 
-    def record_sent(self) -> None:
-        """Record that another backend server is to answer."""
+    def record_answering(self, backend: BackendServer) -> None:
+        """Record the head of a backend server's answer."""
         self._first_event_at = None
+        self._records.record_answering(_incarnation(backend))
 
     def record_event(self) -> None:
         """Record an event of the backend server that answers."""
@@ -109,3 +117,7 @@
         lost_backends, self._lost_backends = self._lost_backends, []
         if lost_backends and self._parts and not self._sound:
             self._records.record_unanswered(self._parts, self._pool, lost_backends)
+
+
+def _incarnation(backend: BackendServer) -> str:
+    return f"{backend.id}/{backend.started_ms}"
--- a/poplarspar/coordination/quarantine/quarantine.py
+++ b/poplarspar/coordination/quarantine/quarantine.py
@@ -46,6 +46,8 @@
 # The nodes convict a part at the same time; one write to the store is enough.
 MAX_WRITE_DELAY_S = 1.0
 MIN_RETRY_AFTER_S = 1.0
+# Within this time, all requests that run at a backend server see that it crashes.
+CRASH_S = 0.15
 MAX_LOGGED_PARTS = 8
 
 
@@ -87,6 +89,7 @@
         self._own_unanswered: deque[UnansweredRequest] = deque(maxlen=MAX_OWN_EVIDENCE)
         self._own_begun_at_by_part: dict[str, float] = {}
         self._served_at_by_part: dict[str, float] = {}
+        self._crashed_at_by_backend: dict[str, float] = {}
         self._convicted_at_by_part: dict[str, float] = {}
         self._entry_by_parts: dict[frozenset[str], HeldParts] = {}
         self._released: set[frozenset[str]] = set()
@@ -112,6 +115,19 @@
         """Return the parts with which requests have failed repeatedly."""
         return frozenset(self._evidence.suspected())
 
+    def record_disconnected(self, backend: str) -> bool:
+        """Record that an incarnation disconnected; False if it had crashed before.
+
+        What is sent to a backend server that is down fails too, and has not crashed it.
+        """
+        now = time.monotonic()
+        crashed_at = self._crashed_at_by_backend.setdefault(backend, now)
+        return now <= crashed_at + CRASH_S
+
+    def record_answering(self, backend: str) -> None:
+        """Record that an incarnation of a backend server runs."""
+        self._crashed_at_by_backend.pop(backend, None)
+
     def record_unanswered(
         self, parts: tuple[str, ...], pool: str, backends: list[str]
     ) -> None:
@@ -304,6 +320,11 @@
             for part, at in self._own_begun_at_by_part.items()
             if at > now - EVIDENCE_TTL_S
         }
+        self._crashed_at_by_backend = {
+            backend: at
+            for backend, at in self._crashed_at_by_backend.items()
+            if at > now - EVIDENCE_TTL_S
+        }
         if self._is_planner():
             for entry in list(self._entry_by_parts.values()):
                 if now > entry.learned_at + RETENTION_S:
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -224,6 +224,28 @@
         observation.close()
         self.assertEqual((), self.quarantine.own_evidence().unanswered)
 
+    # Guards against refusing sound prompts that are sent to servers that are down.
+    def test_requests_after_a_crash_accuse_nothing(self):
+        for number in (1, 2, 3):
+            self.crash(number, "x")
+            for delay_s in (0.05, 0.3, 0.6):
+                self.now += delay_s
+                observation = self.admit("y")
+                observation.record_disconnected(backend(f"s{number}"))
+                observation.close()
+        parts = [r.parts for r in self.quarantine.own_evidence().unanswered]
+        self.assertEqual([("x",), ("y",)] * 3, parts)
+
+    def test_server_that_answers_after_a_disconnection_may_crash_again(self):
+        for expected_count in (1, 2):
+            observation = self.admit("x")
+            observation.record_disconnected(backend("s1"))
+            observation.close()
+            unanswered_requests = self.quarantine.own_evidence().unanswered
+            self.assertEqual(expected_count, len(unanswered_requests))
+            self.now += 1.0
+            self.admit("y").record_answering(backend("s1"))
+
     def test_suspected_request_is_not_retried(self):
         self.assertTrue(self.admit("x").may_retry())
         self.crash(1, "x")
