Log which version decided each request, and how nodes learnt of it

Lines of answered, refused and broken requests (410, 411, 413) now carry the version, its age, and the time since the store last answered the node's watch of the operator's values. Event 222 says by which way newer values were read, event 223 that the planner announced values that this node does not know, event 220 the version before. Metric: configuration_answered_seconds.

No decision changes.

--- a/poplarspar/coordination/fleet.py
+++ b/poplarspar/coordination/fleet.py
@@ -219,8 +219,14 @@
         if current is not None and current.version >= configuration.version:
             return
         self.fleet.configuration = configuration
+        before_s = self.configuration_age_s()
         self._configuration_at = time.monotonic()
-        log_event(Event.CONFIGURATION_IN_FORCE, version=configuration.version)
+        log_event(
+            Event.CONFIGURATION_IN_FORCE,
+            version=configuration.version,
+            before=0 if current is None else current.version,
+            before_s=round(before_s, 3),
+        )
 
     def _set_zones(self, zones: frozenset[str]) -> None:
         if zones != self.fleet.evacuated_zones:
--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -36,7 +36,11 @@
 from poplarspar.state.callers import CallerRequest, CompleteAnswer, StreamedAnswer
 from poplarspar.state.refusals import Ran, Reason, Refusal
 from poplarspar.state.results import Error, Ok, Result
-from poplarspar.state.serving import RouteKind, ServingConfiguration
+from poplarspar.state.serving import (
+    ConfigurationBasis,
+    RouteKind,
+    ServingConfiguration,
+)
 
 # After this many attempts at targets that decline the request or can't be reached,
 # the node refuses it.
@@ -60,6 +64,8 @@
     ----------
     configuration : callable
         Returns the configuration that this node applies, None before the first.
+    basis : callable
+        Returns what this node knows of that configuration now.
     """
 
     def __init__(
@@ -70,8 +76,10 @@
         budget: RetryBudget,
         demand: DemandMeter,
         quarantine: Quarantine,
+        basis: Callable[[], ConfigurationBasis] = ConfigurationBasis,
     ) -> None:
         self._configuration = configuration
+        self.basis = basis
         self._quarantine = quarantine
         self._demand = demand
         self._targets = targets
--- a/poplarspar/coordination/prefix_watcher.py
+++ b/poplarspar/coordination/prefix_watcher.py
@@ -3,6 +3,7 @@
 import random
 import time
 from collections.abc import Callable
+from enum import Enum
 
 import eventlet
 from eventlet.event import Event as Signal
@@ -40,6 +41,16 @@
 CATCH_UP_DELAY_S = 0.8
 
 
+class ReadingWay(Enum):
+    """How a watcher has read values."""
+
+    WATCH = "watch"
+    READ = "read"
+    OLD_READ = "old_read"
+    CATCH_UP = "catch_up"
+    RESTORE = "restore"
+
+
 class StoreHealth:
     """Records since when the store has answered this node without a failure.
 
@@ -120,6 +131,8 @@
     is_small : bool
         Whether to read all values when another node announces a change, which costs
         less than to watch.
+    is_logged : bool
+        Whether to log how newer values were read.
     """
 
     def __init__(
@@ -136,6 +149,7 @@
         is_follower: Callable[[], bool] = lambda: False,
         is_hurried: Callable[[], bool] = lambda: True,
         is_small: bool = False,
+        is_logged: bool = False,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -148,6 +162,8 @@
         self._is_follower = is_follower
         self._is_hurried = is_hurried
         self._is_small = is_small
+        self._is_logged = is_logged
+        self._answered_at = time.monotonic()
         self._wanted_revision = 0
         self._wanted = Signal()
         self._fruitless_watches = 0
@@ -172,8 +188,19 @@
         """
         if revision > self.newest_revision and not self._catching_up:
             self._catching_up = True
+            if self._is_logged:
+                log_event(
+                    Event.CATCHING_UP,
+                    prefix=self._prefix,
+                    announced=revision,
+                    newest=self.newest_revision,
+                )
             spawn_logged(self._catch_up, revision)
 
+    def answered_s(self) -> float:
+        """Return the seconds since the store last answered this watcher."""
+        return time.monotonic() - self._answered_at
+
     @property
     def known_revision(self) -> int:
         """Revision of the store up to which values are known, 0 after a failure."""
@@ -196,7 +223,7 @@
 
     def _read_during_watch(self) -> None:
         try:
-            self._read_all()
+            self._read_all(ReadingWay.RESTORE)
         except CallInterrupted as error:
             log_event(Event.CALL_INTERRUPTED, prefix=self._prefix, cause=str(error))
         except StoreUnavailable as error:
@@ -213,7 +240,7 @@
             eventlet.sleep(CATCH_UP_DELAY_S)
             if revision <= self.newest_revision:
                 return
-            self._read_all()
+            self._read_all(ReadingWay.CATCH_UP)
             self.newest_revision = max(self.newest_revision, revision)
         except CallInterrupted as error:
             # The next message of the other node starts another attempt.
@@ -301,34 +328,37 @@
             return min(STARTUP_WATCH_INTERVAL_S, self._watch_interval_s())
         return self._watch_interval_s()
 
-    def _read_all(self) -> None:
-        self._read_all_at = time.monotonic()
+    def _read_all(self, way: ReadingWay = ReadingWay.READ) -> None:
+        self._read_all_at = sent_at = time.monotonic()
         changes = self._store.read_all(self._prefix)
         if self._known_revision is not None and changes.as_of < self._known_revision:
             return
-        self._record_revision(changes)
+        self._record_revision(changes, way, sent_at)
         self._replace(changes.items)
 
     def _read_old(self) -> None:
         """Read all values, which may be old; if they are too old, the changes since."""
         needed_revision = max(self._applied_revision, self._wanted_revision)
+        sent_at = time.monotonic()
         changes = self._store.read_all(self._prefix, may_be_old=True)
         if changes.as_of < needed_revision:
             self._known_revision = self._applied_revision
             self._watch(self._known_revision)
             return
         self._read_all_at = time.monotonic()
-        self._record_revision(changes)
+        self._record_revision(changes, ReadingWay.OLD_READ, sent_at)
         # The announced change may be a deletion, which is not among the values.
         self.newest_revision = max(self.newest_revision, self._wanted_revision)
         self._replace(changes.items)
 
     def _watch(self, after: int) -> None:
         self._is_watching = True
+        sent_at = time.monotonic()
         try:
             changes = self._store.changes(self._prefix, after, self._watch_timeout_s())
         finally:
             self._is_watching = False
+        self._answered_at = time.monotonic()
         # `catch_up_to` may have read all values during the watch request.
         items = tuple(
             item for item in changes.items if item.revision > self.known_revision
@@ -336,10 +366,24 @@
         if items:
             # A watch without changes may have missed some, so the known revision
             # advances only with changes and the next watch starts at the same revision.
-            self._record_revision(changes)
+            self._record_revision(changes, ReadingWay.WATCH, sent_at)
         self._apply(items)
 
-    def _record_revision(self, changes: Changes) -> None:
+    def _record_revision(
+        self, changes: Changes, way: ReadingWay, sent_at: float
+    ) -> None:
+        newest = max((item.revision for item in changes.items), default=0)
+        self._answered_at = time.monotonic()
+        if self._is_logged and newest > self.newest_revision:
+            log_event(
+                Event.OPERATOR_VALUES_READ,
+                prefix=self._prefix,
+                way=way.value,
+                newest=newest,
+                before=self.newest_revision,
+                as_of=changes.as_of,
+                announced=self._wanted_revision,
+                after_ms=int((self._answered_at - sent_at) * 1000),
+            )
         self._known_revision = self._applied_revision = changes.as_of
-        revisions = [item.revision for item in changes.items]
-        self.newest_revision = max([self.newest_revision, *revisions])
+        self.newest_revision = max(self.newest_revision, newest)
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -117,9 +117,23 @@
     CONFIGURATION_IN_FORCE = (
         220,
         "configuration in effect at this node",
-        "The operator published a newer version.",
+        "The operator published a newer version; event 222 says how it was read.",
         "Nothing.",
     )
+    OPERATOR_VALUES_READ = (
+        222,
+        "newer values of the operator read",
+        "`way` says how: by a watch, a read of all values, one that may be old, or one "
+        "after an announcement; the node knew revision `before`, and waited "
+        "`after_ms`.",
+        "Nothing.",
+    )
+    CATCHING_UP = (
+        223,
+        "another node has read newer values",
+        "The planner announced revision `announced`, and this node knows `newest`.",
+        "Nothing, unless it recurs; then check this node's connections to the store.",
+    )
     ZONES_EVACUATED = (
         221,
         "evacuated zones changed",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -37,7 +37,7 @@
 from poplarspar.protocol.quarantine import QuarantineJson
 from poplarspar.state.metrics import Metrics
 from poplarspar.state.node import NodeSettings
-from poplarspar.state.serving import ServiceSpec
+from poplarspar.state.serving import ConfigurationBasis, ServiceSpec
 from poplarspar.transport.addresses import bound_address, listen
 from poplarspar.transport.metrics import MetricsPage
 from poplarspar.transport.server import (
@@ -199,6 +199,7 @@
             self._retry_budget,
             self._demand_meter,
             self._quarantine_exchange.quarantine,
+            self._configuration_basis,
         )
         timers = self._timers
         timers.every(STALL_CHECK_INTERVAL_S, StallDetector(self._targets).check)
@@ -353,17 +354,29 @@
             limits.header_bytes,
         )
 
+    def _configuration_basis(self) -> ConfigurationBasis:
+        """Return what this node knows of the configuration now."""
+        configuration = self._fleet_updater.fleet.configuration
+        if configuration is None:
+            return ConfigurationBasis()
+        return ConfigurationBasis(
+            version=configuration.version,
+            age_s=self._fleet_updater.configuration_age_s(),
+            answered_s=self._announcements.watchers.operator.answered_s(),
+        )
+
     def _gauges(self) -> dict[str, float]:
         """Return the gauges of the metrics page."""
-        configuration = self._fleet_updater.fleet.configuration
+        basis = self._configuration_basis()
         usage = resource.getrusage(resource.RUSAGE_SELF)
         return {
             "ready": self.is_ready(),
             "planner": self._session.is_planner,
             "nodes": self._node_count(),
             "requests_running": self.drain.running,
-            "configuration_version": configuration.version if configuration else 0,
-            "configuration_age_seconds": self._fleet_updater.configuration_age_s(),
+            "configuration_version": basis.version,
+            "configuration_age_seconds": basis.age_s,
+            "configuration_answered_seconds": basis.answered_s,
             "store_era": self._adapters.store.era,
             "store_steady_seconds": self._store_health.healthy_s(),
             "store_read_by_planner": (
--- a/poplarspar/platform/callers.py
+++ b/poplarspar/platform/callers.py
@@ -37,6 +37,7 @@
 from poplarspar.state.metrics import Metrics
 from poplarspar.state.refusals import Ran, Reason, Refusal
 from poplarspar.state.results import Error, Ok
+from poplarspar.state.serving import ConfigurationBasis
 from poplarspar.transport.disconnects import cancel_on_disconnect
 from poplarspar.transport.server import Request, Response
 
@@ -60,6 +61,7 @@
     def handle(self, request: Request) -> Response:
         """Answer one request."""
         caller_request = parse_request(request)
+        basis = self._forwarder.basis()
         with ExitStack() as stack:
             stack.enter_context(self._drain.request())
             stack.enter_context(cancel_on_disconnect(request.connection))
@@ -67,11 +69,11 @@
             ended = ShutdownEnded("the node stops")
             try:
                 with self._drain.interruptible(lambda: eventlet.kill(task, ended)):
-                    response = self._answer(caller_request, stack)
+                    response = self._answer(caller_request, basis, stack)
             except ShutdownEnded as error:
                 # What the request has done at a backend server is not known.
                 refusal = Refusal(Reason.TIMEOUT, str(error), Ran.UNKNOWN)
-                response = self._refuse(caller_request, refusal)
+                response = self._refuse(caller_request, basis, refusal)
             except CallerGone:
                 self._metrics.count("requests_abandoned")
                 log_event(Event.CALLER_GONE, id=caller_request.id)
@@ -80,15 +82,24 @@
             response.headers["Connection"] = "close"
         return response
 
-    def _answer(self, caller_request: CallerRequest, stack: ExitStack) -> Response:
+    def _answer(
+        self,
+        caller_request: CallerRequest,
+        basis: ConfigurationBasis,
+        stack: ExitStack,
+    ) -> Response:
         match self._forwarder.serve(caller_request):
             case Error(refusal):
-                return self._refuse(caller_request, refusal)
+                return self._refuse(caller_request, basis, refusal)
             case Ok(answer):
-                return self._to_response(caller_request, answer, stack)
+                return self._to_response(caller_request, basis, answer, stack)
 
     def _to_response(
-        self, caller_request: CallerRequest, answer: Answer, stack: ExitStack
+        self,
+        caller_request: CallerRequest,
+        basis: ConfigurationBasis,
+        answer: Answer,
+        stack: ExitStack,
     ) -> Response:
         headers = dict(answer.headers)
         match answer:
@@ -96,18 +107,23 @@
                 self._metrics.count(f"answers_{status // 100}xx")
                 elapsed_s = time.monotonic() - caller_request.arrived_at
                 self._metrics.observe("answer_us", elapsed_s)
-                _log_answer(caller_request, status, backend, elapsed_s)
+                _log_answer(caller_request, basis, status, backend, elapsed_s)
                 return Response(status, body, None, headers)
             case StreamedAnswer(status, _, events):
                 # The server sends the body after this call, so the body closes the
                 # stack.
                 stack.callback(events.close)
                 body = _StreamBody(
-                    caller_request, events, stack.pop_all(), self._metrics
+                    caller_request, basis, events, stack.pop_all(), self._metrics
                 )
                 return Response(status, body, None, headers)
 
-    def _refuse(self, caller_request: CallerRequest, refusal: Refusal) -> Response:
+    def _refuse(
+        self,
+        caller_request: CallerRequest,
+        basis: ConfigurationBasis,
+        refusal: Refusal,
+    ) -> Response:
         status = status_of(refusal)
         self._metrics.count(f"refused_{refusal.reason.value}")
         log_event(
@@ -119,6 +135,7 @@
             cause=refusal.message,
             model=caller_request.model,
             after_ms=int((time.monotonic() - caller_request.arrived_at) * 1000),
+            **_basis_fields(basis),
         )
         headers = {REQUEST_ID: caller_request.id}
         if refusal.retry_after_s is not None and status in NOT_EXECUTED_STATUSES:
@@ -132,11 +149,13 @@
     def __init__(
         self,
         caller_request: CallerRequest,
+        basis: ConfigurationBasis,
         events,
         resources: ExitStack,
         metrics: Metrics,
     ) -> None:
         self._caller_request = caller_request
+        self._basis = basis
         self._events = events
         self._resources = resources
         self._metrics = metrics
@@ -153,10 +172,17 @@
                 yield data
             self._metrics.count("streams_completed")
             elapsed_s = time.monotonic() - self._caller_request.arrived_at
-            _log_answer(self._caller_request, OK, self._events.backend, elapsed_s)
+            _log_answer(
+                self._caller_request, self._basis, OK, self._events.backend, elapsed_s
+            )
         except BackendFailed as error:
             self._metrics.count("streams_broken")
-            log_event(Event.STREAM_BROKEN, id=self._caller_request.id, cause=str(error))
+            log_event(
+                Event.STREAM_BROKEN,
+                id=self._caller_request.id,
+                cause=str(error),
+                **_basis_fields(self._basis),
+            )
             raise
 
     def close(self) -> None:
@@ -164,8 +190,21 @@
         self._resources.close()
 
 
+def _basis_fields(basis: ConfigurationBasis) -> dict[str, int]:
+    """Return the fields of a log line that say what a decision was based on."""
+    return {
+        "version": basis.version,
+        "version_age_ms": int(basis.age_s * 1000),
+        "store_answered_ms": int(basis.answered_s * 1000),
+    }
+
+
 def _log_answer(
-    caller_request: CallerRequest, status: int, backend: str, elapsed_s: float
+    caller_request: CallerRequest,
+    basis: ConfigurationBasis,
+    status: int,
+    backend: str,
+    elapsed_s: float,
 ) -> None:
     log_event(
         Event.REQUEST_ANSWERED,
@@ -173,6 +212,7 @@
         status=status,
         backend=backend,
         after_ms=int(elapsed_s * 1000),
+        **_basis_fields(basis),
     )
 
 
--- a/poplarspar/state/serving.py
+++ b/poplarspar/state/serving.py
@@ -191,6 +191,25 @@
         return None
 
 
+@dataclass(frozen=True)
+class ConfigurationBasis:
+    """What a node knew of the configuration when it decided on a request.
+
+    Attributes
+    ----------
+    version : int
+        Version of the configuration, 0 before the first one.
+    age_s : float
+        Seconds since the node applied that version.
+    answered_s : float
+        Seconds since the store last answered the node's watch of the configuration.
+    """
+
+    version: int = 0
+    age_s: float = 0.0
+    answered_s: float = 0.0
+
+
 @dataclass
 class Fleet:
     """A node's copy of the configuration, evacuated zones and backend servers.
--- a/poplarspar/watching.py
+++ b/poplarspar/watching.py
@@ -133,6 +133,7 @@
             updater.replace_operator_values,
             updater.apply_operator_changes,
             is_small=True,
+            is_logged=True,
         )
 
     def _watch_backends(
@@ -185,6 +186,7 @@
         replace: Callable[[tuple[Change, ...]], None],
         apply: Callable[[tuple[Change, ...]], None],
         is_small: bool = False,
+        is_logged: bool = False,
     ) -> PrefixWatcher:
         watcher = PrefixWatcher(
             self._store,
@@ -198,6 +200,7 @@
             is_follower=self._announcements.is_follower,
             is_hurried=lambda: not self._follows_plan(),
             is_small=is_small,
+            is_logged=is_logged,
         )
         self._store.on_restore(watcher.read_again)
         self._stack.callback(spawn_supervised(watcher.run).kill)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -126,6 +126,10 @@
         self.items[key] = item
         self.log.append(item)
 
+    def revision_of(self, key: str) -> int:
+        """Return the revision of a key's last change, 0 if it does not exist."""
+        return self.items.get(key, {"revision": 0})["revision"]
+
     def remove(self, key: str) -> None:
         """Delete a key."""
         if self.items.pop(key, None) is not None:
