--- a/standins/platform.py
+++ b/standins/platform.py
@@ -130,6 +130,11 @@
         """Return the revision of a key's last change, 0 if it does not exist."""
         return self.items.get(key, {"revision": 0})["revision"]
 
+    def text(self, key: str) -> str:
+        """Return a key's value as text, empty if it does not exist."""
+        item = self.items.get(key, {"value": ""})
+        return base64.b64decode(item["value"]).decode()
+
     def remove(self, key: str) -> None:
         """Delete a key."""
         if self.items.pop(key, None) is not None:
