Leave connections to the store that may be silent

Cause: a node believes a waiting watch request for up to 8.8 s, since the planner announces what it may have missed. Nothing ended that wait when the reason for the trust did: when another call got no answer, when the connection to the planner ended, when the planner could not read the store itself. The list of nodes was watched in the same way, so that nodes did not find the next planner, and a catch-up read could use another silent connection of the pool.

A call without an answer in time now makes the node use new connections and renew its waiting watches, with a read where that is cheap (events 310 and 311); the end of the connection to the planner, a planner that can't read the store, and the end of an outage renew them too, and shorten their time-outs to 1.4 s. A catch-up begins 0.4 s after the announcement, on a new connection, and ends the watch that failed. In small fleets announcements are no longer spaced by 0.8 s, which only matters where nodes read at their bidding.

--- a/poplarspar/coordination/announcements.py
+++ b/poplarspar/coordination/announcements.py
@@ -11,12 +11,13 @@
 from enum import Enum, auto
 
 from poplarspar.coordination.fleet import FleetUpdater
-from poplarspar.coordination.prefix_watcher import PrefixWatcher, StoreHealth
+from poplarspar.coordination.prefix_watcher import PrefixWatcher
 from poplarspar.coordination.quarantine import (
     CONVICTION_DELAY_S,
     QuarantineExchange,
 )
 from poplarspar.coordination.session import Session
+from poplarspar.coordination.store_health import StoreHealth
 from poplarspar.state.plan import StoreRevisions
 
 # In smaller fleets every node watches the store itself, since a change then reaches it
@@ -86,6 +87,8 @@
     ----------
     watchers : Watchers
         Set before the first plan arrives.
+    received : StoreRevisions
+        What the planner announced last; zeros without a connection to a planner.
     """
 
     watchers: Watchers
@@ -105,7 +108,7 @@
         self._quarantine_exchange = quarantine_exchange
         self._node_count = node_count
         self._plan_age_s = plan_age_s
-        self._received = StoreRevisions()
+        self.received = StoreRevisions()
         self._announced_changes = 0
         self._backend_revision = 0
         self._backends_announced_at = float("-inf")
@@ -121,19 +124,19 @@
 
     def reader_of_operator(self) -> StoreReader:
         """Return who reads the operator's values."""
-        return self._reader(self._received.operator)
+        return self._reader(self.received.operator)
 
     def reader_of_nodes(self) -> StoreReader:
         """Return who reads the list of nodes."""
-        return self._reader(self._received.nodes)
+        return self._reader(self.received.nodes)
 
     def reader_of_quarantine(self) -> StoreReader:
         """Return who reads evidence and the quarantine."""
-        return self._reader(self._received.quarantine)
+        return self._reader(self.received.quarantine)
 
     def reader_of_backends(self) -> StoreReader:
         """Return who reads the entries of backend servers."""
-        reader = self._reader(self._received.backends)
+        reader = self._reader(self.received.backends)
         if reader is StoreReader.FOLLOWER and self._health.healthy_s() < MIN_HEALTHY_S:
             return StoreReader.EVERY_NODE
         return reader
@@ -158,8 +161,10 @@
 
     def receive(self, revisions: StoreRevisions) -> None:
         """Read what the planner has announced, unless this node has."""
-        self._received = revisions
         watchers = self.watchers
+        if self.received.operator and not revisions.operator:
+            watchers.operator.renew_watch("the planner can't read the store")
+        self.received = revisions
         watchers.operator.watch_until(revisions.operator)
         watchers.operator.catch_up_to(revisions.operator)
         watchers.quarantine.watch_until(revisions.quarantine)
@@ -168,7 +173,14 @@
         watchers.nodes.watch_until(revisions.nodes)
 
     def lose_planner(self) -> None:
-        """Look for another planner, since the connection to the last one has ended."""
+        """Look for another planner, since the connection to the last one has ended.
+
+        Until there is one, watch requests get shorter time-outs.
+        """
+        self.received = StoreRevisions()
+        cause = "the connection to the planner has ended"
+        self.watchers.operator.renew_watch(cause)
+        self.watchers.nodes.renew_watch(cause)
         self.watchers.nodes.watch_now()
 
     def revisions(self) -> StoreRevisions:
@@ -179,8 +191,12 @@
         # The nodes should find a new planner at once.
         planner_changed = self._session.planner_revision > self._nodes.revision
         newest_nodes = self.watchers.nodes.newest_revision
+        # In a small fleet an announcement costs no calls, unless a watch has failed.
+        is_small = self._node_count() <= MAX_NODES_READING
         return StoreRevisions(
-            operator=self._operator.update(self.watchers.operator.newest_revision),
+            operator=self._operator.update(
+                self.watchers.operator.newest_revision, is_small
+            ),
             quarantine=self._quarantine.update(
                 self._quarantine_exchange.needed_revision
             ),
--- a/poplarspar/coordination/fleet.py
+++ b/poplarspar/coordination/fleet.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
-from poplarspar.coordination.prefix_watcher import StoreHealth
+from poplarspar.coordination.store_health import StoreHealth
 from poplarspar.coordination.store_ports import (
     Change,
 )
--- a/poplarspar/coordination/prefix_watcher.py
+++ b/poplarspar/coordination/prefix_watcher.py
@@ -6,8 +6,10 @@
 from enum import Enum
 
 import eventlet
+from eventlet import hubs
 from eventlet.event import Event as Signal
 
+from poplarspar.coordination.store_health import StoreHealth
 from poplarspar.coordination.store_ports import (
     Change,
     Changes,
@@ -15,7 +17,12 @@
 )
 from poplarspar.coordination.supervision import spawn_logged
 from poplarspar.events import Event
-from poplarspar.exceptions import CallInterrupted, HistoryLost, StoreUnavailable
+from poplarspar.exceptions import (
+    CallInterrupted,
+    HistoryLost,
+    StoreUnavailable,
+    WatchAbandoned,
+)
 from poplarspar.logs import log_event
 
 MIN_BACKOFF_S = 0.1
@@ -24,9 +31,6 @@
 FOLLOWER_MAX_BACKOFF_S = 1.6
 # Interrupted calls of one watcher without an answered one in between.
 MAX_INTERRUPTIONS = 1
-# While one watcher tries an unavailable store, the others only do after this time, in
-# case that its attempt hangs. Its calls have shorter time-outs.
-MAX_TURN_WAIT_S = 5.0
 # While a fleet starts, changes follow each other closely and each one matters to the
 # planner.
 STARTUP_S = 5.0
@@ -37,8 +41,10 @@
 # of such requests after which the watch counts as having missed changes.
 MIN_PAUSE_S = 0.2
 MAX_FRUITLESS_WATCHES = 3
-# Usually the watch reports the change at about the same time as the other node.
-CATCH_UP_DELAY_S = 0.8
+# Usually the watch reports the change at about the same time as the other node. A
+# follower reads it with the announcement.
+CATCH_UP_DELAY_S = 0.4
+FOLLOWER_CATCH_UP_DELAY_S = 0.8
 
 
 class ReadingWay(Enum):
@@ -51,62 +57,6 @@
     RESTORE = "restore"
 
 
-class StoreHealth:
-    """Records since when the store has answered this node without a failure.
-
-    All watchers of a node share it, so that one of them tries an unavailable store
-    while the others wait for its success: the store counts refused calls too.
-    """
-
-    def __init__(self) -> None:
-        self._healthy_since: float | None = None
-        self._unavailable = False
-        self._trying: object | None = None
-        self._back = Signal()
-
-    def record_success(self) -> None:
-        """Record a successful call."""
-        if self._healthy_since is None:
-            self._healthy_since = time.monotonic()
-        if self._unavailable:
-            self._unavailable = False
-            self._trying = None
-            back, self._back = self._back, Signal()
-            back.send()
-            log_event(Event.STORE_BACK)
-
-    def wait_for_turn(self, watcher: object, backoff_s: float) -> None:
-        """Wait until a watcher should call the store again after a failure."""
-        if self._trying is None:
-            self._trying = watcher
-        wait_s = backoff_s if self._trying is watcher else MAX_TURN_WAIT_S
-        with eventlet.Timeout(wait_s, False):
-            self._back.wait()
-
-    def record_failure(self, cause: str) -> None:
-        """Record a call without an answer, or a gap in the store's answers."""
-        self._healthy_since = None
-        if not self._unavailable:
-            self._unavailable = True
-            log_event(Event.STORE_LOST, cause=cause)
-
-    @property
-    def is_available(self) -> bool:
-        """Whether the last call to the store was answered."""
-        return self._healthy_since is not None
-
-    def record_restore(self) -> None:
-        """Record that the store shows an older state, which may lack entries."""
-        if self._healthy_since is not None:
-            self._healthy_since = time.monotonic()
-
-    def healthy_s(self) -> float:
-        """Return the seconds for which the store has answered without a failure."""
-        if self._healthy_since is None:
-            return 0.0
-        return time.monotonic() - self._healthy_since
-
-
 class PrefixWatcher:
     """Reads all values under a prefix, then watches them for changes.
 
@@ -175,7 +125,7 @@
         self._started_at = time.monotonic()
         self._read_all_at = float("-inf")
         self._catching_up = False
-        self._is_watching = False
+        self._watching_task: object | None = None
         self.newest_revision = 0
 
     def catch_up_to(self, revision: int) -> None:
@@ -212,23 +162,34 @@
             self._wanted_revision = revision
             self.watch_now()
 
-    def read_again(self) -> None:
-        """Read all values again, since the store shows an older state."""
+    def read_again(self, cause: str = "the store was restored") -> None:
+        """Read all values again, since those known may be out of date."""
         self._known_revision = None
-        if self._is_watching:
-            # The restored store may leave the watch request waiting.
-            spawn_logged(self._read_during_watch)
-        else:
+        if self._watching_task is None:
             self.watch_now()
+        else:
+            self._abandon_watch(cause)
 
-    def _read_during_watch(self) -> None:
-        try:
-            self._read_all(ReadingWay.RESTORE)
-        except CallInterrupted as error:
-            log_event(Event.CALL_INTERRUPTED, prefix=self._prefix, cause=str(error))
-        except StoreUnavailable as error:
-            # The watcher reads all values when its watch request has ended.
-            self._health.record_failure(str(error))
+    def renew_watch(self, cause: str) -> None:
+        """Replace a waiting watch request, whose answer may never arrive.
+
+        A read of all values shows sooner than another watch whether the store answers.
+        """
+        if self._watching_task is not None:
+            if self._is_small:
+                self._known_revision = None
+            self._abandon_watch(cause)
+
+    def _abandon_watch(self, cause: str) -> None:
+        """End the waiting watch request, from the hub, so that the caller goes on."""
+        task = self._watching_task
+
+        def abandon() -> None:
+            if task is not None and self._watching_task is task:
+                self._watching_task = None
+                task.throw(WatchAbandoned(cause))
+
+        hubs.get_hub().schedule_call_global(0, abandon)
 
     def watch_now(self) -> None:
         """End the present pause between two watch requests."""
@@ -237,11 +198,14 @@
 
     def _catch_up(self, revision: int) -> None:
         try:
-            eventlet.sleep(CATCH_UP_DELAY_S)
+            eventlet.sleep(self._catch_up_delay_s())
             if revision <= self.newest_revision:
                 return
+            # The connection on which the watch waits may be silent, and others with it.
+            self._store.reconnect()
             self._read_all(ReadingWay.CATCH_UP)
             self.newest_revision = max(self.newest_revision, revision)
+            self._abandon_watch("it has not reported an announced change")
         except CallInterrupted as error:
             # The next message of the other node starts another attempt.
             log_event(Event.CALL_INTERRUPTED, prefix=self._prefix, cause=str(error))
@@ -250,6 +214,9 @@
         finally:
             self._catching_up = False
 
+    def _catch_up_delay_s(self) -> float:
+        return FOLLOWER_CATCH_UP_DELAY_S if self._is_follower() else CATCH_UP_DELAY_S
+
     def run(self) -> None:
         """Watch the prefix until the task is killed."""
         while True:
@@ -259,6 +226,8 @@
                 log_event(Event.HISTORY_LOST, prefix=self._prefix)
                 self._known_revision = None
                 self._applied_revision = 0
+            except WatchAbandoned as error:
+                log_event(Event.WATCH_ABANDONED, prefix=self._prefix, cause=str(error))
             except CallInterrupted as error:
                 log_event(Event.CALL_INTERRUPTED, prefix=self._prefix, cause=str(error))
                 self._interruptions += 1
@@ -352,12 +321,12 @@
         self._replace(changes.items)
 
     def _watch(self, after: int) -> None:
-        self._is_watching = True
+        self._watching_task = eventlet.getcurrent()
         sent_at = time.monotonic()
         try:
             changes = self._store.changes(self._prefix, after, self._watch_timeout_s())
         finally:
-            self._is_watching = False
+            self._watching_task = None
         self._answered_at = time.monotonic()
         # `catch_up_to` may have read all values during the watch request.
         items = tuple(
--- a/poplarspar/coordination/store_ports.py
+++ b/poplarspar/coordination/store_ports.py
@@ -76,6 +76,15 @@
         the store had confirmed may be missing.
         """
 
+    def on_silence(self, callback: Callable[[], None]) -> None:
+        """Call `callback`, which must not wait, once a call got no answer in time.
+
+        Answers to other waiting calls may not arrive either.
+        """
+
+    def reconnect(self) -> None:
+        """Use new connections from now on, since the open ones may be silent."""
+
     def read_all(self, prefix: str, *, may_be_old: bool = False) -> Changes:
         """Return all values under a prefix.
 
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -293,6 +293,20 @@
         "process reads the values under `prefix` again.",
         "Nothing, unless it goes on.",
     )
+    WATCH_ABANDONED = (
+        310,
+        "watch request abandoned",
+        "Its connection may be silent, or its time-out is too long without a planner; "
+        "see `cause`.",
+        "Nothing, unless it recurs; then check this node's connections to the store.",
+    )
+    STORE_SILENT = (
+        311,
+        "store did not answer a call in time",
+        "The store is slow or down, or open connections to it have gone silent; the "
+        "process makes new ones.",
+        "Nothing, unless it recurs without event 300.",
+    )
     HISTORY_LOST = (
         302,
         "store has lost its history",
--- a/poplarspar/exceptions.py
+++ b/poplarspar/exceptions.py
@@ -38,6 +38,10 @@
     """
 
 
+class WatchAbandoned(CoordinationError):
+    """The answer to a watch request is no longer waited for."""
+
+
 class RevisionConflict(CoordinationError):
     """A compare-and-swap expected a revision that is no longer current."""
 
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -23,10 +23,10 @@
     Upstream,
 )
 from poplarspar.coordination.pools import OrderPort, ReportPort
-from poplarspar.coordination.prefix_watcher import StoreHealth
 from poplarspar.coordination.quarantine import QuarantineExchange
 from poplarspar.coordination.session import Session
 from poplarspar.coordination.sharing import even_share
+from poplarspar.coordination.store_health import StoreHealth
 from poplarspar.coordination.store_ports import WatchedStore
 from poplarspar.coordination.supervision import spawn_supervised
 from poplarspar.coordination.timers import TimerService
--- a/poplarspar/platform/store.py
+++ b/poplarspar/platform/store.py
@@ -16,6 +16,7 @@
 from poplarspar.events import Event
 from poplarspar.exceptions import (
     CallInterrupted,
+    ConnectionLost,
     HistoryLost,
     LeaseEnded,
     PeerDisconnected,
@@ -113,6 +114,7 @@
         # Revisions only grow, so an older answer belongs to an earlier call.
         self._newest_revision = 0
         self._restore_callbacks: list[Callable[[], None]] = []
+        self._silence_callbacks: list[Callable[[], None]] = []
         self._has_era = False
         self._ignored = IgnoredHeaders()
         self.era = 0
@@ -124,6 +126,15 @@
         """Call `callback`, which must not wait, once the store shows an older state."""
         self._restore_callbacks.append(callback)
 
+    def on_silence(self, callback: Callable[[], None]) -> None:
+        """Call `callback`, which must not wait, once a call got no answer in time."""
+        self._silence_callbacks.append(callback)
+
+    def reconnect(self) -> None:
+        """Use new connections from now on; waiting calls keep theirs."""
+        self._client.close()
+        self._client = self._connect()
+
     def read(self, key: str) -> StoredValue:
         """Return the value at `key`, at revision 0 when absent."""
         answer = self._get("kv-key", {"key": key})
@@ -254,8 +265,7 @@
 
     def _reject_copy(self) -> StoreUnavailable:
         """Close all connections, on which later answers would be out of step too."""
-        self._client.close()
-        self._client = self._connect()
+        self.reconnect()
         log_event(Event.ANSWER_REPEATED, peer="store")
         return StoreUnavailable("store: the answer belongs to an earlier call")
 
@@ -320,8 +330,9 @@
         wait_s: float = 0.0,
         may_be_old: bool = False,
     ) -> _Answer:
+        client = self._client
         try:
-            answer = self._client.send(
+            answer = client.send(
                 method,
                 f"/poplarspar/{endpoint}",
                 data,
@@ -330,6 +341,9 @@
             )
         except PeerDisconnected as error:
             raise CallInterrupted(f"store: {error}") from error
+        except ConnectionLost as error:
+            self._record_silence(client, str(error))
+            raise StoreUnavailable(f"store: {error}") from error
         except TransportError as error:
             raise StoreUnavailable(f"store: {error}") from error
         if answer.status == TOO_MANY_REQUESTS:
@@ -340,6 +354,15 @@
         self._record_era(era)
         return _Answer(answer.status, answer.body, era)
 
+    def _record_silence(self, client: HttpClient, cause: str) -> None:
+        """Leave all connections of a client on which a call got no answer in time."""
+        if client is not self._client:
+            return
+        log_event(Event.STORE_SILENT, cause=cause)
+        self.reconnect()
+        for callback in self._silence_callbacks:
+            callback()
+
     def _parse_era(self, text: str | None) -> int:
         """Return the era in an answer, the known one if it is absent or malformed."""
         era = None if text is None else parse_integer(text, MAX_COUNT_DIGITS)
--- a/poplarspar/watching.py
+++ b/poplarspar/watching.py
@@ -9,9 +9,10 @@
     Watchers,
 )
 from poplarspar.coordination.fleet import FleetUpdater
-from poplarspar.coordination.prefix_watcher import PrefixWatcher, StoreHealth
+from poplarspar.coordination.prefix_watcher import PrefixWatcher
 from poplarspar.coordination.quarantine import QUARANTINE_PREFIX, QuarantineExchange
 from poplarspar.coordination.session import NODE_PREFIX, Session
+from poplarspar.coordination.store_health import StoreHealth
 from poplarspar.coordination.store_ports import (
     Change,
     WatchedStore,
@@ -115,7 +116,7 @@
         The next watch may be later than nodes must notice that a server has gone.
         """
         if updater.has_overdue():
-            self._announcements.watchers.backends.read_again()
+            self._announcements.watchers.backends.read_again("entries are overdue")
 
     def _watch_operator(self, prefix: str, updater: FleetUpdater) -> PrefixWatcher:
         """Follow the operator's configuration and evacuations."""
@@ -127,7 +128,9 @@
             lambda: self._resync_s(
                 reader(),
                 self._planned_s(
-                    OPERATOR_RESYNC_INTERVAL_S, RELAXED_OPERATOR_RESYNC_INTERVAL_S
+                    OPERATOR_RESYNC_INTERVAL_S,
+                    RELAXED_OPERATOR_RESYNC_INTERVAL_S,
+                    self._announcements.received.operator,
                 ),
             ),
             updater.replace_operator_values,
@@ -168,7 +171,9 @@
         return self._start(
             QUARANTINE_PREFIX,
             lambda: self._planned_s(
-                WATCH_TIMEOUT_S, RELAXED_QUARANTINE_WATCH_TIMEOUT_S
+                WATCH_TIMEOUT_S,
+                RELAXED_QUARANTINE_WATCH_TIMEOUT_S,
+                self._announcements.received.quarantine,
             ),
             lambda: self._interval_s(reader(), QUARANTINE_WATCH_INTERVAL_S),
             lambda: self._resync_s(reader(), QUARANTINE_RESYNC_INTERVAL_S),
@@ -203,6 +208,12 @@
             is_logged=is_logged,
         )
         self._store.on_restore(watcher.read_again)
+        self._store.on_silence(
+            lambda: watcher.renew_watch("the store did not answer another call")
+        )
+        self._health.on_back(
+            lambda: watcher.renew_watch("the store was unavailable meanwhile")
+        )
         self._stack.callback(spawn_supervised(watcher.run).kill)
         return watcher
 
@@ -225,7 +236,11 @@
             case StoreReader.PLANNER:
                 return PLANNER_WATCH_TIMEOUT_S
             case _:
-                return self._planned_s(WATCH_TIMEOUT_S, RELAXED_WATCH_TIMEOUT_S)
+                return self._planned_s(
+                    WATCH_TIMEOUT_S,
+                    RELAXED_WATCH_TIMEOUT_S,
+                    self._announcements.received.operator,
+                )
 
     @staticmethod
     def _interval_s(reader: StoreReader, usual_s: float) -> float:
@@ -235,6 +250,9 @@
     def _resync_s(reader: StoreReader, usual_s: float) -> float:
         return FOLLOWER_RESYNC_INTERVAL_S if reader is StoreReader.FOLLOWER else usual_s
 
-    def _planned_s(self, usual_s: float, relaxed_s: float) -> float:
-        """Return an interval of a watch whose newest revisions the plan carries."""
-        return relaxed_s if self._follows_plan() else usual_s
+    def _planned_s(self, usual_s: float, relaxed_s: float, announced: int) -> float:
+        """Return an interval of a watch whose newest revisions the plan carries.
+
+        A planner that can't read the store announces revision 0.
+        """
+        return relaxed_s if announced and self._follows_plan() else usual_s
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -8,7 +8,8 @@
 import eventlet
 
 from poplarspar.coordination.fleet import FleetUpdater, NewConfiguration, ZoneEvacuated
-from poplarspar.coordination.prefix_watcher import PrefixWatcher, StoreHealth
+from poplarspar.coordination.prefix_watcher import PrefixWatcher
+from poplarspar.coordination.store_health import StoreHealth
 from poplarspar.coordination.store_ports import (
     Change,
     Changes,
@@ -34,6 +35,7 @@
         self.omits_changes = False
         self.unavailable = False
         self.interruptions = 0
+        self.reconnections = 0
         self.oldest_known = 0
         self.reads = 0
         self.old_reads = 0
@@ -58,6 +60,9 @@
             return self.old_state
         return Changes(tuple(self.items.values()), self.revision)
 
+    def reconnect(self):
+        self.reconnections += 1
+
     def check_available(self):
         if self.interruptions:
             self.interruptions -= 1
@@ -344,6 +349,26 @@
         eventlet.sleep(0)
         self.assertEqual(reads + 1, self.store.reads)
 
+    # Guards against nodes that wait in a watch whose answer never arrives.
+    def test_waiting_watch_is_renewed_at_once(self):
+        self.wait_s = 60.0
+        self.wait_for_calls(2)
+        self.store.put("op/config", "2")
+        calls = self.store.calls
+        self.watcher.renew_watch("test")
+        self.wait_for_value("op/config", "2")
+        self.assertLessEqual(self.store.calls, calls + 2)
+        self.assertTrue(self.health.is_available)
+
+    # Guards against a read that waits on a connection which is silent like the watch's.
+    def test_omitted_change_is_read_on_a_new_connection(self):
+        self.wait_s = 60.0
+        self.wait_for_calls(2)
+        self.store.put("op/config", "2")
+        self.watcher.catch_up_to(self.store.revision)
+        self.wait_for_value("op/config", "2")
+        self.assertEqual(1, self.store.reconnections)
+
     def test_all_values_are_read_again_after_lost_history(self):
         self.store.put("op/a", "1")
         self.wait_for_value("op/a", "1")
