Let the soak check moved, split and dropped routes and keys at every node

The soak probed one route that only one version has, and it excused a node for as long as any fault lay between a version's acknowledgement and the probe, so a node that stayed on the old version after a fault was never late. The rule excuses a machine for the stable window after a fault, so the check does that now.

Each version now also moves a route, changes the services between which one is split, and adds and drops a key; probes at every node show which versions allow what they saw.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
+from dataclasses import dataclass
 from pathlib import Path
 
 import eventlet
@@ -18,7 +19,13 @@
 from soak.callers import Callers
 from soak.checks import Observations, find_breaches, summary
 from soak.environment import Environment
-from soak.faults import Fault, Injector, draw_faults, draw_troubles
+from soak.faults import (
+    Fault,
+    Injector,
+    draw_faults,
+    draw_troubles,
+    draw_version_faults,
+)
 from soak.nodes import Node
 from soak.probes import Prober
 from standins.cluster import wait_for
@@ -33,6 +40,29 @@
 FINAL_CHECK_S = 3.0
 
 
+@dataclass(frozen=True)
+class Options:
+    """What happens in a soak.
+
+    Attributes
+    ----------
+    seconds : float
+        Length of the period in which faults start.
+    troubles : bool
+        Whether requests and backend servers cause troubles of their own.
+    versions : bool
+        Whether the planner and connections fail while versions follow each other.
+    faults_per_s : float
+        Number of other faults a second.
+    """
+
+    seconds: float
+    troubles: bool
+    versions: bool
+    faults_per_s: float
+    nodes: int
+
+
 class Soak:
     """Runs soaks from the command line."""
 
@@ -42,19 +72,24 @@
         seconds: float = 14.0,
         logs: str = "",
         troubles: bool = False,
+        versions: bool = False,
         rate: float = FAULTS_PER_S,
+        nodes: int = NODE_COUNT,
     ) -> None:
         """Run the soak of one SEED with faults for SECONDS; exit with 1 on a breach.
 
         With --logs DIRECTORY the nodes write their logs there. With --troubles a
-        prompt part crashes backend servers, and one of them names a limit. --rate is
-        the number of other faults a second.
+        prompt part crashes backend servers, and one of them names a limit. With
+        --versions the planner and the connections to the store fail while versions of
+        the configuration follow each other. --rate is the number of other faults a
+        second, --nodes that of nodes.
         """
+        options = Options(
+            float(seconds), bool(troubles), bool(versions), float(rate), int(nodes)
+        )
         with tempfile.TemporaryDirectory() as folder:
             directory = Path(logs or folder)
-            lines = run_soak(
-                int(seed), float(seconds), directory, bool(troubles), float(rate)
-            )
+            lines = run_soak(int(seed), options, directory)
         for line in lines:
             print(f"seed {seed}: {line}")
         print(f"seed {seed}: {len(lines)} breaches", flush=True)
@@ -67,14 +102,18 @@
         jobs: int = 3,
         seconds: float = 14.0,
         troubles: bool = False,
+        versions: bool = False,
+        rate: float = FAULTS_PER_S,
+        nodes: int = NODE_COUNT,
     ) -> None:
         """Run COUNT seeds starting at FIRST, JOBS at a time; 0 draws a random FIRST."""
+        options = [f"--seconds={seconds}", f"--rate={rate}", f"--nodes={nodes}"]
+        options += ["--troubles"] if troubles else []
+        options += ["--versions"] if versions else []
         first = int(first) or random.SystemRandom().randrange(1, 1 << 31)
         with ThreadPoolExecutor(int(jobs)) as pool:
             seeds = range(first, first + int(count))
-            results = list(
-                pool.map(lambda seed: _run_in_process(seed, seconds, troubles), seeds)
-            )
+            results = list(pool.map(lambda seed: _run_in_process(seed, options), seeds))
         failed = [seed for seed, passed in zip(seeds, results, strict=True) if passed]
         print(f"{len(results) - len(failed)} seeds passed, {len(failed)} failed")
         if failed:
@@ -82,32 +121,21 @@
         sys.exit(bool(failed))
 
 
-def _run_in_process(seed: int, seconds: float, troubles: bool) -> int:
+def _run_in_process(seed: int, options: list[str]) -> int:
     """Run one seed in a separate process and return its exit status."""
-    command = [sys.executable, "-m", "soak", "one", str(seed), f"--seconds={seconds}"]
-    command += ["--troubles"] if troubles else []
+    command = [sys.executable, "-m", "soak", "one", str(seed), *options]
     completed = subprocess.run(command, capture_output=True, text=True, check=False)
     print(completed.stdout + completed.stderr[-2000:], end="", flush=True)
     return completed.returncode
 
 
-def run_soak(
-    seed: int,
-    seconds: float,
-    folder: Path,
-    troubles: bool = False,
-    faults_per_s: float = FAULTS_PER_S,
-) -> list[str]:
+def run_soak(seed: int, options: Options, folder: Path) -> list[str]:
     """Run one soak and return a line for each breach.
 
     Parameters
     ----------
-    seconds : float
-        Length of the period in which faults start.
     folder : Path
         Directory for the nodes' settings and logs.
-    troubles : bool
-        Whether requests and backend servers cause troubles of their own.
     """
     # Each run uses its own loopback addresses, so that runs can overlap.
     host = f"127.{1 + os.getpid() % 200}.{1 + os.getpid() // 200 % 200}"
@@ -115,7 +143,7 @@
         environment = Environment()
         stack.callback(environment.close)
         nodes = []
-        for index in range(NODE_COUNT):
+        for index in range(options.nodes):
             node = Node(
                 index, f"{host}.{index + 1}", folder, environment.open_store_path()
             )
@@ -127,10 +155,14 @@
         wait_for(
             lambda: len(environment.pool.serving()) >= 4, "groups", READY_TIMEOUT_S
         )
-        faults = draw_faults(seed, seconds, int(seconds * faults_per_s))
-        if troubles:
-            faults += draw_troubles(seed, seconds)
-            faults.sort(key=lambda fault: fault.starts_at_s)
+        faults = draw_faults(
+            seed, options.seconds, int(options.seconds * options.faults_per_s)
+        )
+        if options.troubles:
+            faults += draw_troubles(seed, options.seconds)
+        if options.versions:
+            faults += draw_version_faults(seed, options.seconds)
+        faults.sort(key=lambda fault: fault.starts_at_s)
         observations = _run_faults(seed, faults, nodes, environment, stack)
         lines = find_breaches(observations)
         print(f"seed {seed}: {summary(observations)}")
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,6 +15,7 @@
 from soak.faults import Disturbance, PlannedStop
 from soak.nodes import GRACE_S, Node
 from soak.probes import Probe
+from soak.versions import allows
 from standins.engines import event_text
 from standins.platform import Run
 
@@ -232,35 +233,40 @@
 
 
 def _version_problems(observations: Observations) -> list[str]:
-    """Check that each version takes effect in time and no node rolls back."""
-    published_at_by_version = {
-        c.version: c.at for c in observations.environment.changes if c.version
-    }
-    newest_by_process: dict[tuple[str, float], Probe] = {}
+    """Check that each version takes effect in time and no node rolls back.
+
+    A probe is late if only versions older than the one that must be in force allow its
+    outcome; a node rolls back if only versions older than one that it has shown do.
+    """
+    published = [
+        (c.version, c.at) for c in observations.environment.changes if c.version
+    ]
     lines = []
-    for probe in observations.probes:
-        newest = newest_by_process.setdefault(
-            (probe.node.name, probe.process_started_at), probe
-        )
-        if probe.route_exists and probe.version > newest.version:
-            newest_by_process[(probe.node.name, probe.process_started_at)] = probe
-        is_older = (
-            probe.route_exists
-            and newest.route_exists
-            and probe.version < newest.version
-        )
-        if is_older and probe.sent_at > newest.sent_at + ROLLBACK_TOLERANCE_S:
-            lines.append(f"{probe.node.name} rolled back from version {newest.version}")
-        # The route of a version exists until the node applies the next version.
-        # Both changes have a bound that starts when the store acknowledges them.
-        changed_at = published_at_by_version.get(probe.version + probe.route_exists)
-        if changed_at is None or probe.sent_at < changed_at + APPLY_BOUND_S:
-            continue
-        replaced_at = published_at_by_version.get(probe.version + 1, float("inf"))
-        if not probe.route_exists and probe.sent_at > replaced_at:
+    shown_by_process: dict[tuple[str, float], list[tuple[float, int]]] = {}
+    for probe in sorted(observations.probes, key=lambda probe: probe.sent_at):
+        known = [number for number, at in published if at <= probe.answered_at]
+        allowed = [number for number in known if allows(number, probe.outcome)]
+        if not allowed:
+            lines.append(f"{probe.node.name}: no version allows {probe.outcome}")
             continue
-        if observations.is_undisturbed(probe.node, changed_at, probe.sent_at):
-            lines.append(f"{probe.node.name} was late with version {probe.version}")
+        process = (probe.node.name, probe.process_started_at)
+        shown = shown_by_process.setdefault(process, [])
+        newest_shown = max(
+            (number for at, number in shown if probe.sent_at > at), default=0
+        )
+        if max(allowed) < newest_shown:
+            lines.append(f"{probe.node.name} rolled back from version {newest_shown}")
+        shown.append((probe.answered_at + ROLLBACK_TOLERANCE_S, min(allowed)))
+        due = [n for n, at in published if at + APPLY_BOUND_S < probe.sent_at]
+        is_late = bool(due) and max(allowed) < max(due)
+        if is_late and observations.is_undisturbed(
+            probe.node, probe.sent_at, probe.sent_at
+        ):
+            late_s = probe.sent_at - dict(published)[max(due)]
+            lines.append(
+                f"{probe.node.name} was late with version {max(due)} after "
+                f"{late_s:.2f} s: {probe.outcome}"
+            )
     return lines
 
 
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -11,6 +11,7 @@
 from poplarspar.exceptions import BackendFailed
 from poplarspar.platform.headers import PROMPT_PARTS
 from poplarspar.transport.server import Request
+from soak.versions import LEDGER, MOVED_ROUTE, SPLIT_ROUTE, VAULT, version
 from standins.engines import STREAM_TYPE, ModelWorker, engine_document
 from standins.faultproxy import FaultProxy
 from standins.platform import PlainWorker, Run, Store, configuration
@@ -19,6 +20,7 @@
 ENGINE = small_engine(slots=6)
 DOMAINS = {"d0": 6, "d1": 6}
 PLAIN_WORKERS = 3
+VAULT_WORKERS = 2
 PLAIN_WORK_S = 0.02
 ZONES = ("z-a", "z-b")
 HOST = "a.example"
@@ -156,9 +158,9 @@
         self.proxy.set_mode(path, mode)
 
     def publish(self) -> None:
-        """Write the next configuration; it has a route that only this version has."""
-        self.version += 1
-        document = configuration(self.version)
+        """Write the next configuration, which differs as `Version` says."""
+        content = version(self.version + 1)
+        document = configuration(content.number)
         model = {"service": "llm", "timeout_ms": STREAM_TIMEOUT_MS, "kind": "stream"}
         model |= {"resumable": True, "gap_aim_ms": 300}
         call = {"timeout_ms": CALL_TIMEOUT_MS}
@@ -168,8 +170,16 @@
             _route(route, "look", kind="idempotent", **call),
             _route(route, "draft", **model),
             _route(route, "explain", **model),
-            _route(route, f"v{self.version}", kind="idempotent", **call),
+            _route(route, content.own_route, kind="idempotent", **call),
+            _route(
+                route,
+                MOVED_ROUTE,
+                kind="idempotent",
+                **{**call, "service": content.moved_to},
+            ),
+            _split_route(route, content.split, kind="idempotent", **call),
         ]
+        document["services"].append({**document["services"][0], "name": VAULT})
         document["services"].append(
             {
                 "name": "llm",
@@ -181,7 +191,11 @@
         document["tenants"] = [
             {"name": name, "api_keys": [key]} for name, key in KEYS.items()
         ]
+        probing = {"name": "probes", "api_keys": list(content.keys)}
+        document["tenants"].append(probing)
         self._document = document
+        # Probes may see the version before this task goes on.
+        self.version = content.number
         self.store.put("op/config", document)
         self.changes.append(Change(time.monotonic(), version=self.version))
 
@@ -308,7 +322,11 @@
             server = PlainWorker(f"p-{index}", self.runs)
             server.work_s = PLAIN_WORK_S
             server.on_begin = partial(self._begin, server.id)
-            self._add(server.id, server, "ledger", ZONES[index % len(ZONES)])
+            self._add(server.id, server, LEDGER, ZONES[index % len(ZONES)])
+        for index in range(VAULT_WORKERS):
+            server = PlainWorker(f"q-{index}", self.runs)
+            server.work_s = PLAIN_WORK_S
+            self._add(server.id, server, VAULT, ZONES[index % len(ZONES)])
 
     def _begin(self, id: str, request: Request) -> None:
         harm = self.current_harm
@@ -381,6 +399,11 @@
     eventlet.sleep(WRITE_S)
 
 
+def _split_route(route: dict, services: tuple[str, ...], **fields) -> dict:
+    split = [{"service": service, "weight": 1} for service in services]
+    return _route(route, SPLIT_ROUTE, split=split, **fields)
+
+
 def _route(route: dict, name: str, **fields) -> dict:
     named = {"name": name, "host": HOST, "path_prefix": f"/{name}/"}
     return {**route, **named, **fields}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,8 +6,10 @@
 
 import eventlet
 
+from poplarspar.coordination.session import PLANNER_KEY
 from soak.environment import ZONES, Environment
 from soak.nodes import Node
+from soak.versions import VAULT
 from standins.engines import ModelWorker
 
 # Faults last shorter and longer than the node's time-outs and leases.
@@ -28,6 +30,8 @@
 LATE_ORDERS = 0.35
 LATE_S = (1.0, 6.0)
 CUT_S = 1.2
+# Watches report nothing for so long; then the store drops its history and cuts them.
+OMIT_S = 1.0
 HARMFUL_KINDS = ("look", "draft", "pay")
 PATH_MODES = ("freeze", "drop_up", "drop_down", "cut", "forget")
 ANSWER_FAULTS = (
@@ -101,6 +105,13 @@
     "answers_lost",
     "herd_kill",
 )
+VERSION_FAULTS = (
+    "connections_silent",
+    "connection_silent",
+    "planner_kill",
+    "planner_pause",
+    "watches_omit",
+)
 PLANNED = ("node_stop", "node_reload", "publish", "evacuate", "worker_drain")
 
 
@@ -171,6 +182,31 @@
     )
 
 
+def draw_version_faults(seed: int, length_s: float) -> list[Fault]:
+    """Return faults that strike while versions of the configuration follow each other.
+
+    They are drawn apart from the other faults, which stay the same for a seed.
+    """
+    rng = random.Random(seed + 3)
+    faults = []
+    starts_at_s = rng.uniform(0.0, 1.0)
+    while starts_at_s < length_s:
+        kinds = rng.sample(VERSION_FAULTS, rng.choice((1, 2)))
+        for kind in kinds:
+            duration_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+            faults.append(
+                Fault(kind, starts_at_s, duration_s, rng.randrange(1000), planned=False)
+            )
+        for _ in range(rng.choice((1, 2, 4))):
+            starts_at_s += rng.uniform(0.1, 1.2)
+            faults.append(
+                Fault("publish", starts_at_s, 0.0, rng.randrange(1000), planned=True)
+            )
+        # The nodes have time to settle, and to be late, before the next round.
+        starts_at_s += rng.uniform(3.0, 6.0)
+    return sorted(faults, key=lambda fault: fault.starts_at_s)
+
+
 class Injector:
     """Injects faults and records the disturbance that each one causes."""
 
@@ -213,6 +249,24 @@
                 return node.name
             case "herd_kill":
                 self._kill(self._nodes)
+            case "connections_silent":
+                for each in self._nodes:
+                    environment.set_path(each.store_address, "forget")
+            case "connection_silent":
+                environment.set_path(node.store_address, "forget")
+                return node.name
+            case "planner_kill":
+                planner = self._planner(node)
+                self._kill([planner])
+                return planner.name
+            case "planner_pause":
+                planner = self._planner(node)
+                if planner.running:
+                    planner.pause(fault.duration_s)
+                return planner.name
+            case "watches_omit":
+                environment.store.omit_changes(OMIT_S)
+                eventlet.sleep(OMIT_S)
             case "node_pause":
                 if node.running:
                     node.pause(fault.duration_s)
@@ -278,6 +332,11 @@
                 self._drain_and_restart(fault)
         return ""
 
+    def _planner(self, default: Node) -> Node:
+        """Return the node that holds the planner's key, or another without one."""
+        name = self._environment.store.text(PLANNER_KEY).partition(".")[0]
+        return next((node for node in self._nodes if node.name == name), default)
+
     def _kill(self, nodes: list[Node]) -> None:
         killed = [node for node in nodes if node.running and not node.stopping_since]
         for node in killed:
@@ -320,6 +379,7 @@
             (id, worker)
             for id, worker in sorted(self._environment.worker_by_id.items())
             if worker.silent_since is None
+            and worker.service != VAULT
             and (plain is None or plain != isinstance(worker.server, ModelWorker))
         ]
 
--- a/soak/probes.py
+++ b/soak/probes.py
@@ -1,4 +1,4 @@
-"""Probes that show which configuration version is in force at each node."""
+"""Probes that show which configuration versions may be in force at each node."""
 
 import time
 from dataclasses import dataclass
@@ -6,20 +6,36 @@
 import eventlet
 
 from poplarspar.exceptions import TransportError
-from poplarspar.transport.http import send_request
+from poplarspar.transport.http import HttpAnswer, send_request
 from soak.environment import HOST, KEYS, Environment
 from soak.nodes import Node
+from soak.versions import (
+    KEY_ROUTE,
+    KEY_VERSIONS,
+    LEDGER,
+    MOVED_ROUTE,
+    SPLIT_ROUTE,
+    VAULT,
+    KeyKnown,
+    Outcome,
+    OwnRoute,
+    RanAt,
+    version,
+)
 
 PERIOD_S = 0.3
 TIMEOUT_S = 0.5
+OK = 200
+UNAUTHORIZED = 401
 ROUTE_UNKNOWN = 404
 # A node without a configuration or backend servers answers 503 for every route.
 UNAVAILABLE = 503
+SERVICE_BY_ANSWER = {b"ran at p": LEDGER, b"ran at q": VAULT}
 
 
 @dataclass(frozen=True)
 class Probe:
-    """Result of a request for the route that only one configuration version has.
+    """Outcome of a request that not all configuration versions allow.
 
     Attributes
     ----------
@@ -30,13 +46,13 @@
 
     node: Node
     process_started_at: float
-    version: int
+    outcome: Outcome
     sent_at: float
-    route_exists: bool
+    answered_at: float
 
 
 class Prober:
-    """Probes each node for the routes of the two newest configuration versions."""
+    """Probes each node for what the newest versions have added, moved and dropped."""
 
     def __init__(self, nodes: list[Node], environment: Environment) -> None:
         self._environment = environment
@@ -51,30 +67,59 @@
     def _probe_forever(self, node: Node) -> None:
         while True:
             newest = self._environment.version
-            for version in (newest, newest - 1):
-                if version > 0 and node.in_rotation:
-                    self._probe(node, version)
+            for number in range(newest, max(0, newest - KEY_VERSIONS - 1), -1):
+                if node.in_rotation:
+                    self._probe_own_route(node, number)
+                    self._probe_key(node, version(number).keys[-1])
+            for route in (MOVED_ROUTE, SPLIT_ROUTE):
+                if node.in_rotation:
+                    self._probe_service(node, route)
             eventlet.sleep(PERIOD_S)
 
-    def _probe(self, node: Node, version: int) -> None:
-        sent_at, process_started_at = time.monotonic(), node.started_at
+    def _probe_own_route(self, node: Node, number: int) -> None:
+        sent_at, started_at = time.monotonic(), node.started_at
+        answer = self._send(node, version(number).own_route)
+        if answer is not None and answer.status != UNAVAILABLE:
+            outcome = OwnRoute(number, answer.status != ROUTE_UNKNOWN)
+            self._record(node, started_at, outcome, sent_at)
+
+    def _probe_key(self, node: Node, key: str) -> None:
+        sent_at, started_at = time.monotonic(), node.started_at
+        answer = self._send(node, KEY_ROUTE, key)
+        if answer is not None and answer.status in (OK, UNAUTHORIZED):
+            outcome = KeyKnown(key, answer.status == OK)
+            self._record(node, started_at, outcome, sent_at)
+
+    def _probe_service(self, node: Node, route: str) -> None:
+        sent_at, started_at = time.monotonic(), node.started_at
+        answer = self._send(node, route)
+        if answer is not None and answer.status == OK:
+            service = SERVICE_BY_ANSWER[answer.body[:8]]
+            self._record(node, started_at, RanAt(route, service), sent_at)
+
+    def _send(self, node: Node, route: str, key: str = "") -> HttpAnswer | None:
+        """Return the answer to a probe, None without one.
+
+        The checks of callers' requests cover a node that doesn't answer.
+        """
+        key = key or next(iter(KEYS.values()))
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": f"probe-{time.monotonic()}",
+            "Authorization": f"Token {key}",
+        }
         try:
-            response = send_request(
+            return send_request(
                 node.address,
                 "GET",
-                f"/v{version}/",
+                f"/{route}/",
                 read_timeout_s=TIMEOUT_S,
-                headers={
-                    "Host": HOST,
-                    "Attempt-Id": f"probe-{sent_at}",
-                    "Authorization": f"Token {next(iter(KEYS.values()))}",
-                },
+                headers=headers,
             )
         except TransportError:
-            # The checks of callers' requests cover a node that doesn't answer.
-            return
-        if response.status != UNAVAILABLE:
-            route_exists = response.status != ROUTE_UNKNOWN
-            self.probes.append(
-                Probe(node, process_started_at, version, sent_at, route_exists)
-            )
+            return None
+
+    def _record(
+        self, node: Node, started_at: float, outcome: Outcome, sent_at: float
+    ) -> None:
+        self.probes.append(Probe(node, started_at, outcome, sent_at, time.monotonic()))
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -97,6 +97,7 @@
         self.lose_answers = False
         self.oldest_revision = 0
         self.era = 0
+        self.omits_changes = False
         self._interruptions = 0
         super().__init__()
 
@@ -142,6 +143,19 @@
             deletion = {"key": key, "revision": self.revision, "deleted": True}
             self.log.append(deletion)
 
+    def omit_changes(self, duration_s: float) -> None:
+        """Report no changes to watches for a time, then drop the history and cut them.
+
+        Returns at once.
+        """
+        self.omits_changes = True
+        eventlet.spawn_after(duration_s, self._end_omission)
+
+    def _end_omission(self) -> None:
+        self.omits_changes = False
+        self.forget_history()
+        self.interrupt_watches()
+
     def interrupt_watches(self) -> None:
         """Close the connections of all waiting watches."""
         self._interruptions += 1
@@ -215,6 +229,7 @@
                 for item in self.log
                 if item["revision"] > after
                 and item["key"].startswith(query["path_prefix"])
+                and not self.omits_changes
             ]
             if events or time.monotonic() >= ends_at:
                 return json_response(200, {"events": events, "as_of": self.revision})
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,9 +16,10 @@
 from soak.callers import EVENTS_PER_STREAM, SentRequest
 from soak.checks import Observations, find_breaches
 from soak.environment import Change, Harm, NamedLimit
-from soak.faults import Disturbance, PlannedStop, draw_faults
+from soak.faults import Disturbance, PlannedStop, draw_faults, draw_version_faults
 from soak.nodes import Node
 from soak.probes import Probe
+from soak.versions import KeyKnown, OwnRoute, RanAt
 from standins.engines import event_text
 from standins.platform import Run
 
@@ -48,6 +49,9 @@
     def test_short_run_with_harmful_requests_and_a_limit(self):
         self.run_seed(SHORT_SEED, 10.0, "--troubles", "--rate=0")
 
+    def test_short_run_while_versions_follow_each_other(self):
+        self.run_seed(SHORT_SEED, 14.0, "--versions", "--rate=0")
+
 
 class StopDuringKillTest(unittest.TestCase):
     # Guards against reporting a kill by the soak, seed 15, as the process's own exit.
@@ -94,6 +98,7 @@
     def test_same_seed_draws_same_faults(self):
         self.assertEqual(draw_faults(3, 10.0, 8), draw_faults(3, 10.0, 8))
         self.assertNotEqual(draw_faults(3, 10.0, 8), draw_faults(4, 10.0, 8))
+        self.assertEqual(draw_version_faults(3, 10.0), draw_version_faults(3, 10.0))
 
 
 def node(name="front-0"):
@@ -131,6 +136,10 @@
     return Run(**{**fields, **changes})
 
 
+def probe(outcome, sent_at):
+    return Probe(node(), 0.0, outcome, sent_at, sent_at)
+
+
 class ChecksTest(unittest.TestCase):
     def setUp(self):
         self.environment = SimpleNamespace(
@@ -235,15 +244,51 @@
             [], self.check([request], [run_for(request)], disturbances=[outage])
         )
 
+    def publish_versions(self, count):
+        """Add versions 1 to `count`, ten seconds apart from time 10 on."""
+        self.environment.changes = [
+            Change(10.0 * number, version=number) for number in range(1, count + 1)
+        ]
+
     def test_configuration_is_late_or_rolled_back(self):
-        self.environment.changes = [Change(10.0, version=1), Change(20.0, version=2)]
-        front = node()
-        late = Probe(front, 0.0, 2, 23.0, route_exists=False)
-        self.assert_found("late with version 2", [], probes=[late])
-        newer = Probe(front, 0.0, 2, 20.5, route_exists=True)
-        older = Probe(front, 0.0, 1, 21.0, route_exists=True)
+        self.publish_versions(2)
+        late = probe(OwnRoute(2, exists=False), 23.0)
+        self.assert_found("late with version 2 after 3.00 s", [], probes=[late])
+        newer = probe(OwnRoute(2, exists=True), 20.5)
+        older = probe(OwnRoute(1, exists=True), 21.0)
         self.assert_found("rolled back from version 2", [], probes=[newer, older])
 
+    def test_moved_split_and_dropped_routes_and_keys_are_late(self):
+        # Version 3 is the third of three splits, the second place of the moved route,
+        # and the first one without the key of version 1.
+        self.publish_versions(3)
+        for outcome in (
+            OwnRoute(2, exists=True),
+            RanAt("moved", "ledger"),
+            RanAt("split", "vault"),
+            KeyKnown("key-v1", is_valid=True),
+            KeyKnown("key-v3", is_valid=False),
+        ):
+            with self.subTest(outcome=outcome):
+                late = probe(outcome, 32.5)
+                self.assert_found("late with version 3", [], probes=[late])
+                in_time = probe(outcome, 31.5)
+                self.assertEqual([], self.check([], probes=[in_time]))
+
+    def test_node_is_excused_for_a_while_only_after_a_disturbance(self):
+        self.publish_versions(2)
+        outage = Disturbance("store_down", 20.5, 22.0)
+        excused = probe(OwnRoute(2, exists=False), 24.9)
+        late = probe(OwnRoute(2, exists=False), 25.1)
+        self.assertEqual([], self.check([], probes=[excused], disturbances=[outage]))
+        self.assert_found("late", [], probes=[late], disturbances=[outage])
+
+    def test_outcome_of_no_version(self):
+        self.publish_versions(1)
+        self.assert_found(
+            "no version allows", [], probes=[probe(RanAt("moved", "llm"), 11.0)]
+        )
+
     def test_stop_cuts_running_request(self):
         request = sent_request(complete=False)
         stop = PlannedStop(request.node, 99.0, 101.0)
