Show versions that stay hidden, or wait for another prefix

- A watch omits the version and reports a later evacuation.
The node then knows the newest revision, so the planner's announcement says nothing new; the planner may have missed the version alike.
- Two calls of the operator's watcher are interrupted while another watcher tries the store in vain, since its own prefix can't be read.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -84,6 +84,10 @@
         Revision before which the store has no history for watches.
     era : int
         Number of restores, which all answers name.
+    omits_changes : bool
+        Whether watches report nothing.
+    omitted_revisions : set of int
+        Changes that watches never report, although they report later ones.
     """
 
     def __init__(self) -> None:
@@ -98,6 +102,7 @@
         self.oldest_revision = 0
         self.era = 0
         self.omits_changes = False
+        self.omitted_revisions: set[int] = set()
         self._interruptions = 0
         super().__init__()
 
@@ -230,6 +235,7 @@
                 if item["revision"] > after
                 and item["key"].startswith(query["path_prefix"])
                 and not self.omits_changes
+                and item["revision"] not in self.omitted_revisions
             ]
             if events or time.monotonic() >= ends_at:
                 return json_response(200, {"events": events, "as_of": self.revision})
--- a/tests/test_configuration_updates.py
+++ b/tests/test_configuration_updates.py
@@ -4,9 +4,13 @@
 
 import unittest
 
+import eventlet
+
 from standins.platform import configuration
 from tests.test_platform import NodeTestCase, wait_until
 
+STABLE_WINDOW_S = 3.0
+
 
 class LogTest(NodeTestCase):
     def lines(self, event):
@@ -31,5 +35,28 @@
             self.assertLess(line.store_answered_ms, 5000)
 
 
+class OmittedChangeTest(NodeTestCase):
+    # Guards against a version that stays hidden behind a newer change of another key,
+    # since a node that knows the newest revision takes itself for up to date.
+    def test_version_that_a_watch_omits_is_not_hidden_by_a_later_evacuation(self):
+        wait_until(lambda: self.node._planning.may_plan(), "first node plans")
+        self.node._planning._plan_exchange.publish((), ())
+        follower = self.start_node()
+        wait_until(follower._follows_plan, "second node follows the plan")
+        eventlet.sleep(1.0)
+        self.store.omitted_revisions.add(self.store.revision + 1)
+        self.store.put("op/config", configuration(8))
+        self.store.put("op/evacuate/z-b", {})
+        nodes = (self.node, follower)
+        with eventlet.Timeout(STABLE_WINDOW_S, False):
+            while any(self.version_at(node) != 8 for node in nodes):
+                eventlet.sleep(0.02)
+        self.assertEqual([8, 8], [self.version_at(node) for node in nodes])
+
+    @staticmethod
+    def version_at(node):
+        return node._fleet_updater.fleet.configuration.version
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -24,6 +24,9 @@
 from poplarspar.state.serving import CallerLimits, ServingConfiguration
 from tests.test_forwarding import backend
 
+# A version must be in force this long after its acknowledgement.
+APPLY_S = 2.0
+
 
 class FakeStore:
     """A store with outages, lost history, and watches that omit changes."""
@@ -34,6 +37,7 @@
         self.log = []
         self.omits_changes = False
         self.unavailable = False
+        self.unreadable_prefix = None
         self.interruptions = 0
         self.reconnections = 0
         self.oldest_known = 0
@@ -55,7 +59,7 @@
         self.reads += 1
         self.calls += 1
         self.old_reads += may_be_old
-        self.check_available()
+        self.check_available(prefix)
         if may_be_old and self.old_state is not None:
             return self.old_state
         return Changes(tuple(self.items.values()), self.revision)
@@ -63,16 +67,16 @@
     def reconnect(self):
         self.reconnections += 1
 
-    def check_available(self):
-        if self.interruptions:
+    def check_available(self, prefix):
+        if self.interruptions and prefix != self.unreadable_prefix:
             self.interruptions -= 1
             raise CallInterrupted("closed")
-        if self.unavailable:
+        if self.unavailable or prefix == self.unreadable_prefix:
             raise StoreUnavailable("down")
 
     def changes(self, prefix, after, wait_s):
         self.calls += 1
-        self.check_available()
+        self.check_available(prefix)
         if after < self.oldest_known:
             raise HistoryLost("forgotten")
         found = (
@@ -183,6 +187,28 @@
             while self.values.get("op/a") != "1":
                 eventlet.sleep(0.005)
 
+    # Guards against a configuration that is late since another prefix can't be read.
+    def test_operator_does_not_wait_while_another_prefix_can_not_be_read(self):
+        other = PrefixWatcher(
+            self.store,
+            "servers/",
+            self.health,
+            watch_timeout_s=lambda: self.wait_s,
+            watch_interval_s=lambda: 0.0,
+            resync_interval_s=lambda: 10.0,
+            replace=lambda items: None,
+            apply=lambda items: None,
+        )
+        self.wait_for_calls(3)
+        self.store.unreadable_prefix = "servers/"
+        self.addCleanup(eventlet.spawn(other.run).kill)
+        eventlet.sleep(0.5)
+        self.interrupt(2)
+        self.store.put("op/config", "2")
+        with eventlet.Timeout(APPLY_S, AssertionError("not applied in time")):
+            while self.values.get("op/config") != "2":
+                eventlet.sleep(0.005)
+
     # Guards against refused calls by hundreds of nodes; the planner tries more often.
     def test_followers_try_an_unavailable_store_rarely(self):
         watchers = [
