Do not wait for another prefix to read the operator's values

What callers would see: a version that is up to 5 s late, at one node.

Cause: while the store does not answer, one watcher of a node tries it and the others wait for its success, for 5 s at the longest. Where only that watcher's prefix can't be read, such as a list of entries that takes too long, the others waited behind it although the store answers them.

The watcher of the operator's values, which must take effect within 2 s, waits 1 s at most. That is one more call a second and node in an outage in which the attempt of another watcher hangs.

--- a/poplarspar/coordination/prefix_watcher.py
+++ b/poplarspar/coordination/prefix_watcher.py
@@ -81,8 +81,8 @@
     is_small : bool
         Whether to read all values when another node announces a change, which costs
         less than to watch.
-    is_logged : bool
-        Whether to log how newer values were read.
+    is_urgent : bool
+        Whether values must take effect within seconds; how they were read is logged.
     """
 
     def __init__(
@@ -99,7 +99,7 @@
         is_follower: Callable[[], bool] = lambda: False,
         is_hurried: Callable[[], bool] = lambda: True,
         is_small: bool = False,
-        is_logged: bool = False,
+        is_urgent: bool = False,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -112,7 +112,7 @@
         self._is_follower = is_follower
         self._is_hurried = is_hurried
         self._is_small = is_small
-        self._is_logged = is_logged
+        self._is_urgent = is_urgent
         self._answered_at = time.monotonic()
         self._wanted_revision = 0
         self._wanted = Signal()
@@ -138,7 +138,7 @@
         """
         if revision > self.newest_revision and not self._catching_up:
             self._catching_up = True
-            if self._is_logged:
+            if self._is_urgent:
                 log_event(
                     Event.CATCHING_UP,
                     prefix=self._prefix,
@@ -247,7 +247,9 @@
         # watcher sends short reads of all values until one succeeds.
         self._known_revision = None
         backoff_s = self._backoff_s * random.uniform(0.5, 1.0)
-        self._health.wait_for_turn(self, backoff_s)
+        # Hundreds of followers should not try it as often as one node may.
+        is_urgent = self._is_urgent and not self._is_follower()
+        self._health.wait_for_turn(self, backoff_s, is_urgent)
         self._backoff_s = min(2 * self._backoff_s, self._max_backoff_s())
 
     def _max_backoff_s(self) -> float:
@@ -343,7 +345,7 @@
     ) -> None:
         newest = max((item.revision for item in changes.items), default=0)
         self._answered_at = time.monotonic()
-        if self._is_logged and newest > self.newest_revision:
+        if self._is_urgent and newest > self.newest_revision:
             log_event(
                 Event.OPERATOR_VALUES_READ,
                 prefix=self._prefix,
--- a/poplarspar/coordination/store_health.py
+++ b/poplarspar/coordination/store_health.py
@@ -12,6 +12,9 @@
 # While one watcher tries an unavailable store, the others only do after this time, in
 # case that its attempt hangs. Its calls have shorter time-outs.
 MAX_TURN_WAIT_S = 5.0
+# The same for values that must take effect within seconds, in case that only those of
+# the other watcher can't be read.
+URGENT_MAX_TURN_WAIT_S = 1.0
 
 
 class StoreHealth:
@@ -45,11 +48,14 @@
             for callback in self._back_callbacks:
                 callback()
 
-    def wait_for_turn(self, watcher: object, backoff_s: float) -> None:
+    def wait_for_turn(
+        self, watcher: object, backoff_s: float, is_urgent: bool = False
+    ) -> None:
         """Wait until a watcher should call the store again after a failure."""
         if self._trying is None:
             self._trying = watcher
-        wait_s = backoff_s if self._trying is watcher else MAX_TURN_WAIT_S
+        max_wait_s = URGENT_MAX_TURN_WAIT_S if is_urgent else MAX_TURN_WAIT_S
+        wait_s = backoff_s if self._trying is watcher else max_wait_s
         with eventlet.Timeout(wait_s, False):
             self._back.wait()
 
--- a/poplarspar/watching.py
+++ b/poplarspar/watching.py
@@ -136,7 +136,7 @@
             updater.replace_operator_values,
             updater.apply_operator_changes,
             is_small=True,
-            is_logged=True,
+            is_urgent=True,
         )
 
     def _watch_backends(
@@ -191,7 +191,7 @@
         replace: Callable[[tuple[Change, ...]], None],
         apply: Callable[[tuple[Change, ...]], None],
         is_small: bool = False,
-        is_logged: bool = False,
+        is_urgent: bool = False,
     ) -> PrefixWatcher:
         watcher = PrefixWatcher(
             self._store,
@@ -205,7 +205,7 @@
             is_follower=self._announcements.is_follower,
             is_hurried=lambda: not self._follows_plan(),
             is_small=is_small,
-            is_logged=is_logged,
+            is_urgent=is_urgent,
         )
         self._store.on_restore(watcher.read_again)
         self._store.on_silence(
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -105,6 +105,7 @@
             resync_interval_s=lambda: 10.0,
             replace=self.replace,
             apply=self.apply,
+            is_urgent=True,
         )
         self.watcher_task = eventlet.spawn(watcher.run)
         self.addCleanup(self.watcher_task.kill)
