Find versions that a watch has omitted behind later changes

What callers would see: a node handles requests as only an older version allows for 10 to 30 s, and knows of nothing newer.

Cause: nodes compare the newest revision among the operator's values with the announced one. A watch that omits a version and reports a later evacuation makes them equal. The planner, whose watch omits the version alike, announced what it knew, and read all values once in 10 s.

The planner now also announces the sum of the revisions of all the operator's values, and reads them between its watches, at most 1 s apart. A node whose values have another sum reads them once; a sum that the read does not confirm is ignored.

--- a/poplarspar/coordination/announcements.py
+++ b/poplarspar/coordination/announcements.py
@@ -166,7 +166,7 @@
             watchers.operator.renew_watch("the planner can't read the store")
         self.received = revisions
         watchers.operator.watch_until(revisions.operator)
-        watchers.operator.catch_up_to(revisions.operator)
+        watchers.operator.catch_up_to(revisions.operator, revisions.operator_digest)
         watchers.quarantine.watch_until(revisions.quarantine)
         watchers.quarantine.catch_up_to(revisions.quarantine)
         watchers.backends.watch_until(revisions.backends)
@@ -193,10 +193,12 @@
         newest_nodes = self.watchers.nodes.newest_revision
         # In a small fleet an announcement costs no calls, unless a watch has failed.
         is_small = self._node_count() <= MAX_NODES_READING
+        operator = self.watchers.operator
+        operator_revision = self._operator.update(operator.newest_revision, is_small)
+        is_newest = operator_revision == operator.newest_revision
         return StoreRevisions(
-            operator=self._operator.update(
-                self.watchers.operator.newest_revision, is_small
-            ),
+            operator=operator_revision,
+            operator_digest=operator.digest if is_newest else 0,
             quarantine=self._quarantine.update(
                 self._quarantine_exchange.needed_revision
             ),
--- a/poplarspar/coordination/prefix_watcher.py
+++ b/poplarspar/coordination/prefix_watcher.py
@@ -45,6 +45,8 @@
 # follower reads it with the announcement.
 CATCH_UP_DELAY_S = 0.4
 FOLLOWER_CATCH_UP_DELAY_S = 0.8
+# Messages between nodes carry unsigned numbers of 64 bits.
+DIGESTS = 1 << 63
 
 
 class ReadingWay(Enum):
@@ -126,26 +128,45 @@
         self._read_all_at = float("-inf")
         self._catching_up = False
         self._watching_task: object | None = None
+        self._revision_by_key: dict[str, int] = {}
+        # Digest of another node that a read of all values has not confirmed.
+        self._refuted_digest = 0
         self.newest_revision = 0
 
-    def catch_up_to(self, revision: int) -> None:
-        """Read all values if the watch does not soon report one that another node has.
+    def catch_up_to(self, revision: int, digest: int = 0) -> None:
+        """Read all values if the watch does not soon report what another node has.
 
         Parameters
         ----------
-        revision : int
-            The `newest_revision` of that node's watcher.
+        revision, digest : int
+            The `newest_revision` and `digest` of that node's watcher; a digest of 0
+            says nothing.
         """
-        if revision > self.newest_revision and not self._catching_up:
-            self._catching_up = True
-            if self._is_urgent:
-                log_event(
-                    Event.CATCHING_UP,
-                    prefix=self._prefix,
-                    announced=revision,
-                    newest=self.newest_revision,
-                )
-            spawn_logged(self._catch_up, revision)
+        if self._catching_up or not self._lacks(revision, digest):
+            return
+        self._catching_up = True
+        if self._is_urgent:
+            log_event(
+                Event.CATCHING_UP,
+                prefix=self._prefix,
+                announced=revision,
+                newest=self.newest_revision,
+            )
+        spawn_logged(self._catch_up, revision, digest)
+
+    @property
+    def digest(self) -> int:
+        """Sum of the revisions of all present values, which shows omitted changes.
+
+        The newest revision alone hides older ones that a watch has omitted.
+        """
+        return sum(self._revision_by_key.values()) % DIGESTS
+
+    def _lacks(self, revision: int, digest: int) -> bool:
+        """Return whether another node knows values that this watcher does not."""
+        if revision != self.newest_revision:
+            return revision > self.newest_revision
+        return digest not in (0, self.digest, self._refuted_digest)
 
     def answered_s(self) -> float:
         """Return the seconds since the store last answered this watcher."""
@@ -196,15 +217,16 @@
         if not self._wanted.ready():
             self._wanted.send()
 
-    def _catch_up(self, revision: int) -> None:
+    def _catch_up(self, revision: int, digest: int) -> None:
         try:
             eventlet.sleep(self._catch_up_delay_s())
-            if revision <= self.newest_revision:
+            if not self._lacks(revision, digest):
                 return
             # The connection on which the watch waits may be silent, and others with it.
             self._store.reconnect()
             self._read_all(ReadingWay.CATCH_UP)
             self.newest_revision = max(self.newest_revision, revision)
+            self._refuted_digest = digest
             self._abandon_watch("it has not reported an announced change")
         except CallInterrupted as error:
             # The next message of the other node starts another attempt.
@@ -305,6 +327,7 @@
         if self._known_revision is not None and changes.as_of < self._known_revision:
             return
         self._record_revision(changes, way, sent_at)
+        self._revision_by_key = {item.key: item.revision for item in changes.items}
         self._replace(changes.items)
 
     def _read_old(self) -> None:
@@ -318,6 +341,7 @@
             return
         self._read_all_at = time.monotonic()
         self._record_revision(changes, ReadingWay.OLD_READ, sent_at)
+        self._revision_by_key = {item.key: item.revision for item in changes.items}
         # The announced change may be a deletion, which is not among the values.
         self.newest_revision = max(self.newest_revision, self._wanted_revision)
         self._replace(changes.items)
@@ -338,6 +362,11 @@
             # A watch without changes may have missed some, so the known revision
             # advances only with changes and the next watch starts at the same revision.
             self._record_revision(changes, ReadingWay.WATCH, sent_at)
+        for item in items:
+            if item.text is None:
+                self._revision_by_key.pop(item.key, None)
+            else:
+                self._revision_by_key[item.key] = item.revision
         self._apply(items)
 
     def _record_revision(
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -262,6 +262,7 @@
             self._stack,
             self._timers,
             self._follows_plan,
+            lambda: self._session.is_planner,
             self._announcements,
         )
         watches.start(
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -153,6 +153,7 @@
   demands @11 :List(ModelDemand);
   backendRevision @12 :UInt64;
   nodesRevision @13 :UInt64;
+  operatorDigest @14 :UInt64;
 }
 
 struct Message {
--- a/poplarspar/protocol/plans.py
+++ b/poplarspar/protocol/plans.py
@@ -66,6 +66,7 @@
         quarantineRevision=update.revisions.quarantine,
         backendRevision=update.revisions.backends,
         nodesRevision=update.revisions.nodes,
+        operatorDigest=update.revisions.operator_digest,
     )
     _set_rate_limits(builder, update.rate_limits)
     _set_demands(builder, update.demands)
@@ -133,6 +134,7 @@
             fields.quarantineRevision,
             fields.backendRevision,
             fields.nodesRevision,
+            fields.operatorDigest,
         ),
         rate_limits=_read_rate_limits(fields),
         demands=_read_demands(fields),
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -171,12 +171,15 @@
         Newest change by which prompt parts are suspected, or quarantined.
     backends : int
         Newest change of a backend server's entry that nodes must read.
+    operator_digest : int
+        Sum of the revisions of all the operator's documents, 0 if unknown.
     """
 
     operator: int = 0
     quarantine: int = 0
     backends: int = 0
     nodes: int = 0
+    operator_digest: int = 0
 
 
 @dataclass(frozen=True)
--- a/poplarspar/watching.py
+++ b/poplarspar/watching.py
@@ -34,6 +34,9 @@
 OPERATOR_WATCH_INTERVAL_S = 0.25
 OPERATOR_RESYNC_INTERVAL_S = 10.0
 RELAXED_OPERATOR_RESYNC_INTERVAL_S = 30.0
+# The planner reads the values between its watches, so that what these have omitted is
+# announced to all nodes within seconds.
+PLANNER_OPERATOR_RESYNC_INTERVAL_S = 1.0
 # A node that misses a change of the node list for a while does little harm. All nodes
 # of a fleet start together, and the interval gathers their entries.
 NODES_WATCH_TIMEOUT_S = 8.0
@@ -70,6 +73,8 @@
     follows_plan : callable
         Returns whether fresh plans of another node carry the revisions that a watch
         may have missed.
+    is_planner : callable
+        Returns whether this node is the planner.
     announcements : Announcements
         Decides which parts of the store this node reads; gets the watches.
     """
@@ -81,6 +86,7 @@
         stack: ExitStack,
         timers: TimerService,
         follows_plan: Callable[[], bool],
+        is_planner: Callable[[], bool],
         announcements: Announcements,
     ) -> None:
         self._store = store
@@ -88,6 +94,7 @@
         self._stack = stack
         self._timers = timers
         self._follows_plan = follows_plan
+        self._is_planner = is_planner
         self._announcements = announcements
 
     def start(
@@ -125,14 +132,7 @@
             prefix,
             self._operator_timeout_s,
             lambda: self._interval_s(reader(), OPERATOR_WATCH_INTERVAL_S),
-            lambda: self._resync_s(
-                reader(),
-                self._planned_s(
-                    OPERATOR_RESYNC_INTERVAL_S,
-                    RELAXED_OPERATOR_RESYNC_INTERVAL_S,
-                    self._announcements.received.operator,
-                ),
-            ),
+            lambda: self._resync_s(reader(), self._operator_resync_s()),
             updater.replace_operator_values,
             updater.apply_operator_changes,
             is_small=True,
@@ -242,6 +242,15 @@
                     self._announcements.received.operator,
                 )
 
+    def _operator_resync_s(self) -> float:
+        if self._is_planner():
+            return PLANNER_OPERATOR_RESYNC_INTERVAL_S
+        return self._planned_s(
+            OPERATOR_RESYNC_INTERVAL_S,
+            RELAXED_OPERATOR_RESYNC_INTERVAL_S,
+            self._announcements.received.operator,
+        )
+
     @staticmethod
     def _interval_s(reader: StoreReader, usual_s: float) -> float:
         return FOLLOWER_WATCH_INTERVAL_S if reader is StoreReader.FOLLOWER else usual_s
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -546,7 +546,7 @@
             spares=(Spare("i-2", 18, "m1", "m0"),),
             removed_spares=(("i-4", 19),),
             totals=(GroupTotal(5, 600, True),),
-            revisions=StoreRevisions(71, 72, 73, 74),
+            revisions=StoreRevisions(71, 72, 73, 74, 75),
             demands=(ModelDemand("llm", "m0", 1.5),),
         )
         self.assertEqual(update, decode(encode(update)))
