Bound the memory that answers without end take together

What callers saw, in a report of other operators: a node that kept what faulty backend servers sent without end ran out of memory, and the requests of all its callers ended with it.

A head ends at 128 KiB.

--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -26,6 +26,7 @@
     TransportError,
 )
 from poplarspar.transport.addresses import split_address
+from poplarspar.transport.bodies import COLLECTOR, MAX_ANSWER_BYTES
 from poplarspar.transport.strict_sockets import (
     StrictConnection,
     StrictHeadConnection,
@@ -34,7 +35,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 RECEIVE_BUFFER_BYTES = 16_384
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
 CHUNK_BYTES = 65_536
 MAX_IDLE_CONNECTIONS = 8
 # Time for the rest of a large answer after its first part. A peer that sends a byte now
@@ -233,26 +233,13 @@
 
     Raises `ConnectionLost` if the connection breaks or the body is too large.
     """
-    parts = []
-    size = 0
-    for chunk in stream.chunks():
-        size += len(chunk)
-        if size > limit_bytes:
-            raise ConnectionLost(f"answer larger than {limit_bytes} bytes")
-        parts.append(chunk)
-    return b"".join(parts)
-
-
-def _read_limited(answer: urllib3.HTTPResponse) -> bytes:
-    """Return the body of a pooled answer; raises `ConnectionLost` if too large."""
-    parts = []
-    size = 0
+    return COLLECTOR.collect(stream.chunks(), limit_bytes)
+
+
+def _chunks(answer: urllib3.HTTPResponse) -> Iterator[bytes]:
+    """Yield chunks of a pooled answer's body."""
     while data := answer.read1(CHUNK_BYTES):
-        size += len(data)
-        if size > MAX_ANSWER_BYTES:
-            raise ConnectionLost(f"answer larger than {MAX_ANSWER_BYTES} bytes")
-        parts.append(data)
-    return b"".join(parts)
+        yield data
 
 
 def send_request(
@@ -359,7 +346,7 @@
             with ExitStack() as stack:
                 # Closes the connection unless the answer has been read to its end.
                 stack.callback(answer.close)
-                data = _read_limited(answer)
+                data = COLLECTOR.collect(_chunks(answer))
                 stack.pop_all()
             answer.release_conn()
         except (NewConnectionError, ConnectTimeoutError) as error:
--- a/poplarspar/transport/strict_sockets.py
+++ b/poplarspar/transport/strict_sockets.py
@@ -2,7 +2,7 @@
 
 import socket
 import time
-from http.client import HTTPResponse, RemoteDisconnected
+from http.client import HTTPException, HTTPResponse, RemoteDisconnected
 
 from eventlet.greenio import GreenSocket
 from urllib3.connection import HTTPConnection
@@ -11,6 +11,8 @@
 # gets this much longer to read what has arrived.
 MAX_DELAY_S = 0.1
 PAUSE_EXTENSION_S = 0.3
+# The library bounds each line and their number, which allows 6.5 MB for each answer.
+MAX_HEAD_BYTES = 131_072
 
 
 class StrictSocket(GreenSocket):
@@ -61,9 +63,13 @@
 
     def __init__(self, file) -> None:
         self._file = file
+        self._size = 0
 
     def readline(self, limit: int) -> bytes:
         line = self._file.readline(limit)
+        self._size += len(line)
+        if self._size > MAX_HEAD_BYTES:
+            raise HTTPException(f"the answer's head exceeds {MAX_HEAD_BYTES} bytes")
         if not line.endswith(b"\n") and len(line) < limit:
             raise RemoteDisconnected("the connection ended in the answer's head")
         return line
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -2,6 +2,7 @@
 
 import standins.common  # noqa: F401  # isort: skip
 
+import tracemalloc
 import unittest
 
 import eventlet
@@ -26,6 +27,10 @@
 LATEST_S = 2.0
 # Enough for a maximal plain answer, and far below a node's memory.
 MOST_BYTES = 24 * 1024 * 1024
+# The same for many answers at once; the smallest machines have 160 MB.
+MOST_BYTES_OF_ALL = 64 * 1024 * 1024
+CONCURRENT_ANSWERS = 40
+SOUND_BYTES = 400_000
 FAST_BYTES = 16_384
 SLOW_S = 0.02
 
@@ -91,6 +96,8 @@
 class AttemptTestCase(unittest.TestCase):
     """Sends single attempts to an address and reads the answers."""
 
+    timeout_s = TIMEOUT_S
+
     def send(self, address):
         received = request("/look/1")
         exchange = PlatformUpstream().send(
@@ -99,9 +106,9 @@
                 workspace="w",
                 backend_id="s1",
                 address=address,
-                remaining_s=TIMEOUT_S,
-                response_timeout_s=TIMEOUT_S,
-                connect_timeout_s=TIMEOUT_S,
+                remaining_s=self.timeout_s,
+                response_timeout_s=self.timeout_s,
+                connect_timeout_s=self.timeout_s,
                 last_event=None,
                 priority=None,
             )
@@ -112,7 +119,7 @@
     def read_body(self, address):
         exchange = self.send(address)
         try:
-            exchange.set_read_timeout(TIMEOUT_S)
+            exchange.set_read_timeout(self.timeout_s)
             exchange.read_body()
         finally:
             exchange.close()
@@ -120,9 +127,9 @@
     def read_events(self, address):
         exchange = self.send(address)
         try:
-            exchange.set_read_timeout(TIMEOUT_S)
+            exchange.set_read_timeout(self.timeout_s)
             for _ in exchange.events():
-                exchange.set_read_timeout(TIMEOUT_S)
+                exchange.set_read_timeout(self.timeout_s)
         finally:
             exchange.close()
 
@@ -162,6 +169,63 @@
         self.check({**HEADS, **BODIES}, read)
 
 
+class MemoryTest(AttemptTestCase):
+    """Many endless answers at the same moment."""
+
+    # Enough for all answers to reach the limit of a single one.
+    timeout_s = 6.0
+
+    def peak_bytes(self, first, rest, receive):
+        """Return the peak of memory while `receive` reads all the answers."""
+        servers = [
+            EndlessServer(first, rest, slow=False) for _ in range(CONCURRENT_ANSWERS)
+        ]
+        for server in servers:
+            self.addCleanup(server.close)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        readers = [
+            eventlet.spawn(self.assertRaises, BackendFailed, receive, server.address)
+            for server in servers
+        ]
+        for reader in readers:
+            reader.wait()
+        return tracemalloc.get_traced_memory()[1]
+
+    # Guards against a node that runs out of memory, which ends the requests of all its
+    # callers, since it keeps what many endless answers have sent so far.
+    def test_endless_bodies_together_stay_within_a_bound(self):
+        peak = self.peak_bytes(*BODIES["no length"], self.read_body)
+        self.assertLess(peak, MOST_BYTES_OF_ALL)
+
+    def test_endless_heads_together_stay_within_a_bound(self):
+        line = b"A: " + b"x" * 60_000 + b"\r\n"
+        peak = self.peak_bytes(b"HTTP/1.1 200 OK\r\n", line, self.send)
+        self.assertLess(peak, MOST_BYTES_OF_ALL)
+
+    # Guards against failing sound answers while others are endless.
+    def test_sound_answers_are_read_beside_endless_ones(self):
+        endless = [
+            EndlessServer(*BODIES["no length"], slow=False)
+            for _ in range(CONCURRENT_ANSWERS)
+        ]
+        readers = []
+        for server in endless:
+            self.addCleanup(server.close)
+            reader = self.assertRaises, BackendFailed, self.read_body, server.address
+            readers.append(eventlet.spawn(*reader))
+        body = b"x" * SOUND_BYTES
+        head = SIGNED + b"Content-Length: %d\r\n\r\n" % len(body)
+        for _ in range(5):
+            server = EndlessServer(head + body, b" ", slow=True)
+            self.addCleanup(server.close)
+            exchange = self.send(server.address)
+            exchange.set_read_timeout(LATEST_S)
+            self.assertEqual(body, exchange.read_body())
+        for reader in readers:
+            reader.wait()
+
+
 class EndlessEventsTest(ForwardingTestCase):
     routes = (route("draft", RouteKind.STREAM, "llm", timeout_s=20.0),)
 
