--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -111,6 +111,22 @@
                 self.wait_settled()
                 self.assertEqual(set(), late_nodes)
 
+    # Guards against the same at one node, whose own connections alone are silent, since
+    # the planner that announces versions to it is replaced.
+    def test_node_with_silent_connections_follows_while_the_planner_is_replaced(self):
+        for gap_s in GAPS_S:
+            with self.subTest(gap_s=gap_s):
+                planner = self.planner()
+                other = next(node for node in self.nodes if node is not planner)
+                self.environment.set_path(other.store_address, "forget")
+                silent_at = time.monotonic()
+                planner.kill()
+                eventlet.sleep(gap_s)
+                late_nodes = self.late_nodes(silent_at)
+                planner.start()
+                self.wait_settled()
+                self.assertEqual(set(), late_nodes)
+
     # Guards against the same while the planner, which announces versions to the
     # others, is replaced.
     def test_versions_are_in_force_in_time_while_the_planner_is_replaced(self):
