Let only the operator's watcher catch up after 0.4 s

The watcher of the quarantine pauses for 0.5 s between its watches, so with the shorter delay it read all values, on a new connection, for changes that its next watch reports. Its delay is 0.8 s again.

--- a/poplarspar/coordination/prefix_watcher.py
+++ b/poplarspar/coordination/prefix_watcher.py
@@ -41,10 +41,10 @@
 # of such requests after which the watch counts as having missed changes.
 MIN_PAUSE_S = 0.2
 MAX_FRUITLESS_WATCHES = 3
-# Usually the watch reports the change at about the same time as the other node. A
+# Usually the watch reports the change at about the same time as the other node, or a
 # follower reads it with the announcement.
-CATCH_UP_DELAY_S = 0.4
-FOLLOWER_CATCH_UP_DELAY_S = 0.8
+CATCH_UP_DELAY_S = 0.8
+URGENT_CATCH_UP_DELAY_S = 0.4
 # Messages between nodes carry unsigned numbers of 64 bits.
 DIGESTS = 1 << 63
 
@@ -56,7 +56,6 @@
     READ = "read"
     OLD_READ = "old_read"
     CATCH_UP = "catch_up"
-    RESTORE = "restore"
 
 
 class PrefixWatcher:
@@ -206,11 +205,12 @@
         task = self._watching_task
 
         def abandon() -> None:
-            if task is not None and self._watching_task is task:
+            if self._watching_task is task:
                 self._watching_task = None
                 task.throw(WatchAbandoned(cause))
 
-        hubs.get_hub().schedule_call_global(0, abandon)
+        if task is not None:
+            hubs.get_hub().schedule_call_global(0, abandon)
 
     def watch_now(self) -> None:
         """End the present pause between two watch requests."""
@@ -237,7 +237,8 @@
             self._catching_up = False
 
     def _catch_up_delay_s(self) -> float:
-        return FOLLOWER_CATCH_UP_DELAY_S if self._is_follower() else CATCH_UP_DELAY_S
+        is_urgent = self._is_urgent and not self._is_follower()
+        return URGENT_CATCH_UP_DELAY_S if is_urgent else CATCH_UP_DELAY_S
 
     def run(self) -> None:
         """Watch the prefix until the task is killed."""
