--- a/tests/test_configuration_updates.py
+++ b/tests/test_configuration_updates.py
@@ -9,6 +9,7 @@
 from standins.platform import configuration
 from tests.test_platform import NodeTestCase, wait_until
 
+APPLY_S = 2.0
 STABLE_WINDOW_S = 3.0
 
 
@@ -58,5 +59,17 @@
         return node._fleet_updater.fleet.configuration.version
 
 
+class StoppingNodeTest(NodeTestCase):
+    # Guards against a stopping node that answers its last callers by an old version.
+    def test_versions_are_in_force_while_the_node_stops(self):
+        stopping = eventlet.spawn(self.node.shut_down)
+        self.addCleanup(stopping.kill)
+        eventlet.sleep(0.5)
+        self.store.put("op/config", configuration(8, routes=[]))
+        with eventlet.Timeout(APPLY_S, AssertionError("the route is still served")):
+            while self.send("/pay/7").status != 404:
+                eventlet.sleep(0.05)
+
+
 if __name__ == "__main__":
     unittest.main()
