--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -111,6 +111,15 @@
                 self.wait_settled()
                 self.assertEqual(set(), late_nodes)
 
+    # Guards against seconds without a planner, whose lease ends since its renewal waits
+    # on a silent connection.
+    def test_planner_keeps_its_lease_when_its_connection_goes_silent(self):
+        for _ in GAPS_S:
+            key = self.environment.store.text("poplarspar/planner")
+            self.silence()
+            self.wait_settled()
+            self.assertEqual(key, self.environment.store.text("poplarspar/planner"))
+
     # Guards against the same at one node, whose own connections alone are silent, since
     # the planner that announces versions to it is replaced.
     def test_node_with_silent_connections_follows_while_the_planner_is_replaced(self):
