--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -10,6 +10,7 @@
 
 import eventlet
 
+from poplarspar.coordination.session import PLANNER_KEY
 from poplarspar.exceptions import TransportError
 from poplarspar.transport.http import send_request
 from soak.environment import HOST, KEYS, Environment
@@ -55,10 +56,33 @@
         )
         eventlet.sleep(SETTLE_S)
 
-    def silence(self):
-        for node in self.nodes:
+    def silence(self, nodes):
+        for node in nodes:
             self.environment.set_path(node.store_address, "forget")
-        return time.monotonic()
+
+    def check_rounds(self, silenced, kills_planner):
+        """Check that versions are in force in time after connections went silent.
+
+        Parameters
+        ----------
+        silenced : callable
+            Returns the nodes whose connections go silent, given the planner.
+        kills_planner : bool
+            Whether the planner is killed at the same moment.
+        """
+        for gap_s in GAPS_S:
+            with self.subTest(gap_s=gap_s):
+                planner = self.planner()
+                self.silence(silenced(planner))
+                silent_at = time.monotonic()
+                if kills_planner:
+                    planner.kill()
+                eventlet.sleep(gap_s)
+                late_nodes = self.late_nodes(silent_at)
+                if kills_planner:
+                    planner.start()
+                self.wait_settled()
+                self.assertEqual(set(), late_nodes)
 
     def late_nodes(self, silent_at):
         """Publish a version; return nodes that don't apply it when they must."""
@@ -97,58 +121,34 @@
 
     def planner(self):
         """Return the node whose process holds the planner's key."""
-        name = self.environment.store.text("poplarspar/planner").partition(".")[0]
+        name = self.environment.store.text(PLANNER_KEY).partition(".")[0]
         return next(node for node in self.nodes if node.name == name)
 
+    def others(self, planner):
+        return [node for node in self.nodes if node is not planner]
+
     # Guards against requests that nodes handle as only an older configuration allows,
     # for seconds after their connections to the store have gone silent.
     def test_versions_are_in_force_in_time_after_connections_went_silent(self):
-        for gap_s in GAPS_S:
-            with self.subTest(gap_s=gap_s):
-                silent_at = self.silence()
-                eventlet.sleep(gap_s)
-                late_nodes = self.late_nodes(silent_at)
-                self.wait_settled()
-                self.assertEqual(set(), late_nodes)
+        self.check_rounds(lambda planner: self.nodes, kills_planner=False)
+
+    # Guards against the same while the planner, which announces versions to the
+    # others, is replaced.
+    def test_versions_are_in_force_in_time_while_the_planner_is_replaced(self):
+        self.check_rounds(lambda planner: self.nodes, kills_planner=True)
+
+    # Guards against the same at one node, whose own connections alone are silent.
+    def test_node_with_silent_connections_follows_while_the_planner_is_replaced(self):
+        self.check_rounds(lambda planner: self.others(planner)[:1], kills_planner=True)
 
     # Guards against seconds without a planner, whose lease ends since its renewal waits
     # on a silent connection.
     def test_planner_keeps_its_lease_when_its_connection_goes_silent(self):
         for _ in GAPS_S:
-            key = self.environment.store.text("poplarspar/planner")
-            self.silence()
+            key = self.environment.store.text(PLANNER_KEY)
+            self.silence(self.nodes)
             self.wait_settled()
-            self.assertEqual(key, self.environment.store.text("poplarspar/planner"))
-
-    # Guards against the same at one node, whose own connections alone are silent, since
-    # the planner that announces versions to it is replaced.
-    def test_node_with_silent_connections_follows_while_the_planner_is_replaced(self):
-        for gap_s in GAPS_S:
-            with self.subTest(gap_s=gap_s):
-                planner = self.planner()
-                other = next(node for node in self.nodes if node is not planner)
-                self.environment.set_path(other.store_address, "forget")
-                silent_at = time.monotonic()
-                planner.kill()
-                eventlet.sleep(gap_s)
-                late_nodes = self.late_nodes(silent_at)
-                planner.start()
-                self.wait_settled()
-                self.assertEqual(set(), late_nodes)
-
-    # Guards against the same while the planner, which announces versions to the
-    # others, is replaced.
-    def test_versions_are_in_force_in_time_while_the_planner_is_replaced(self):
-        for gap_s in GAPS_S:
-            with self.subTest(gap_s=gap_s):
-                silent_at = self.silence()
-                planner = self.planner()
-                planner.kill()
-                eventlet.sleep(gap_s)
-                late_nodes = self.late_nodes(silent_at)
-                planner.start()
-                self.wait_settled()
-                self.assertEqual(set(), late_nodes)
+            self.assertEqual(key, self.environment.store.text(PLANNER_KEY))
 
 
 if __name__ == "__main__":
