Use new connections when the planner is lost

A catch-up also left the connections without renewing the other watches, whose time-outs then no longer counted as a sign, since they were of the earlier connections.

Leaving the connections now always renews what waits on them (`on_reconnect`), and the loss of the planner leaves them. test_node_watches_on_new_connections_once_ its_planner_is_lost failed before: the client was the same.

--- a/poplarspar/coordination/announcements.py
+++ b/poplarspar/coordination/announcements.py
@@ -82,6 +82,8 @@
         Returns the number of nodes.
     plan_age_s : callable
         Returns the seconds since the last plan arrived.
+    reconnect : callable
+        Makes calls of the store use new connections, and renews waiting watches.
 
     Attributes
     ----------
@@ -101,6 +103,7 @@
         quarantine_exchange: QuarantineExchange,
         node_count: Callable[[], int],
         plan_age_s: Callable[[], float],
+        reconnect: Callable[[], None],
     ) -> None:
         self._health = health
         self._session = session
@@ -108,6 +111,7 @@
         self._quarantine_exchange = quarantine_exchange
         self._node_count = node_count
         self._plan_age_s = plan_age_s
+        self._reconnect = reconnect
         self.received = StoreRevisions()
         self._announced_changes = 0
         self._backend_revision = 0
@@ -175,12 +179,11 @@
     def lose_planner(self) -> None:
         """Look for another planner, since the connection to the last one has ended.
 
-        Until there is one, watch requests get shorter time-outs.
+        Until there is one, watch requests get shorter time-outs, and none should wait
+        on a connection that is silent.
         """
         self.received = StoreRevisions()
-        cause = "the connection to the planner has ended"
-        self.watchers.operator.renew_watch(cause)
-        self.watchers.nodes.renew_watch(cause)
+        self._reconnect()
         self.watchers.nodes.watch_now()
 
     def revisions(self) -> StoreRevisions:
--- a/poplarspar/coordination/store_ports.py
+++ b/poplarspar/coordination/store_ports.py
@@ -76,10 +76,10 @@
         the store had confirmed may be missing.
         """
 
-    def on_silence(self, callback: Callable[[], None]) -> None:
-        """Call `callback`, which must not wait, once a call got no answer in time.
+    def on_reconnect(self, callback: Callable[[], None]) -> None:
+        """Call `callback`, which must not wait, once calls use new connections.
 
-        Answers to other waiting calls may not arrive either.
+        Answers to calls that wait on earlier ones may never arrive.
         """
 
     def reconnect(self) -> None:
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -296,8 +296,7 @@
     WATCH_ABANDONED = (
         310,
         "watch request abandoned",
-        "Its connection may be silent, or its time-out is too long without a planner; "
-        "see `cause`.",
+        "Its connection may be silent, or its time-out is too long without a planner.",
         "Nothing, unless it recurs; then check this node's connections to the store.",
     )
     STORE_SILENT = (
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -253,6 +253,7 @@
             self._quarantine_exchange,
             self._node_count,
             self._plan_age_s,
+            adapters.store.reconnect,
         )
         adapters.store.on_restore(self._store_health.record_restore)
         adapters.store.on_restore(self._fleet_updater.hold_withdrawals)
--- a/poplarspar/platform/store.py
+++ b/poplarspar/platform/store.py
@@ -114,7 +114,7 @@
         # Revisions only grow, so an older answer belongs to an earlier call.
         self._newest_revision = 0
         self._restore_callbacks: list[Callable[[], None]] = []
-        self._silence_callbacks: list[Callable[[], None]] = []
+        self._reconnect_callbacks: list[Callable[[], None]] = []
         self._has_era = False
         self._ignored = IgnoredHeaders()
         self.era = 0
@@ -126,14 +126,16 @@
         """Call `callback`, which must not wait, once the store shows an older state."""
         self._restore_callbacks.append(callback)
 
-    def on_silence(self, callback: Callable[[], None]) -> None:
-        """Call `callback`, which must not wait, once a call got no answer in time."""
-        self._silence_callbacks.append(callback)
+    def on_reconnect(self, callback: Callable[[], None]) -> None:
+        """Call `callback`, which must not wait, once calls use new connections."""
+        self._reconnect_callbacks.append(callback)
 
     def reconnect(self) -> None:
         """Use new connections from now on; waiting calls keep theirs."""
         self._client.close()
         self._client = self._connect()
+        for callback in self._reconnect_callbacks:
+            callback()
 
     def read(self, key: str) -> StoredValue:
         """Return the value at `key`, at revision 0 when absent."""
@@ -360,8 +362,6 @@
             return
         log_event(Event.STORE_SILENT, cause=cause)
         self.reconnect()
-        for callback in self._silence_callbacks:
-            callback()
 
     def _parse_era(self, text: str | None) -> int:
         """Return the era in an answer, the known one if it is absent or malformed."""
--- a/poplarspar/watching.py
+++ b/poplarspar/watching.py
@@ -208,8 +208,8 @@
             is_urgent=is_urgent,
         )
         self._store.on_restore(watcher.read_again)
-        self._store.on_silence(
-            lambda: watcher.renew_watch("the store did not answer another call")
+        self._store.on_reconnect(
+            lambda: watcher.renew_watch("other calls use new connections")
         )
         self._health.on_back(
             lambda: watcher.renew_watch("the store was unavailable meanwhile")
--- a/tests/test_configuration_updates.py
+++ b/tests/test_configuration_updates.py
@@ -59,6 +59,25 @@
         return node._fleet_updater.fleet.configuration.version
 
 
+class PlannerLossTest(NodeTestCase):
+    # Guards against a watch that waits for 2.2 s on a silent connection while no
+    # planner announces versions.
+    def test_node_watches_on_new_connections_once_its_planner_is_lost(self):
+        store = self.node._adapters.store
+        operator = self.node._announcements.watchers.operator
+        wait_until(lambda: operator._watching_task, "the node watches")
+        earlier_client = store._client
+        with self.assertLogs("poplarspar", "INFO") as logs:
+            self.node._announcements.lose_planner()
+            self.store.put("op/config", configuration(8))
+            wait_until(
+                lambda: OmittedChangeTest.version_at(self.node) == 8, "version in force"
+            )
+        abandoned = {line.prefix for line in logs.records if line.event == 310}
+        self.assertIn("op/", abandoned)
+        self.assertIsNot(earlier_client, store._client)
+
+
 class StoppingNodeTest(NodeTestCase):
     # Guards against a stopping node that answers its last callers by an old version.
     def test_versions_are_in_force_while_the_node_stops(self):
