--- a/poplarspar/coordination/announcements.py
+++ b/poplarspar/coordination/announcements.py
@@ -182,9 +182,11 @@
         Until there is one, watch requests get shorter time-outs, and none should wait
         on a connection that is silent.
         """
-        self.received = StoreRevisions()
-        self._reconnect()
         self.watchers.nodes.watch_now()
+        # Links to a planner that has been replaced end again and again.
+        if self.received != StoreRevisions():
+            self.received = StoreRevisions()
+            self._reconnect()
 
     def revisions(self) -> StoreRevisions:
         """Return what this node announces as the planner."""
--- a/tests/test_configuration_updates.py
+++ b/tests/test_configuration_updates.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from poplarspar.state.plan import StoreRevisions
 from standins.platform import configuration
 from tests.test_platform import NodeTestCase, wait_until
 
@@ -67,8 +68,10 @@
         operator = self.node._announcements.watchers.operator
         wait_until(lambda: operator._watching_task, "the node watches")
         earlier_client = store._client
+        announcements = self.node._announcements
+        announcements.receive(StoreRevisions(operator=1))
         with self.assertLogs("poplarspar", "INFO") as logs:
-            self.node._announcements.lose_planner()
+            announcements.lose_planner()
             self.store.put("op/config", configuration(8))
             wait_until(
                 lambda: OmittedChangeTest.version_at(self.node) == 8, "version in force"
@@ -76,6 +79,10 @@
         abandoned = {line.prefix for line in logs.records if line.event == 310}
         self.assertIn("op/", abandoned)
         self.assertIsNot(earlier_client, store._client)
+        # Links to a planner that no longer is one end each time.
+        later_client = store._client
+        announcements.lose_planner()
+        self.assertIs(later_client, store._client)
 
 
 class StoppingNodeTest(NodeTestCase):
