Send no order to a backend server while one to it is in flight

Cause: an order counted as ended 0.43 s after it was sent, a confirmation after 0.4 s, though its connection alone could take 1 s. The next order then went out beside it, and an answer was taken for one to whatever had been sent last: a member counted as confirmed by an answer from before the join that could still make it leave, and a group as closed after the order to open it again.

Evidence: both new tests failed before (2 of 12 in test_late_orders): the join to another group and the second confirmation were sent while the first one was in flight, and are_settled said True with the join's token above the only accepted one; an order to open went out beside one to close.

Why this works: an order is in flight until its exchange has ended, so a backend server gets one at a time, whatever the clock says; an answer belongs to the record of its own order; and connecting takes no longer than the order's time-out.

--- a/poplarspar/coordination/pools/dispatch.py
+++ b/poplarspar/coordination/pools/dispatch.py
@@ -88,6 +88,7 @@
         self._health_monitor = health_monitor
         self._port = port
         self.tokens = tokens
+        self._in_flight_ids: set[str] = set()
         self._busy_until_by_id: dict[str, float] = {}
         self._last_order_by_id: dict[str, Order] = {}
         self._last_token_by_id: dict[str, int] = {}
@@ -95,7 +96,13 @@
         self.on_result: Callable[[Order, OrderResult], None] = lambda *_: None
 
     def is_busy(self, id: str) -> bool:
-        """Return whether an order to a backend server is in flight or running."""
+        """Return whether an order to a backend server is in flight or running.
+
+        An order is in flight until its exchange has ended. A second one would leave
+        open which of them the backend server accepts last.
+        """
+        if id in self._in_flight_ids:
+            return True
         return time.monotonic() < self._busy_until_by_id.get(id, 0.0)
 
     def last_order(self, id: str) -> Order | None:
@@ -120,9 +127,7 @@
         id = observation.backend.id
         if self.is_busy(id):
             return False
-        self._busy_until_by_id[id] = (
-            time.monotonic() + ORDER_TIMEOUT_S + REPEAT_INTERVAL_S
-        )
+        self._in_flight_ids.add(id)
         self._last_order_by_id[id] = order
         spawn_logged(self._dispatch, observation, order, duration_s)
         return True
@@ -136,9 +141,7 @@
         id = observation.backend.id
         if self.is_busy(id):
             return
-        self._busy_until_by_id[id] = (
-            time.monotonic() + CONFIRMATION_TRIES * CONFIRMATION_TIMEOUT_S
-        )
+        self._in_flight_ids.add(id)
         self._last_order_by_id[id] = join
         tries, timeout_s = CONFIRMATION_TRIES, CONFIRMATION_TIMEOUT_S
         spawn_logged(self._dispatch, observation, join, None, tries, timeout_s)
@@ -156,15 +159,18 @@
         # Since the last report, another planner may have ordered the backend server
         # into a group. Open, Close and Leave are safe, since they name their group.
         expected = engine_state.accepted_orders if isinstance(order, Join) else None
-        changes_membership = isinstance(order, (Join, Leave))
-        if changes_membership:
-            self.membership_orders.record_sent(id, order)
+        sent = None
+        if isinstance(order, (Join, Leave)):
+            sent = self.membership_orders.record_sent(id, order)
         result = Unanswered()
-        while tries and isinstance(result, Unanswered):
-            result = self._send(observation, order, expected, timeout_s)
-            tries -= 1
-        if changes_membership and isinstance(result, Accepted):
-            self.membership_orders.record_accepted(id, self._last_token_by_id[id])
+        try:
+            while tries and isinstance(result, Unanswered):
+                result = self._send(observation, order, expected, timeout_s)
+                tries -= 1
+        finally:
+            self._in_flight_ids.discard(id)
+        if sent is not None and isinstance(result, Accepted):
+            sent.accepted_token = self._last_token_by_id[id]
         if isinstance(result, Refused):
             # A refused order has no effect; a probe corrects the outdated state.
             eventlet.spawn_after(MAX_REPORT_LAG_S, self._health_monitor.probe_now, id)
@@ -191,10 +197,11 @@
                 return
             # The next order waits for this repeat: the backend server might refuse the
             # older of the two, or the older might undo the newer.
-            busy_until = self._busy_until_by_id[id]
-            self._busy_until_by_id[id] = time.monotonic() + ORDER_TIMEOUT_S
-            result = self._send(observation, order, None, ORDER_TIMEOUT_S)
-            self._busy_until_by_id[id] = busy_until
+            self._in_flight_ids.add(id)
+            try:
+                result = self._send(observation, order, None, ORDER_TIMEOUT_S)
+            finally:
+                self._in_flight_ids.discard(id)
             if result == Accepted(done=True):
                 after = _state_after(
                     id, observation.report.engine_state, order, result, repeat=True
--- a/poplarspar/coordination/pools/membership_orders.py
+++ b/poplarspar/coordination/pools/membership_orders.py
@@ -7,8 +7,8 @@
 
 
 @dataclass
-class _LastOrder:
-    """The last order to one backend server.
+class SentOrder:
+    """An order to one backend server to join or leave a group.
 
     Attributes
     ----------
@@ -32,20 +32,20 @@
 
     def __init__(self, tokens: FencingTokens) -> None:
         self._tokens = tokens
-        self._last_by_id: dict[str, _LastOrder] = {}
+        self._last_by_id: dict[str, SentOrder] = {}
 
-    def record_sent(self, id: str, order: Join | Leave) -> None:
-        """Record an order before it is sent."""
+    def record_sent(self, id: str, order: Join | Leave) -> SentOrder:
+        """Record an order before it is sent, and return its record.
+
+        An answer belongs to this record, whatever has been sent since.
+        """
         last = self._last_by_id.get(id)
         if last is None:
-            self._last_by_id[id] = _LastOrder(order, None, -1)
+            self._last_by_id[id] = SentOrder(order, None, -1)
         elif last.order != order:
             epoch_before = max(last.epoch_before, last.order.epoch)
-            self._last_by_id[id] = _LastOrder(order, None, epoch_before)
-
-    def record_accepted(self, id: str, token: int) -> None:
-        """Record that a backend server has accepted the last order."""
-        self._last_by_id[id].accepted_token = token
+            self._last_by_id[id] = SentOrder(order, None, epoch_before)
+        return self._last_by_id[id]
 
     def are_settled(self, id: str, group: str, epoch: int) -> bool:
         """Return whether a member that reports a group refuses orders from before.
--- a/poplarspar/platform/backends.py
+++ b/poplarspar/platform/backends.py
@@ -112,6 +112,7 @@
                 ORDER_PATH,
                 json.dumps(body).encode(),
                 read_timeout_s=timeout_s,
+                connect_timeout_s=timeout_s,
                 headers={
                     "Content-Type": "application/json",
                     EXPECTED_BACKEND: backend.id,
--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -249,6 +249,7 @@
     body: bytes = b"",
     *,
     read_timeout_s: float,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
     headers: Mapping[str, str] | None = None,
 ) -> HttpAnswer:
     """Send a request on a new connection and return the complete answer.
@@ -264,6 +265,7 @@
         path,
         body,
         read_timeout_s=read_timeout_s,
+        connect_timeout_s=connect_timeout_s,
         headers=headers,
     )
     try:
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass, field
 
 import eventlet
+from eventlet.event import Event as Signal
 
 from poplarspar.coordination.pools import FencingTokens, HealthMonitor, OrderDispatcher
+from poplarspar.coordination.pools.dispatch import ORDER_TIMEOUT_S, REPEAT_INTERVAL_S
 from poplarspar.exceptions import BackendFailed
 from poplarspar.state.backends import MemberPhase
 from poplarspar.state.orders import (
@@ -244,6 +246,48 @@
         self.order(join, Unanswered())
         self.assertFalse(self.is_settled(("m1-n", first)))
 
+    # Guards against a member that counts as confirmed by an answer from before the
+    # order that may still make it leave, when connecting takes longer than a time-out.
+    def test_slow_answer_does_not_confirm_beyond_an_order_in_between(self):
+        answers = [Signal() for _ in range(3)]
+        sent = []
+
+        def send(backend, order, *, fence, accepted_before, timeout_s):
+            sent.append((order, fence))
+            return answers[len(sent) - 1].wait()
+
+        self.send = send
+        member, other = observation("m", 1), Join("m0-9", 9, "m0", ("m",))
+        self.dispatcher.confirm(member, self.join)
+        eventlet.sleep(ORDER_TIMEOUT_S + 2 * REPEAT_INTERVAL_S)
+        self.dispatcher.dispatch(member, other)
+        eventlet.sleep(ORDER_TIMEOUT_S + 2 * REPEAT_INTERVAL_S)
+        self.dispatcher.confirm(member, self.join)
+        eventlet.sleep(0.01)
+        answers[0].send(Accepted(done=True))
+        eventlet.sleep(0.01)
+        accepted_fence = sent[0][1]
+        late = [order for order, fence in sent if fence > accepted_fence]
+        self.assertTrue(not late or not self.is_settled(), late)
+
+    # Guards against a group whose members are released while its head opens: the head's
+    # answer to the order to close came after the order to open it again.
+    def test_no_order_to_open_while_one_to_close_is_not_answered(self):
+        answer, sent = Signal(), []
+
+        def send(backend, order, *, fence, accepted_before, timeout_s):
+            sent.append(order)
+            return answer.wait()
+
+        self.send = send
+        head = observation("h", 0)
+        self.dispatcher.dispatch(head, Close(*KEY, True), 0.0)
+        eventlet.sleep(ORDER_TIMEOUT_S + 2 * REPEAT_INTERVAL_S)
+        self.assertFalse(self.dispatcher.dispatch(head, Open(*KEY)))
+        answer.send(Unanswered())
+        eventlet.sleep(0.01)
+        self.assertEqual([Close(*KEY, True)], sent)
+
     # Guards against a planner that gives up since a backend server has joined a later
     # group than the one that it is to confirm.
     def test_refusal_of_an_earlier_epoch_does_not_supersede(self):
