Choose among targets in a module of its own

The collection of targets and the choice among them change for different reasons. No behaviour changes; the service of the request is used where the fleet's copy was looked up again. 89 tests of test_forwarding, test_many_nodes, test_layers, test_notices and test_rate_limits pass; one of them named a method that has moved.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -324,9 +324,9 @@
     def test_many_nodes_compare_a_sample_of_targets(self):
         targets = [self.targets.by_key[key] for key in self.targets.by_key]
         candidates = targets * 10
-        self.assertEqual(candidates, self.targets._sample(candidates))
+        self.assertEqual(candidates, self.targets._choice._sample(candidates))
         self.node_count = 1000
-        self.assertEqual(2, len(self.targets._sample(candidates)))
+        self.assertEqual(2, len(self.targets._choice._sample(candidates)))
 
     def test_cold_backend_server_gets_no_more_than_its_limit(self):
         for id in ("s1", "s2", "s3"):
