Read from the settings and the configuration which duties a node may perform

Some platforms ask that one node at a time reports usage and orders backend servers. These are the types, settings and the port that both duties share; nothing performs them yet. Settings without a duty's address, and services without a range, behave as before.

--- a/poplarspar/platform/documents.py
+++ b/poplarspar/platform/documents.py
@@ -9,6 +9,7 @@
     ConfigDict,
     Field,
     ValidationError,
+    model_validator,
 )
 
 from poplarspar.exceptions import MalformedDocument
@@ -21,6 +22,7 @@
 )
 from poplarspar.state.serving import (
     CallerLimits,
+    CapacityRange,
     Engine,
     EngineModel,
     KeyHolder,
@@ -152,17 +154,37 @@
         )
 
 
+class _Scale(_Document):
+    # Backend servers in each zone.
+    min: int = Field(ge=0)
+    max: int = Field(ge=1)
+    boot_timeout_s: float = Field(default=0.0, ge=0)
+
+    @model_validator(mode="after")
+    def _check_order(self) -> "_Scale":
+        if self.min > self.max:
+            raise ValueError(f"min {self.min} is over max {self.max}")
+        return self
+
+    def to_state(self) -> CapacityRange:
+        return CapacityRange(self.min, self.max, self.boot_timeout_s)
+
+
 class _Service(_Document):
     name: str
     max_connections: int = 0
     cold_per_s: float = 0.0
     engine: _Engine | None = None
+    scale: _Scale | None = None
 
     def to_state(self) -> ServiceSpec:
         engine = self.engine.to_state() if self.engine else None
         if engine and not engine.models_by_name:
             engine = None
-        return ServiceSpec(self.name, self.max_connections, self.cold_per_s, engine)
+        capacity = self.scale.to_state() if self.scale else None
+        return ServiceSpec(
+            self.name, self.max_connections, self.cold_per_s, engine, capacity
+        )
 
 
 class _Tenant(_Document):
--- a/poplarspar/platform/settings.py
+++ b/poplarspar/platform/settings.py
@@ -10,12 +10,14 @@
 from poplarspar.exceptions import InvalidSettings
 from poplarspar.logs import log_event
 from poplarspar.node import Node
+from poplarspar.state.duties import Duty, DutySettings
 from poplarspar.state.node import NodeSettings
 
 SETTINGS_VARIABLE = "POPLARSPAR_SETTINGS"
 # Port on which deploy/system.toml lets collectors read metrics.
 METRICS_PORT = 9464
 ADDRESS = r"^[^:]+:[0-9]+$"
+DUTY_BY_NAME = {"usage_report": Duty.USAGE, "autoscale": Duty.CAPACITY}
 
 
 class _Table(BaseModel):
@@ -36,6 +38,15 @@
     budget_slack: float = 0
     cold_over: float = 1.0
     cold_slack: float = 0
+    lease_ms: float = Field(default=0, ge=0)
+    report_window_s: float | None = Field(default=None, gt=0)
+    usage_late_s: float = Field(default=0, ge=0)
+
+
+class _Cloud(_Table):
+    address: str = Field(pattern=ADDRESS)
+    duties: list[str] = []
+    duty_per_s: float = Field(default=1.0, gt=0)
 
 
 class _Platform(_Table):
@@ -59,6 +70,7 @@
     platform: _Platform
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
+    cloud: _Cloud | None = None
 
 
 def read_node_settings(path: str = "") -> NodeSettings:
@@ -140,4 +152,25 @@
         cold_slack=bounds.cold_slack,
         drain_s=bounds.drain_ms / 1000,
         min_lease_s=document.platform.ttl_min_ms / 1000,
+        duties=_duty_settings(document),
+    )
+
+
+def _duty_settings(document: _Settings) -> DutySettings | None:
+    """Return how duties are performed, None without an address or a known duty."""
+    cloud, bounds = document.cloud, document.bounds
+    if cloud is None:
+        return None
+    duties = {DUTY_BY_NAME[name] for name in cloud.duties if name in DUTY_BY_NAME}
+    if bounds.report_window_s is None:
+        duties.discard(Duty.USAGE)
+    if not duties:
+        return None
+    return DutySettings(
+        cloud.address,
+        frozenset(duties),
+        cloud.duty_per_s,
+        bounds.lease_ms / 1000,
+        bounds.report_window_s or 0.0,
+        bounds.usage_late_s,
     )
--- a/poplarspar/state/node.py
+++ b/poplarspar/state/node.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from poplarspar.state.duties import DutySettings
+
 
 @dataclass(frozen=True)
 class NodeSettings:
@@ -24,6 +26,8 @@
     drain_s : float
         Time within which nodes must stop sending requests to a draining backend
         server.
+    duties : DutySettings or None
+        None where the platform asks for no duties.
     """
 
     name: str
@@ -44,3 +48,4 @@
     cold_slack: float
     drain_s: float
     min_lease_s: float
+    duties: DutySettings | None = None
--- a/poplarspar/state/serving.py
+++ b/poplarspar/state/serving.py
@@ -126,12 +126,29 @@
     far_factor: float = 1.0
 
 
+@dataclass(frozen=True)
+class CapacityRange:
+    """How many backend servers of a service may be ordered in an availability zone.
+
+    Attributes
+    ----------
+    boot_s : float
+        Time until an ordered backend server serves, in seconds.
+    """
+
+    fewest: int
+    most: int
+    boot_s: float
+
+
 @dataclass(frozen=True)
 class ServiceSpec:
     """A service behind the routes; `engine` is None for a plain service.
 
     Attributes
     ----------
+    capacity : CapacityRange or None
+        None if the operator decides on the number of backend servers.
     cold_requests_per_s : float
         Limit on requests a second to a cold backend server; 0 for no limit.
     """
@@ -140,6 +157,7 @@
     connection_limit: int
     cold_requests_per_s: float
     engine: Engine | None
+    capacity: CapacityRange | None = None
 
 
 @dataclass(frozen=True)
