Hold the duties with the planner's lease, and make their calls to the platform

The planner performs the duties; the revision of its key is the fencing token. No call is made before the hold time has passed in a term, after its lease, while draining, or after a refusal for a higher token. Calls are paced to the platform's limit. Gauges and the pages that serve them move out of node.py. Active only where settings name the duties.

--- a/poplarspar/coordination/duties/__init__.py
+++ b/poplarspar/coordination/duties/__init__.py
@@ -1,5 +1,7 @@
 """Duties towards the platform, performed by one node at a time."""
 
+from poplarspar.coordination.duties.holding import DutyHolding
+from poplarspar.coordination.duties.pacing import PacedDutyPort
 from poplarspar.coordination.duties.ports import DutyPort
 
-__all__ = ["DutyPort"]
+__all__ = ["DutyHolding", "DutyPort", "PacedDutyPort"]
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -261,6 +261,24 @@
         "An answer to a prompt with them has begun, or no request has had them.",
         "Nothing.",
     )
+    DUTIES_HELD = (
+        270,
+        "duties towards the platform passed to this node",
+        "It became the planner; it makes no call of a duty until `hold_s` has passed.",
+        "Nothing.",
+    )
+    DUTIES_SUPERSEDED = (
+        271,
+        "duty refused: a node with a higher token performs it",
+        "Another node became the planner, and this one had not noticed yet.",
+        "Nothing, if another node logs event 270.",
+    )
+    DUTY_NOT_UNDERSTOOD = (
+        272,
+        "platform answered a duty with an unexpected status",
+        "The address for duties belongs to another service, or its protocol differs.",
+        "Check the address for duties in the settings.",
+    )
     QUARANTINE_NOT_SHARED = (
         306,
         "evidence or quarantine could not be stored",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -1,6 +1,5 @@
 """The node daemon: serves callers, and plans replica groups while it is the planner."""
 
-import resource
 import time
 import uuid
 from collections.abc import Callable
@@ -9,8 +8,9 @@
 
 import eventlet
 
-from poplarspar.coordination.announcements import Announcements, StoreReader
+from poplarspar.coordination.announcements import Announcements
 from poplarspar.coordination.drain import Drain
+from poplarspar.coordination.duties import DutyPort
 from poplarspar.coordination.fleet import FleetDocuments, FleetUpdater
 from poplarspar.coordination.forwarding import (
     STALL_CHECK_INTERVAL_S,
@@ -30,24 +30,19 @@
 from poplarspar.coordination.store_ports import WatchedStore
 from poplarspar.coordination.supervision import spawn_supervised
 from poplarspar.coordination.timers import TimerService
+from poplarspar.duties import DutyPart
 from poplarspar.events import Event
 from poplarspar.exceptions import InvalidSettings
+from poplarspar.gauges import fleet_gauges, process_gauges, store_gauges
 from poplarspar.logs import log_event
+from poplarspar.pages import start_pages
 from poplarspar.planning import PlanningPart
 from poplarspar.protocol.quarantine import QuarantineJson
 from poplarspar.state.metrics import Metrics
 from poplarspar.state.node import NodeSettings
 from poplarspar.state.serving import ConfigurationBasis, ServiceSpec
 from poplarspar.transport.addresses import bound_address, listen
-from poplarspar.transport.metrics import MetricsPage
-from poplarspar.transport.server import (
-    Handler,
-    HttpServer,
-    Request,
-    Response,
-    ServerLimits,
-    json_response,
-)
+from poplarspar.transport.server import Handler, HttpServer, ServerLimits
 from poplarspar.watching import StoreWatches
 
 QUARANTINE_CHECK_INTERVAL_S = 0.2
@@ -57,16 +52,20 @@
 STOP_MARGIN_S = 0.7
 # Part of it in which requests without an answer are told that they won't get one.
 ANSWER_MARGIN_S = 0.3
-# Before the first configuration, the node receives only readiness checks.
 STARTUP_LIMITS = ServerLimits(65_536, header_timeout_s=3.0, idle_timeout_s=15.0)
-PROBE_LIMITS = ServerLimits(4_096, header_timeout_s=3.0, idle_timeout_s=30.0)
 # A caller that reads nothing for this long occupies a connection without using it.
 WRITE_TIMEOUT_S = 15.0
 
 
 @dataclass(frozen=True)
 class NodeAdapters:
-    """Connections of a node to the store, backend servers and callers."""
+    """Connections of a node to the store, backend servers and callers.
+
+    Attributes
+    ----------
+    duties : DutyPort or None
+        None where the platform asks for no duties.
+    """
 
     store: WatchedStore
     documents: FleetDocuments
@@ -77,6 +76,7 @@
     orders: OrderPort
     caller_handler: Callable[[Forwarder, Drain, Metrics], Handler]
     close: Callable[[], None]
+    duties: DutyPort | None = None
 
 
 class Node:
@@ -109,6 +109,7 @@
             lambda: self._announcements.conviction_delay_s(),
         )
         self._planning: PlanningPart | None = None
+        self._duties: DutyPart | None = None
         self._secret = uuid.uuid4().hex
         self._start()
 
@@ -188,6 +189,7 @@
         self._start_serving()
         self._start_watchers()
         self._start_planning()
+        self._start_duties()
 
     def _start_serving(self) -> None:
         settings = self._settings
@@ -216,22 +218,9 @@
             write_timeout_s=WRITE_TIMEOUT_S,
         )
         self._stack.callback(self._server.close)
-        self._ready_listener = listen(settings.ready_listen)
-        ready_server = HttpServer(
-            self._ready_listener,
-            self._handle_ready,
-            connection_limit=64,
-            limits=lambda: PROBE_LIMITS,
-        )
-        self._stack.callback(ready_server.close)
-        metrics_page = MetricsPage(self.metrics, self._gauges)
-        metrics_server = HttpServer(
-            listen(settings.metrics_listen),
-            metrics_page.handle,
-            connection_limit=16,
-            limits=lambda: PROBE_LIMITS,
+        self._ready_listener = start_pages(
+            settings, self.is_ready, self.metrics, self._gauges, self._stack
         )
-        self._stack.callback(metrics_server.close)
 
     def _start_watchers(self) -> None:
         adapters, settings = self._adapters, self._settings
@@ -303,6 +292,15 @@
             adapters.reports, adapters.orders, self._secret, self._stack
         )
 
+    def _start_duties(self) -> None:
+        settings, port = self._settings, self._adapters.duties
+        if settings.duties is None or port is None:
+            return
+        self._duties = DutyPart(
+            settings.name, settings.duties, port, self._session, self.drain
+        )
+        self._duties.start(self._stack)
+
     def _plan_changed(self) -> None:
         self._nodes_changed()
         self._fleet_changed()
@@ -369,36 +367,24 @@
 
     def _gauges(self) -> dict[str, float]:
         """Return the gauges of the metrics page."""
-        basis = self._configuration_basis()
-        usage = resource.getrusage(resource.RUSAGE_SELF)
         return {
             "ready": self.is_ready(),
-            "planner": self._session.is_planner,
             "nodes": self._node_count(),
             "requests_running": self.drain.running,
-            "configuration_version": basis.version,
-            "configuration_age_seconds": basis.age_s,
-            "configuration_answered_seconds": basis.answered_s,
-            "store_era": self._adapters.store.era,
-            "store_steady_seconds": self._store_health.healthy_s(),
-            "store_read_by_planner": (
-                self._announcements.reader_of_operator() is StoreReader.FOLLOWER
+            **store_gauges(
+                self._configuration_basis(),
+                self._adapters.store.era,
+                self._store_health,
+                self._announcements,
             ),
-            "plan_age_seconds": min(self._plan_age_s(), 1e9),
-            "backend_servers": len(self._fleet_updater.fleet.backends_by_id),
-            "replica_groups_serving": len(self._planning.plan.groups),
-            "prompt_parts_quarantined": len(
-                self._quarantine_exchange.quarantine.entries()
+            **fleet_gauges(
+                self._session,
+                self._planning,
+                self._fleet_updater,
+                self._targets,
+                self._quarantine_exchange.quarantine,
             ),
-            "backend_servers_leaving": self._targets.notices.leaving_count(),
-            "backend_servers_paused": self._targets.notices.paused_count(),
-            "backend_servers_limited": self._targets.rate_limits.count(),
-            "evacuated_zones": len(self._fleet_updater.fleet.evacuated_zones),
-            "memory_peak_bytes": usage.ru_maxrss * 1024,
-            "processor_seconds": usage.ru_utime + usage.ru_stime,
+            **process_gauges(),
             **self._retry_budget.gauges(),
+            **(self._duties.gauges() if self._duties else {}),
         }
-
-    def _handle_ready(self, request: Request) -> Response:
-        ready = self.is_ready()
-        return json_response(200 if ready else 503, {"ready": ready})
--- a/poplarspar/platform/assembly.py
+++ b/poplarspar/platform/assembly.py
@@ -3,6 +3,7 @@
 from poplarspar.node import Node, NodeAdapters
 from poplarspar.platform.backends import PlatformOrderSender, PlatformReportReader
 from poplarspar.platform.callers import PlatformCallerHandler
+from poplarspar.platform.duties import PlatformDutyCaller
 from poplarspar.platform.keys import BACKEND_PREFIX, OPERATOR_PREFIX, PlatformDocuments
 from poplarspar.platform.store import PlatformStore
 from poplarspar.platform.upstream import PlatformUpstream
@@ -12,6 +13,7 @@
 def build_node(settings: NodeSettings) -> Node:
     """Start a node that uses the platform's store and backend servers."""
     store = PlatformStore(settings.store)
+    duties = settings.duties
     adapters = NodeAdapters(
         store=store,
         documents=PlatformDocuments(),
@@ -22,5 +24,6 @@
         orders=PlatformOrderSender(),
         caller_handler=lambda *parts: PlatformCallerHandler(*parts).handle,
         close=store.close,
+        duties=PlatformDutyCaller(duties.address) if duties else None,
     )
     return Node(settings, adapters)
--- a/poplarspar/platform/headers.py
+++ b/poplarspar/platform/headers.py
@@ -39,6 +39,9 @@
 PAUSE = "Retry-After"
 # How often the store has been restored from an older copy.
 STORE_ERA = "Store-Era"
+# Node that makes a call of a duty, and its token, which rises with the holder.
+LEASE_HOLDER = "Lease-Holder"
+FENCING_TOKEN = "Fencing-Token"
 
 # Headers that apply to one connection, or that the node sets or evaluates itself.
 NOT_FORWARDED = frozenset(
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -21,6 +21,8 @@
     "op/config",
     "op/evacuate",
     "fencing_token",
+    "Lease-Holder",
+    "Fencing-Token",
 ]
 
 
