Count the requests that begin to run, and report them by window from one node

Each node counts by workspace and window, and hands its counts on to the planner with its load. The planner commits a window to the store by compare-and-swap and reports it afterwards, so that every holder reports the same counts. Settings that name duties need a restart to change.

--- a/poplarspar/coordination/duties/holding.py
+++ b/poplarspar/coordination/duties/holding.py
@@ -56,12 +56,16 @@
         self._began_at = float("-inf")
         self._superseded = False
 
+    def holds(self) -> bool:
+        """Return whether this node is the planner, and surely the only one."""
+        return self._session.is_planner and self._session.planner_lease_valid()
+
     def term(self) -> DutyTerm | None:
         """Return the present term, None while this node must make no call.
 
         The answer holds at this moment only, so each call asks for itself.
         """
-        if not self._session.is_planner or not self._session.planner_lease_valid():
+        if not self.holds():
             return None
         token = self._session.planner_revision
         if token != self._token:
--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -14,6 +14,7 @@
     Rejected,
     Sender,
 )
+from poplarspar.coordination.forwarding.begin import Begin
 from poplarspar.coordination.forwarding.demand import DemandMeter
 from poplarspar.coordination.forwarding.resuming import (
     RETRY_AFTER_S,
@@ -66,6 +67,8 @@
         Returns the configuration that this node applies, None before the first.
     basis : callable
         Returns what this node knows of that configuration now.
+    record_begin : callable
+        Called with a request's workspace once it has begun to run.
     """
 
     def __init__(
@@ -77,9 +80,11 @@
         demand: DemandMeter,
         quarantine: Quarantine,
         basis: Callable[[], ConfigurationBasis] = ConfigurationBasis,
+        record_begin: Callable[[str], None] = lambda workspace: None,
     ) -> None:
         self._configuration = configuration
         self.basis = basis
+        self._record_begin = record_begin
         self._quarantine = quarantine
         self._demand = demand
         self._targets = targets
@@ -122,6 +127,7 @@
             self._budget,
             self.find_target,
             observation,
+            Begin(routed, self._record_begin),
         )
         return answer.open()
 
@@ -129,10 +135,11 @@
         self, routed: RoutedRequest, observation: Observation
     ) -> Result[Answer, Refusal]:
         remaining_s = routed.deadline - time.monotonic()
+        begin = Begin(routed, self._record_begin)
         call = _UnstreamedCall(
-            routed, self._sender, self._budget, self.find_target, observation
+            routed, self._sender, self._budget, self.find_target, observation, begin
         )
-        with closing(observation), eventlet.Timeout(max(0.0, remaining_s), False):
+        with closing(call), eventlet.Timeout(max(0.0, remaining_s), False):
             return call.run()
         if call.may_have_run:
             refusal = Refusal(Reason.TIMEOUT, "no answer in time", Ran.UNKNOWN)
@@ -188,9 +195,11 @@
         budget: RetryBudget,
         find_target: FindTarget,
         observation: Observation,
+        begin: Begin,
     ) -> None:
         self._routed = routed
         self._observation = observation
+        self._begin = begin
         self._sender = sender
         self._budget = budget
         self._find_target = find_target
@@ -214,6 +223,7 @@
             self.may_have_run = True
             match self._send(target):
                 case Began() as began:
+                    self._begin.record()
                     self._observation.record_answering(target.backend)
                     answer = self._read_answer(began)
                     if answer is not None:
@@ -226,6 +236,12 @@
                     if disconnected:
                         self._observation.record_disconnected(target.backend)
 
+    def close(self) -> None:
+        """End the request, which may have run without an answer."""
+        if self.may_have_run:
+            self._begin.record()
+        self._observation.close()
+
     def _next_target(self) -> Result[Target, Refusal]:
         routed = self._routed
         if not self._may_send():
--- a/poplarspar/coordination/forwarding/resuming.py
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -11,6 +11,7 @@
     Rejected,
     Sender,
 )
+from poplarspar.coordination.forwarding.begin import Begin
 from poplarspar.coordination.forwarding.ports import StreamEvent
 from poplarspar.coordination.forwarding.retry_budget import RetryBudget
 from poplarspar.coordination.forwarding.routing import RoutedRequest
@@ -34,6 +35,7 @@
 LATENCY_PATIENCE = 4.0
 GAP_PATIENCE = 8.0
 RESUME_WAIT_S = 1.0
+CLIENT_ERROR = 400
 # From this many consecutive numbers on, a stream's numbers count as consecutive.
 MIN_CONSECUTIVE_EVENTS = 2
 # A target frees a slot about this often; see `Refusal.retry_after_s`.
@@ -84,9 +86,11 @@
         budget: RetryBudget,
         find_target: FindTarget,
         observation: Observation,
+        begin: Begin,
     ) -> None:
         self._routed = routed
         self._observation = observation
+        self._begin = begin
         self._targets = targets
         self._sender = sender
         self._budget = budget
@@ -122,6 +126,8 @@
                 self._record_failure(failure)
                 return Error(Refusal(Reason.BACKEND, str(failure), Ran.UNKNOWN))
             self._observation.record_complete()
+            if exchange.status < CLIENT_ERROR:
+                self._begin.record()
             return Ok(CompleteAnswer(exchange.status, exchange.headers, body))
 
     def __iter__(self) -> Iterator[bytes]:
@@ -142,6 +148,7 @@
                 if self._began.exchange.framed:
                     self._observation.record_complete()
                 return
+            self._begin.record()
             made_progress = event.number is not None and (
                 self._last_event is None or event.number > self._last_event
             )
--- a/poplarspar/coordination/pools/plan_exchange.py
+++ b/poplarspar/coordination/pools/plan_exchange.py
@@ -49,15 +49,19 @@
         group has stalled.
     store_revisions : callable
         Returns the `StoreRevisions` that updates carry.
+    reported_window : callable
+        Returns the newest window whose usage is reported, 0 for none.
     """
 
     def __init__(
         self,
         on_stall: Callable[[str], None],
         store_revisions: Callable[[], StoreRevisions] = StoreRevisions,
+        reported_window: Callable[[], int] = lambda: 0,
     ) -> None:
         self._on_stall = on_stall
         self._store_revisions = store_revisions
+        self._reported_window = reported_window
         self._history = PlanHistory()
         self._totals = LoadTotals()
         self._changed = Signal()
@@ -171,6 +175,7 @@
             revisions=self._store_revisions(),
             rate_limits=self._recent_limits(),
             demands=self._demands(),
+            reported_window=self._reported_window(),
         )
         self._update_by_base[base_serial] = (now, update)
         return update
--- a/poplarspar/duties.py
+++ b/poplarspar/duties.py
@@ -3,9 +3,20 @@
 from contextlib import ExitStack
 
 from poplarspar.coordination.drain import Drain
-from poplarspar.coordination.duties import DutyHolding, DutyPort, PacedDutyPort
+from poplarspar.coordination.duties import (
+    DutyHolding,
+    DutyPort,
+    PacedDutyPort,
+    UsageExchange,
+    UsageLedger,
+    UsageReporter,
+    WindowClock,
+)
 from poplarspar.coordination.session import Session
-from poplarspar.state.duties import DutySettings
+from poplarspar.coordination.store_ports import Store
+from poplarspar.coordination.supervision import spawn_supervised
+from poplarspar.protocol.usage import UsageJson
+from poplarspar.state.duties import Duty, DutySettings
 
 
 class DutyPart:
@@ -31,14 +42,31 @@
         port: DutyPort,
         session: Session,
         drain: Drain,
+        store: Store,
+        usage: UsageExchange,
     ) -> None:
         self._settings = settings
         self.holding = DutyHolding(holder, settings.hold_s, session, drain)
         self.port = PacedDutyPort(port, settings.calls_per_s)
+        self._reporter: UsageReporter | None = None
+        if Duty.USAGE in settings.duties:
+            self._reporter = UsageReporter(
+                self.holding,
+                self.port,
+                UsageLedger(store, UsageJson()),
+                usage,
+                WindowClock(settings, usage.clock.now),
+                lambda: frozenset(session.capacity_by_node),
+            )
 
     def start(self, stack: ExitStack) -> None:
         """Start the task of each duty and register its cleanup with `stack`."""
+        if self._reporter is not None:
+            stack.callback(spawn_supervised(self._reporter.run).kill)
 
     def gauges(self) -> dict[str, float]:
         """Return the gauges of the duties."""
-        return {"duties_held_seconds": self.holding.held_s()}
+        gauges = {"duties_held_seconds": self.holding.held_s()}
+        if self._reporter is not None:
+            gauges.update(self._reporter.gauges())
+        return gauges
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -279,6 +279,54 @@
         "The address for duties belongs to another service, or its protocol differs.",
         "Check the address for duties in the settings.",
     )
+    USAGE_COMMITTED = (
+        273,
+        "usage of a window committed",
+        "All nodes have handed on their counts of it, or the time for that is over.",
+        "Nothing; event 274 or 276 follows once the platform has the report.",
+    )
+    USAGE_REPORTED = (
+        274,
+        "usage of a window reported",
+        "The platform has confirmed the report.",
+        "Nothing.",
+    )
+    USAGE_NOT_CONFIRMED = (
+        275,
+        "report of usage not confirmed",
+        "The platform did not answer, or took no more calls for the moment.",
+        "Nothing; the same report is repeated. See docs/OPERATIONS.md if it goes on.",
+    )
+    USAGE_LATE = (
+        276,
+        "usage of a window reported late",
+        "The store or the platform was down, or the holder of the duties changed.",
+        "See docs/OPERATIONS.md.",
+    )
+    USAGE_LOST = (
+        277,
+        "counts of usage are in no report",
+        "This node could not hand them on before their window was committed.",
+        "See docs/OPERATIONS.md.",
+    )
+    USAGE_DROPPED = (
+        278,
+        "windows of usage dropped without a report",
+        "The store or the platform was down for longer than windows are kept.",
+        "See docs/OPERATIONS.md.",
+    )
+    USAGE_NOT_STORED = (
+        279,
+        "record of usage could not be read or written",
+        "The store did not answer, another planner wrote it, or it can't be decoded.",
+        "Nothing, unless it recurs; see docs/OPERATIONS.md.",
+    )
+    CLOCK_STEPPED = (
+        290,
+        "time of day jumped",
+        "Someone set the clock of this VM, or it is faulty.",
+        "Check the VM's time synchronisation.",
+    )
     QUARANTINE_NOT_SHARED = (
         306,
         "evidence or quarantine could not be stored",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -2,16 +2,15 @@
 
 import time
 import uuid
-from collections.abc import Callable
 from contextlib import ExitStack
-from dataclasses import dataclass
 
 import eventlet
 
+from poplarspar.adapters import NodeAdapters
 from poplarspar.coordination.announcements import Announcements
 from poplarspar.coordination.drain import Drain
-from poplarspar.coordination.duties import DutyPort
-from poplarspar.coordination.fleet import FleetDocuments, FleetUpdater
+from poplarspar.coordination.duties import TrueClock, UsageExchange
+from poplarspar.coordination.fleet import FleetUpdater
 from poplarspar.coordination.forwarding import (
     STALL_CHECK_INTERVAL_S,
     DemandMeter,
@@ -20,14 +19,11 @@
     Sender,
     StallDetector,
     Targets,
-    Upstream,
 )
-from poplarspar.coordination.pools import OrderPort, ReportPort
 from poplarspar.coordination.quarantine import QuarantineExchange
 from poplarspar.coordination.session import Session
 from poplarspar.coordination.sharing import even_share
 from poplarspar.coordination.store_health import StoreHealth
-from poplarspar.coordination.store_ports import WatchedStore
 from poplarspar.coordination.supervision import spawn_supervised
 from poplarspar.coordination.timers import TimerService
 from poplarspar.duties import DutyPart
@@ -42,7 +38,7 @@
 from poplarspar.state.node import NodeSettings
 from poplarspar.state.serving import ConfigurationBasis, ServiceSpec
 from poplarspar.transport.addresses import bound_address, listen
-from poplarspar.transport.server import Handler, HttpServer, ServerLimits
+from poplarspar.transport.server import HttpServer, ServerLimits
 from poplarspar.watching import StoreWatches
 
 QUARANTINE_CHECK_INTERVAL_S = 0.2
@@ -52,33 +48,16 @@
 STOP_MARGIN_S = 0.7
 # Part of it in which requests without an answer are told that they won't get one.
 ANSWER_MARGIN_S = 0.3
+# Time for the last counts of usage to reach the planner, at least a part of the
+# margin. A new planner takes over within seconds.
+MIN_HANDOVER_S = 0.2
+MAX_HANDOVER_S = 2.0
+# Before the first configuration, the node receives only readiness checks.
 STARTUP_LIMITS = ServerLimits(65_536, header_timeout_s=3.0, idle_timeout_s=15.0)
 # A caller that reads nothing for this long occupies a connection without using it.
 WRITE_TIMEOUT_S = 15.0
 
 
-@dataclass(frozen=True)
-class NodeAdapters:
-    """Connections of a node to the store, backend servers and callers.
-
-    Attributes
-    ----------
-    duties : DutyPort or None
-        None where the platform asks for no duties.
-    """
-
-    store: WatchedStore
-    documents: FleetDocuments
-    operator_prefix: str
-    backend_prefix: str
-    upstream: Upstream
-    reports: ReportPort
-    orders: OrderPort
-    caller_handler: Callable[[Forwarder, Drain, Metrics], Handler]
-    close: Callable[[], None]
-    duties: DutyPort | None = None
-
-
 class Node:
     """A node process; `close` stops everything that it started."""
 
@@ -110,6 +89,7 @@
         )
         self._planning: PlanningPart | None = None
         self._duties: DutyPart | None = None
+        self._usage = UsageExchange(settings.duties, TrueClock())
         self._secret = uuid.uuid4().hex
         self._start()
 
@@ -135,6 +115,7 @@
             "ready_listen",
             "peer_listen",
             "store",
+            "duties",
         )
         changed_names = [
             name
@@ -176,6 +157,8 @@
         if not finished:
             self.drain.interrupt()
             self._server.wait_ended(ANSWER_MARGIN_S)
+        handover_s = max(MIN_HANDOVER_S, ends_at - time.monotonic())
+        self._usage.wait_handed_on(min(MAX_HANDOVER_S, handover_s))
         self._session.wait_released(ends_at - time.monotonic())
         log_event(Event.STOPPED, finished=finished, running=self.drain.running)
 
@@ -202,6 +185,7 @@
             self._demand_meter,
             self._quarantine_exchange.quarantine,
             self._configuration_basis,
+            self._usage.meter.record,
         )
         timers = self._timers
         timers.every(STALL_CHECK_INTERVAL_S, StallDetector(self._targets).check)
@@ -286,6 +270,7 @@
             self.drain,
             self._targets,
             self._demand_meter,
+            self._usage,
             self._plan_changed,
         )
         self._planning.start(
@@ -297,7 +282,13 @@
         if settings.duties is None or port is None:
             return
         self._duties = DutyPart(
-            settings.name, settings.duties, port, self._session, self.drain
+            settings.name,
+            settings.duties,
+            port,
+            self._session,
+            self.drain,
+            self._adapters.store,
+            self._usage,
         )
         self._duties.start(self._stack)
 
--- a/poplarspar/planning.py
+++ b/poplarspar/planning.py
@@ -8,6 +8,7 @@
 
 from poplarspar.coordination.announcements import Announcements
 from poplarspar.coordination.drain import Drain
+from poplarspar.coordination.duties import UsageExchange
 from poplarspar.coordination.forwarding import DemandMeter, Targets
 from poplarspar.coordination.pools import (
     FencingTokens,
@@ -66,6 +67,7 @@
         drain: Drain,
         targets: Targets,
         demand_meter: DemandMeter,
+        usage: UsageExchange,
         on_plan_change: Callable[[], None],
     ) -> None:
         self._name = name
@@ -76,6 +78,7 @@
         self._drain = drain
         self._targets = targets
         self._demand_meter = demand_meter
+        self._usage = usage
         self._on_plan_change = on_plan_change
         self._plan_received_at = float("-inf")
         self._has_planners_plan = False
@@ -88,7 +91,9 @@
         """Start all tasks and register their cleanup with `stack`."""
         health_monitor = HealthMonitor(reports, lambda: self._planner.wake())
         self._plan_exchange = PlanExchange(
-            lambda head: self._planner.suspect(head), self._announcements.revisions
+            lambda head: self._planner.suspect(head),
+            self._announcements.revisions,
+            self._usage.reported_window,
         )
         self._planner = PoolPlanner(
             health_monitor,
@@ -100,7 +105,7 @@
         stack.callback(self._planner.stop)
         stack.callback(spawn_supervised(self._plan_in_turn).kill)
         stack.callback(spawn_supervised(self._keep_spares).kill)
-        plan_server = PlanServer(self._plan_exchange.exchange)
+        plan_server = PlanServer(self._exchange)
         link_server = LinkServer(
             listen(self._settings.peer_listen), secret, plan_server.serve
         )
@@ -108,6 +113,10 @@
         plan_poller = PlanPoller(self._name, self._session.planner_endpoint, self)
         stack.callback(spawn_supervised(plan_poller.run).kill)
 
+    def _exchange(self, node: str, load: NodeLoad) -> PlanUpdate:
+        self._usage.totals.receive(node, load.usage)
+        return self._plan_exchange.exchange(node, load)
+
     def plan_age_s(self) -> float:
         """Return the seconds since the last plan arrived, infinite before the first."""
         return time.monotonic() - self._plan_received_at
@@ -153,6 +162,7 @@
     def start_link(self) -> None:
         """Ask for the whole plan, since another planner counts its own serials."""
         self._has_planners_plan = False
+        self._usage.meter.start_link()
 
     def end_link(self) -> None:
         """Look for another planner."""
@@ -165,11 +175,13 @@
             self._targets.loads(),
             self._demand_meter.demands(),
             self._targets.rate_limits.reports(),
+            self._usage.meter.load(),
         )
 
     def apply(self, load: NodeLoad, update: PlanUpdate) -> None:
         """Apply the planner's update of the plan."""
         self._announcements.receive(update.revisions)
+        self._usage.meter.confirm(load.usage, update.reported_window)
         if not update.serial:
             # A new planner has no plan yet; the previous planner's still applies.
             self._has_planners_plan = False
--- a/poplarspar/platform/assembly.py
+++ b/poplarspar/platform/assembly.py
@@ -1,6 +1,7 @@
 """Assembly of a node with the platform's adapters."""
 
-from poplarspar.node import Node, NodeAdapters
+from poplarspar.adapters import NodeAdapters
+from poplarspar.node import Node
 from poplarspar.platform.backends import PlatformOrderSender, PlatformReportReader
 from poplarspar.platform.callers import PlatformCallerHandler
 from poplarspar.platform.duties import PlatformDutyCaller
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -96,12 +96,26 @@
   ageMs @4 :UInt32;
 }
 
+# Requests of a workspace that began in a window of usage, since the node's process
+# started.
+struct UsageCount {
+  window @0 :UInt64;
+  workspace @1 :Text;
+  requests @2 :UInt32;
+}
+
+struct NodeUsage {
+  endedWindow @0 :UInt64;
+  counts @1 :List(UsageCount);
+}
+
 # A node's question to the planner, with its own work.
 struct NodeLoad {
   planSerial @0 :UInt64;
   groups @1 :List(GroupLoad);
   demands @2 :List(ModelDemand);
   rateLimits @3 :List(RateLimit);
+  usage @4 :NodeUsage;
 }
 
 struct PlannedGroup {
@@ -154,6 +168,8 @@
   backendRevision @12 :UInt64;
   nodesRevision @13 :UInt64;
   operatorDigest @14 :UInt64;
+  unused @15 :Void;
+  reportedWindow @16 :UInt64;
 }
 
 struct Message {
--- a/poplarspar/protocol/plans.py
+++ b/poplarspar/protocol/plans.py
@@ -13,6 +13,7 @@
     StoreRevisions,
 )
 from poplarspar.state.rate_limits import RateLimit
+from poplarspar.state.usage import NodeUsage, UsageCount
 
 # Callers name the numbers of tokens, whose sums may exceed a field.
 MAX_UINT32 = 2**32 - 1
@@ -40,6 +41,7 @@
         )
     _set_demands(builder, load.demands)
     _set_rate_limits(builder, load.rate_limits)
+    _set_usage(builder.init("usage"), load.usage)
 
 
 def read_node_load(fields) -> NodeLoad:
@@ -52,6 +54,7 @@
         ),
         _read_demands(fields),
         _read_rate_limits(fields),
+        _read_usage(fields.usage),
     )
 
 
@@ -67,6 +70,7 @@
         backendRevision=update.revisions.backends,
         nodesRevision=update.revisions.nodes,
         operatorDigest=update.revisions.operator_digest,
+        reportedWindow=update.reported_window,
     )
     _set_rate_limits(builder, update.rate_limits)
     _set_demands(builder, update.demands)
@@ -138,6 +142,7 @@
         ),
         rate_limits=_read_rate_limits(fields),
         demands=_read_demands(fields),
+        reported_window=fields.reportedWindow,
     )
 
 
@@ -179,3 +184,22 @@
         )
         for item in fields.rateLimits
     )
+
+
+def _set_usage(builder, usage: NodeUsage) -> None:
+    builder.endedWindow = usage.ended_window
+    items = builder.init("counts", len(usage.counts))
+    for item, count in zip(items, usage.counts, strict=True):
+        set_fields(
+            item,
+            window=count.window,
+            workspace=count.workspace,
+            requests=min(count.requests, MAX_UINT32),
+        )
+
+
+def _read_usage(fields) -> NodeUsage:
+    return NodeUsage(
+        fields.endedWindow,
+        tuple(UsageCount(c.window, c.workspace, c.requests) for c in fields.counts),
+    )
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from poplarspar.state.rate_limits import RateLimit
+from poplarspar.state.usage import NodeUsage
 
 # Head and epoch of a replica group.
 GroupKey = tuple[str, int]
@@ -68,12 +69,15 @@
         Serial of the plan that the node uses.
     rate_limits : tuple of RateLimit
         Limits that the node has observed recently.
+    usage : NodeUsage
+        Requests that began to run at this node.
     """
 
     plan_serial: int
     groups: tuple[GroupLoad, ...] = ()
     demands: tuple[ModelDemand, ...] = ()
     rate_limits: tuple[RateLimit, ...] = ()
+    usage: NodeUsage = NodeUsage()
 
 
 @dataclass(frozen=True)
@@ -199,6 +203,8 @@
         the receiver's own load.
     revisions : StoreRevisions
         What nodes must read from the store.
+    reported_window : int
+        Newest window whose usage is reported, 0 for none.
     """
 
     serial: int = 0
@@ -212,3 +218,4 @@
     revisions: StoreRevisions = StoreRevisions()
     rate_limits: tuple[RateLimit, ...] = ()
     demands: tuple[ModelDemand, ...] = ()
+    reported_window: int = 0
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -195,6 +195,7 @@
         self.budget = RetryBudget(0.2, 100, 10.0)
         self.quarantine = Quarantine("n1")
         self.node_count = 1
+        self.begun = []
         self.targets = Targets(
             "a",
             lambda service, id: service.cold_requests_per_s,
@@ -214,6 +215,7 @@
             self.budget,
             DemandMeter(),
             self.quarantine,
+            record_begin=self.begun.append,
         )
         return forwarder.serve(received)
 
