--- a/poplarspar/coordination/duties/usage_reporter.py
+++ b/poplarspar/coordination/duties/usage_reporter.py
@@ -138,6 +138,7 @@
         first_window = min(
             self._started_window, self._totals.first_window() or self._started_window
         )
+        has_more = self._totals.change_count != self._stored_change
         following = next_record(
             record,
             self._totals,
@@ -145,12 +146,9 @@
             first_window,
             self._known_by_window,
             self._usage.reported_window(),
+            is_copy_due=has_more and now >= self._copy_at,
         )
-        is_committed = following.newest_committed > record.newest_committed
-        has_more = self._totals.change_count != self._stored_change
-        if not is_committed and not (has_more and now >= self._copy_at):
-            return True
-        return self._write(following)
+        return following is None or self._write(following)
 
     def _read(self) -> bool:
         if not self._ledger.read():
--- a/poplarspar/coordination/duties/usage_totals.py
+++ b/poplarspar/coordination/duties/usage_totals.py
@@ -6,6 +6,9 @@
 from poplarspar.coordination.duties.usage_meter import MAX_WINDOWS
 from poplarspar.state.usage import CountsByProcess, NodeUsage, UsageRecord
 
+# A process that runs hands its counts on more often than this.
+RECENT_S = 3.0
+
 
 class UsageTotals:
     """Sums up what nodes hand on, and what earlier holders of the duties stored.
@@ -28,6 +31,7 @@
         self._counts_by_window: dict[int, dict[str, dict[str, int]]] = {}
         self._ended_window_by_process: dict[str, int] = {}
         self._seen_at_by_process: dict[str, float] = {}
+        self._received_at_by_process: dict[str, float] = {}
         self._committed_window = 0
         self.change_count = 0
 
@@ -36,7 +40,9 @@
         if not usage.ended_window:
             return
         self._ended_window_by_process[process] = usage.ended_window
-        self._seen_at_by_process[process] = self._clock()
+        now = self._clock()
+        self._seen_at_by_process[process] = now
+        self._received_at_by_process[process] = now
         for count in usage.counts:
             self._add(count.window, process, count.workspace, count.requests)
 
@@ -88,6 +94,7 @@
         for process in lost:
             del self._seen_at_by_process[process]
             self._ended_window_by_process.pop(process, None)
+            self._received_at_by_process.pop(process, None)
 
     def has_all(self, window: int, began_at: float) -> bool:
         """Return whether all processes have handed on a window after its end.
@@ -101,6 +108,16 @@
         awaited = [p for p, at in self._seen_at_by_process.items() if at >= began_at]
         return bool(awaited) and all(ended.get(p, 0) >= window for p in awaited)
 
+    def most_have_ended(self, window: int) -> bool:
+        """Return whether a window has ended by the clocks of half the running nodes.
+
+        The holder's own clock may be wrong.
+        """
+        since = self._clock() - RECENT_S
+        running = [p for p, at in self._received_at_by_process.items() if at >= since]
+        ended = [p for p in running if self._ended_window_by_process[p] >= window]
+        return 2 * len(ended) >= len(running)
+
     def _add(self, window: int, process: str, workspace: str, requests: int) -> None:
         if window <= self._committed_window:
             return
--- a/poplarspar/coordination/duties/usage_windows.py
+++ b/poplarspar/coordination/duties/usage_windows.py
@@ -57,9 +57,12 @@
     first_window: int,
     known_by_window: dict[int, UsageReport],
     reported: int,
-) -> UsageRecord:
+    is_copy_due: bool,
+) -> UsageRecord | None:
     """Return the record with all windows committed that are complete.
 
+    Without such windows it is a copy of the present counts, or None if none is due.
+
     Parameters
     ----------
     record : UsageRecord
@@ -70,9 +73,12 @@
         Reports that were committed before the store was restored without them.
     reported : int
         Newest window that is known to be reported.
+    is_copy_due : bool
+        Whether to store counts of windows that are not complete.
     """
     reported = max(reported, record.reported)
     committed = [report for report in record.committed if report.window > reported]
+    old_count = len(committed)
     newest = max([reported, *(report.window for report in committed)])
     window = newest + 1 if newest else first_window
     ended = clock.window() - 1
@@ -80,11 +86,15 @@
     while window <= ended:
         if window not in known_by_window:
             has_all = totals.has_all(window, clock.began_at(window))
-            if not has_all and clock.waits(window):
+            if not totals.most_have_ended(window) or (
+                not has_all and clock.waits(window)
+            ):
                 break
         counted = UsageReport(window, totals.requests_by_workspace(window))
         committed.append(known_by_window.get(window, counted))
         window += 1
+    if not (is_copy_due or committed[old_count:]):
+        return None
     # More are kept neither here nor by the nodes.
     del committed[:-MAX_WINDOWS]
     return UsageRecord(reported, tuple(committed), totals.counts_after(window - 1))
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -24,6 +24,7 @@
 )
 from poplarspar.transport.server import Request, Response
 from standins.platform import PlatformServer, settings_text
+from tests.test_platform import NodeTestCase, wait_until
 
 HOLD_S = 3.0
 TERM = DutyTerm("n1", 12)
@@ -215,5 +216,43 @@
                 self.read(bounds=f"report_window_s = {value}\n")
 
 
+class ReportingNodeTest(NodeTestCase):
+    def setUp(self):
+        self.cloud = Cloud()
+        self.addCleanup(self.cloud.close)
+        bounds = "lease_ms = 300\nreport_window_s = 1\nusage_late_s = 5\n"
+        cloud = CLOUD.replace("10.2.0.1:2", self.cloud.address)
+        self.more_settings = bounds + cloud
+        super().setUp()
+
+    def reports(self):
+        calls = [r for r in self.cloud.requests if r.target == "/usage"]
+        return {body["window"]: body["counts"] for body in map(parse_body, calls)}
+
+    def count(self):
+        return sum(counts.get("pilots", 0) for counts in self.reports().values())
+
+    def test_node_reports_its_requests_and_goes_on_after_a_restart(self):
+        wait_until(self.reports, "first report")
+        for _ in range(3):
+            self.assertEqual(200, self.send("/pay/7").status)
+        wait_until(lambda: self.count() == 3, "the window is reported")
+        names = {request.headers["Lease-Holder"] for request in self.cloud.requests}
+        self.assertEqual({self.node._settings.name}, names)
+        self.assertGreater(self.node._gauges()["usage_windows_reported"], 0)
+        before = self.reports()
+        self.node.close()
+        self.node = self.start_node()
+        wait_until(lambda: len(self.reports()) > len(before) + 2, "more reports")
+        reports = self.reports()
+        self.assertEqual(before, {window: reports[window] for window in before})
+        self.assertEqual(list(range(min(reports), max(reports) + 1)), sorted(reports))
+        self.assertEqual(3, self.count())
+
+
+def parse_body(request: Request) -> dict:
+    return json.loads(request.body)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -57,6 +57,9 @@
 
 
 class NodeTestCase(unittest.TestCase):
+    # Follows the table of bounds.
+    more_settings = ""
+
     def setUp(self):
         self.store = Store()
         self.addCleanup(self.store.close)
@@ -71,7 +74,7 @@
     def start_node(self):
         ports = free_ports(4)
         with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
-            file.write(settings_text(self.store.address, ports))
+            file.write(settings_text(self.store.address, ports) + self.more_settings)
             file.flush()
             settings = read_node_settings(file.name)
         metrics = f"127.0.0.1:{ports[3]}"
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -86,13 +86,13 @@
 class Node:
     """A node with its part of the usage reports; `lead` makes it the planner."""
 
-    def __init__(self, world, name):
+    def __init__(self, world, name, ahead_s=0.0):
         self.world = world
         self.name = name
         self.is_planner = False
         self.planner_revision = 0
         self.drain = Drain()
-        self.clock = TrueClock(lambda: world.now, lambda: world.now)
+        self.clock = TrueClock(lambda: world.now, lambda: world.now + ahead_s)
         self.usage = UsageExchange(SETTINGS, self.clock)
         holding = DutyHolding(name, 3.0, self, self.drain, lambda: world.now)
         ledger = UsageLedger(world.store, UsageJson())
@@ -135,8 +135,8 @@
         patched.start()
         self.addCleanup(patched.stop)
 
-    def node(self, name, revision=0):
-        node = Node(self, name)
+    def node(self, name, revision=0, **options):
+        node = Node(self, name, **options)
         if revision:
             node.lead(revision)
         return node
@@ -183,6 +183,14 @@
         self.play(14.9, a)
         self.assertEqual({"w1": 3}, self.platform.counts()[FIRST])
 
+    def test_holder_whose_clock_is_ahead_commits_no_window_that_goes_on(self):
+        a, b, c = self.node("a", 7, ahead_s=20.0), self.node("b"), self.node("c")
+        for _ in range(100):
+            b.serve("w1")
+            self.play(self.now - START + 0.1, a, b, c)
+        counts = self.platform.counts()
+        self.assertEqual(25, counts[FIRST]["w1"])
+
     def test_node_that_stops_holds_no_window_up(self):
         a, b = self.node("a", 7), self.node("b")
         b.serve("w1")
