--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -1,17 +1,16 @@
 """The node daemon: serves callers, and plans replica groups while it is the planner."""
 
-import resource
 import time
 import uuid
-from collections.abc import Callable
 from contextlib import ExitStack
-from dataclasses import dataclass
 
 import eventlet
 
-from poplarspar.coordination.announcements import Announcements, StoreReader
+from poplarspar.adapters import NodeAdapters
+from poplarspar.coordination.announcements import Announcements
 from poplarspar.coordination.drain import Drain
-from poplarspar.coordination.fleet import FleetDocuments, FleetUpdater
+from poplarspar.coordination.duties import TrueClock, UsageExchange
+from poplarspar.coordination.fleet import FleetUpdater
 from poplarspar.coordination.forwarding import (
     STALL_CHECK_INTERVAL_S,
     DemandMeter,
@@ -20,34 +19,26 @@
     Sender,
     StallDetector,
     Targets,
-    Upstream,
 )
-from poplarspar.coordination.pools import OrderPort, ReportPort
 from poplarspar.coordination.quarantine import QuarantineExchange
 from poplarspar.coordination.session import Session
 from poplarspar.coordination.sharing import even_share
 from poplarspar.coordination.store_health import StoreHealth
-from poplarspar.coordination.store_ports import WatchedStore
 from poplarspar.coordination.supervision import spawn_supervised
 from poplarspar.coordination.timers import TimerService
+from poplarspar.duties import DutyPart
 from poplarspar.events import Event
 from poplarspar.exceptions import InvalidSettings
+from poplarspar.gauges import fleet_gauges, process_gauges, store_gauges
 from poplarspar.logs import log_event
+from poplarspar.pages import start_pages
 from poplarspar.planning import PlanningPart
 from poplarspar.protocol.quarantine import QuarantineJson
 from poplarspar.state.metrics import Metrics
 from poplarspar.state.node import NodeSettings
 from poplarspar.state.serving import ConfigurationBasis, ServiceSpec
 from poplarspar.transport.addresses import bound_address, listen
-from poplarspar.transport.metrics import MetricsPage
-from poplarspar.transport.server import (
-    Handler,
-    HttpServer,
-    Request,
-    Response,
-    ServerLimits,
-    json_response,
-)
+from poplarspar.transport.server import HttpServer, ServerLimits
 from poplarspar.watching import StoreWatches
 
 QUARANTINE_CHECK_INTERVAL_S = 0.2
@@ -57,28 +48,16 @@
 STOP_MARGIN_S = 0.7
 # Part of it in which requests without an answer are told that they won't get one.
 ANSWER_MARGIN_S = 0.3
+# Time for the last counts of usage to reach the planner, at least a part of the
+# margin. A new planner takes over within seconds.
+MIN_HANDOVER_S = 0.2
+MAX_HANDOVER_S = 2.0
 # Before the first configuration, the node receives only readiness checks.
 STARTUP_LIMITS = ServerLimits(65_536, header_timeout_s=3.0, idle_timeout_s=15.0)
-PROBE_LIMITS = ServerLimits(4_096, header_timeout_s=3.0, idle_timeout_s=30.0)
 # A caller that reads nothing for this long occupies a connection without using it.
 WRITE_TIMEOUT_S = 15.0
 
 
-@dataclass(frozen=True)
-class NodeAdapters:
-    """Connections of a node to the store, backend servers and callers."""
-
-    store: WatchedStore
-    documents: FleetDocuments
-    operator_prefix: str
-    backend_prefix: str
-    upstream: Upstream
-    reports: ReportPort
-    orders: OrderPort
-    caller_handler: Callable[[Forwarder, Drain, Metrics], Handler]
-    close: Callable[[], None]
-
-
 class Node:
     """A node process; `close` stops everything that it started."""
 
@@ -109,6 +88,8 @@
             lambda: self._announcements.conviction_delay_s(),
         )
         self._planning: PlanningPart | None = None
+        self._duties: DutyPart | None = None
+        self._usage = UsageExchange(settings.duties, TrueClock())
         self._secret = uuid.uuid4().hex
         self._start()
 
@@ -134,6 +115,7 @@
             "ready_listen",
             "peer_listen",
             "store",
+            "duties",
         )
         changed_names = [
             name
@@ -175,6 +157,8 @@
         if not finished:
             self.drain.interrupt()
             self._server.wait_ended(ANSWER_MARGIN_S)
+        handover_s = max(MIN_HANDOVER_S, ends_at - time.monotonic())
+        self._usage.wait_handed_on(min(MAX_HANDOVER_S, handover_s))
         self._session.wait_released(ends_at - time.monotonic())
         log_event(Event.STOPPED, finished=finished, running=self.drain.running)
 
@@ -188,6 +172,7 @@
         self._start_serving()
         self._start_watchers()
         self._start_planning()
+        self._start_duties()
 
     def _start_serving(self) -> None:
         settings = self._settings
@@ -200,6 +185,7 @@
             self._demand_meter,
             self._quarantine_exchange.quarantine,
             self._configuration_basis,
+            self._usage.meter.record,
         )
         timers = self._timers
         timers.every(STALL_CHECK_INTERVAL_S, StallDetector(self._targets).check)
@@ -216,22 +202,9 @@
             write_timeout_s=WRITE_TIMEOUT_S,
         )
         self._stack.callback(self._server.close)
-        self._ready_listener = listen(settings.ready_listen)
-        ready_server = HttpServer(
-            self._ready_listener,
-            self._handle_ready,
-            connection_limit=64,
-            limits=lambda: PROBE_LIMITS,
-        )
-        self._stack.callback(ready_server.close)
-        metrics_page = MetricsPage(self.metrics, self._gauges)
-        metrics_server = HttpServer(
-            listen(settings.metrics_listen),
-            metrics_page.handle,
-            connection_limit=16,
-            limits=lambda: PROBE_LIMITS,
+        self._ready_listener = start_pages(
+            settings, self.is_ready, self.metrics, self._gauges, self._stack
         )
-        self._stack.callback(metrics_server.close)
 
     def _start_watchers(self) -> None:
         adapters, settings = self._adapters, self._settings
@@ -297,12 +270,28 @@
             self.drain,
             self._targets,
             self._demand_meter,
+            self._usage,
             self._plan_changed,
         )
         self._planning.start(
             adapters.reports, adapters.orders, self._secret, self._stack
         )
 
+    def _start_duties(self) -> None:
+        settings, port = self._settings, self._adapters.duties
+        if settings.duties is None or port is None:
+            return
+        self._duties = DutyPart(
+            settings.name,
+            settings.duties,
+            port,
+            self._session,
+            self.drain,
+            self._adapters.store,
+            self._usage,
+        )
+        self._duties.start(self._stack)
+
     def _plan_changed(self) -> None:
         self._nodes_changed()
         self._fleet_changed()
@@ -369,36 +358,24 @@
 
     def _gauges(self) -> dict[str, float]:
         """Return the gauges of the metrics page."""
-        basis = self._configuration_basis()
-        usage = resource.getrusage(resource.RUSAGE_SELF)
         return {
             "ready": self.is_ready(),
-            "planner": self._session.is_planner,
             "nodes": self._node_count(),
             "requests_running": self.drain.running,
-            "configuration_version": basis.version,
-            "configuration_age_seconds": basis.age_s,
-            "configuration_answered_seconds": basis.answered_s,
-            "store_era": self._adapters.store.era,
-            "store_steady_seconds": self._store_health.healthy_s(),
-            "store_read_by_planner": (
-                self._announcements.reader_of_operator() is StoreReader.FOLLOWER
+            **store_gauges(
+                self._configuration_basis(),
+                self._adapters.store.era,
+                self._store_health,
+                self._announcements,
             ),
-            "plan_age_seconds": min(self._plan_age_s(), 1e9),
-            "backend_servers": len(self._fleet_updater.fleet.backends_by_id),
-            "replica_groups_serving": len(self._planning.plan.groups),
-            "prompt_parts_quarantined": len(
-                self._quarantine_exchange.quarantine.entries()
+            **fleet_gauges(
+                self._session,
+                self._planning,
+                self._fleet_updater,
+                self._targets,
+                self._quarantine_exchange.quarantine,
             ),
-            "backend_servers_leaving": self._targets.notices.leaving_count(),
-            "backend_servers_paused": self._targets.notices.paused_count(),
-            "backend_servers_limited": self._targets.rate_limits.count(),
-            "evacuated_zones": len(self._fleet_updater.fleet.evacuated_zones),
-            "memory_peak_bytes": usage.ru_maxrss * 1024,
-            "processor_seconds": usage.ru_utime + usage.ru_stime,
+            **process_gauges(),
             **self._retry_budget.gauges(),
+            **(self._duties.gauges() if self._duties else {}),
         }
-
-    def _handle_ready(self, request: Request) -> Response:
-        ready = self.is_ready()
-        return json_response(200 if ready else 503, {"ready": ready})
--- a/poplarspar/platform/assembly.py
+++ b/poplarspar/platform/assembly.py
@@ -1,8 +1,10 @@
 """Assembly of a node with the platform's adapters."""
 
-from poplarspar.node import Node, NodeAdapters
+from poplarspar.adapters import NodeAdapters
+from poplarspar.node import Node
 from poplarspar.platform.backends import PlatformOrderSender, PlatformReportReader
 from poplarspar.platform.callers import PlatformCallerHandler
+from poplarspar.platform.duties import PlatformDutyCaller
 from poplarspar.platform.keys import BACKEND_PREFIX, OPERATOR_PREFIX, PlatformDocuments
 from poplarspar.platform.store import PlatformStore
 from poplarspar.platform.upstream import PlatformUpstream
@@ -12,6 +14,7 @@
 def build_node(settings: NodeSettings) -> Node:
     """Start a node that uses the platform's store and backend servers."""
     store = PlatformStore(settings.store)
+    duties = settings.duties
     adapters = NodeAdapters(
         store=store,
         documents=PlatformDocuments(),
@@ -22,5 +25,6 @@
         orders=PlatformOrderSender(),
         caller_handler=lambda *parts: PlatformCallerHandler(*parts).handle,
         close=store.close,
+        duties=PlatformDutyCaller(duties.address) if duties else None,
     )
     return Node(settings, adapters)
