Weigh what a held beginning of a prompt saves against the wait

The operators wish that requests go where the beginning of their prompt is still held, while there is memory and room. Each node subtracts from a target's expected delay the time to read the tokens that it is believed to hold; all nodes prefer the same target for a beginning by rendezvous hashing, below a bound on load.

--- a/poplarspar/coordination/forwarding/attempts.py
+++ b/poplarspar/coordination/forwarding/attempts.py
@@ -3,6 +3,7 @@
 import time
 from dataclasses import dataclass
 
+from poplarspar.coordination.forwarding.held_prompts import Beginning
 from poplarspar.coordination.forwarding.ports import Attempt, Exchange, Upstream
 from poplarspar.coordination.forwarding.routing import RoutedRequest
 from poplarspar.coordination.forwarding.target import Target
@@ -24,11 +25,14 @@
     ----------
     sent_at : float
         Monotonic time at which the request was sent.
+    beginnings : tuple of Beginning
+        What the target may hold of the prompt, empty if it keeps none.
     """
 
     exchange: Exchange
     target: Target
     sent_at: float
+    beginnings: tuple[Beginning, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -109,6 +113,8 @@
         """Close an answer and release its slot at the target."""
         began.target.exchanges.discard(began.exchange)
         began.exchange.close()
+        if began.beginnings and began.target.held is not None:
+            began.target.held.record(began.beginnings, time.monotonic())
         self._targets.record_end(began.target)
 
     def _classify(self, target: Target, attempt: Attempt) -> AttemptResult:
@@ -135,7 +141,11 @@
             target.record_failure()
             return Broke(target, f"status {exchange.status} without a signature")
         target.exchanges.add(exchange)
-        return Began(exchange, target, sent_at)
+        beginnings: tuple[Beginning, ...] = ()
+        if target.held is not None:
+            version = exchange.weights_version
+            beginnings = self._targets.record_read(target, attempt.request, version)
+        return Began(exchange, target, sent_at, beginnings)
 
 
 def _log_failure(attempt: Attempt, result: AttemptResult) -> None:
--- a/poplarspar/coordination/forwarding/choice.py
+++ b/poplarspar/coordination/forwarding/choice.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable, Iterable
 
+from poplarspar.coordination.forwarding.beginnings import PromptSavings
 from poplarspar.coordination.forwarding.notices import ServerNotices
 from poplarspar.coordination.forwarding.rate_limits import RateLimits
 from poplarspar.coordination.forwarding.routing import RoutedRequest
@@ -79,10 +80,31 @@
         ]
         if not compared:
             return None
+        engine = routed.service.engine
+        if engine is not None and engine.prompt_memory is not None:
+            savings = PromptSavings(engine, routed.request, candidates, now)
+            compared = self._with_savings(routed.service, compared, savings, now)
         min_delay_s = min(delay for delay, _ in compared)
         equal = [t for delay, t in compared if delay <= min_delay_s + EQUAL_DELAY_S]
         return random.choice(equal)
 
+    def _with_savings(
+        self,
+        service: ServiceSpec,
+        compared: list[tuple[float, Target]],
+        savings: PromptSavings,
+        now: float,
+    ) -> list[tuple[float, Target]]:
+        """Subtract from each delay what the target's memory saves.
+
+        The target that all nodes prefer is compared too, so that they meet there.
+        """
+        preferred = savings.preferred
+        if preferred is not None and all(t is not preferred for _, t in compared):
+            delay_s = self._delay_s(service, preferred, now)
+            compared = [*compared, (delay_s, preferred)]
+        return [(delay - savings.saved_s(t), t) for delay, t in compared]
+
     def knows_all_load(self) -> bool:
         """Return whether this node compares all targets, not a sample of them."""
         return self._node_count() <= FULL_COMPARISON_NODES
--- a/poplarspar/coordination/forwarding/ports.py
+++ b/poplarspar/coordination/forwarding/ports.py
@@ -63,6 +63,9 @@
         nodes together.
     notices : tuple of Notice
         What the backend server asks of this node.
+    weights_version : int or None
+        Version of the weights that the backend server reads prompts with, None if it
+        names none.
     framed : bool
         Whether the end of the answer is certain. The end of the connection ends other
         answers, also if the backend server crashes.
@@ -76,6 +79,7 @@
     rate_limit: ObservedLimit
     notices: tuple[Notice, ...]
     is_stream: bool
+    weights_version: int | None
     framed: bool
 
     def read_body(self) -> bytes:
--- a/poplarspar/coordination/forwarding/target.py
+++ b/poplarspar/coordination/forwarding/target.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from poplarspar.coordination.forwarding.held_prompts import HeldPrompts
 from poplarspar.state.backends import BackendServer, Load
 from poplarspar.state.serving import Engine
 
@@ -54,6 +55,8 @@
     progress_at : float
         Monotonic time of the last event or answer, or of the first request after an
         idle time.
+    held : HeldPrompts or None
+        Prompts that it is believed to hold, None if it keeps none.
     """
 
     backend: BackendServer
@@ -77,6 +80,7 @@
     streams: set[MovableStream] = field(default_factory=set)
     progress_at: float = float("-inf")
     mean_answer_s: float = 0.0
+    held: HeldPrompts | None = None
 
     def expected_in_flight(self, now: float) -> int:
         """Return the expected number of requests of all nodes at the target."""
--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -7,6 +7,12 @@
 from eventlet.event import Event as Signal
 
 from poplarspar.coordination.forwarding.choice import TargetChoice
+from poplarspar.coordination.forwarding.held_prompts import (
+    Beginning,
+    HeldPrompts,
+    PromptUse,
+    beginnings_of,
+)
 from poplarspar.coordination.forwarding.notices import ServerNotices
 from poplarspar.coordination.forwarding.overload import Overload
 from poplarspar.coordination.forwarding.rate_limits import RateLimits
@@ -16,12 +22,17 @@
     PROGRESS_INTERVAL_S,
     Target,
 )
+from poplarspar.state.callers import CallerRequest
 from poplarspar.state.plan import FleetPlan, GroupLoad
-from poplarspar.state.serving import Engine, Fleet, ServiceSpec
+from poplarspar.state.serving import Engine, Fleet, PromptMemory, ServiceSpec
 
 MAX_FAILURE_RATE = 0.7
 
 
+def _memory_of(target: Target) -> PromptMemory | None:
+    return target.held.memory if target.held is not None else None
+
+
 class Targets:
     """The targets that a node may send requests to.
 
@@ -57,6 +68,7 @@
         self.by_key: dict[object, Target] = {}
         # Removed targets whose replica groups still end their streams.
         self._closing: list[Target] = []
+        self.prompt_use = PromptUse()
         self._changed = Signal()
 
     def update(self, fleet: Fleet, open_groups: dict[str, tuple]) -> None:
@@ -75,6 +87,8 @@
             if existing is not None:
                 existing.backend = target.backend
                 existing.cold_until = target.cold_until
+                if _memory_of(existing) != _memory_of(target):
+                    existing.held = target.held
                 target = existing
             targets_by_key[key] = target
             targets_by_service.setdefault(target.backend.service, []).append(target)
@@ -112,6 +126,8 @@
                 target = Target(backend, service.engine.slots, model, group)
                 target.cold_until = cold_until
                 target.progress_at = now
+                if service.engine.prompt_memory is not None:
+                    target.held = HeldPrompts(service.engine.prompt_memory)
                 yield (*instance, group), target
 
     @staticmethod
@@ -235,6 +251,21 @@
         """Subtract the prompt tokens of a request whose answer began or failed."""
         target.prefill_tokens -= tokens
 
+    def record_read(
+        self, target: Target, request: CallerRequest, weights_version: int | None
+    ) -> tuple[Beginning, ...]:
+        """Record the prompt that a target has read; return its beginnings."""
+        if target.held is None:
+            return ()
+        now = time.monotonic()
+        beginnings = beginnings_of(request)
+        held_tokens = target.held.tokens_held(
+            beginnings, now, target.expected_in_flight(now)
+        )
+        self.prompt_use.record(request.prompt_tokens, held_tokens)
+        target.held.record(beginnings, now, weights_version)
+        return beginnings
+
     def record_end(self, target: Target) -> None:
         """Count a request as ended and wake waiting requests."""
         target.in_flight -= 1
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -396,6 +396,7 @@
             "evacuated_zones": len(self._fleet_updater.fleet.evacuated_zones),
             "memory_peak_bytes": usage.ru_maxrss * 1024,
             "processor_seconds": usage.ru_utime + usage.ru_stime,
+            **self._targets.prompt_use.gauges(),
             **self._retry_budget.gauges(),
         }
 
--- a/poplarspar/platform/callers.py
+++ b/poplarspar/platform/callers.py
@@ -33,7 +33,12 @@
 )
 from poplarspar.protocol.refusals import STATUS_BY_REASON, refusal_body
 from poplarspar.protocol.server_sent_events import MAX_EVENT_ID_DIGITS
-from poplarspar.state.callers import CallerRequest, CompleteAnswer, StreamedAnswer
+from poplarspar.state.callers import (
+    CallerRequest,
+    CompleteAnswer,
+    PromptSection,
+    StreamedAnswer,
+)
 from poplarspar.state.metrics import Metrics
 from poplarspar.state.refusals import Ran, Reason, Refusal
 from poplarspar.state.results import Error, Ok
@@ -44,6 +49,7 @@
 # Statuses by which the node promises that a request has not run and never will.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 MAX_PART_ID_LENGTH = 64
+MAX_SECTIONS = 64
 OK = 200
 BAD_GATEWAY_STATUS = 502
 TIMEOUT_STATUS = 504
@@ -262,6 +268,7 @@
         expected_tokens=_parse_estimate(headers.get(EXPECTED_TOKENS, "")),
         arrived_at=request.arrived_at,
         prompt_parts=_parse_prompt_parts(headers.get(PROMPT_PARTS, "")),
+        prompt_sections=_parse_prompt_sections(headers.get(PROMPT_PARTS, "")),
     )
 
 
@@ -298,6 +305,18 @@
     return tuple(dict.fromkeys(shared))
 
 
+def _parse_prompt_sections(text: str) -> tuple[PromptSection, ...]:
+    """Return the parts of a prompt, in order, up to the first malformed one."""
+    sections = []
+    for part in text.split(","):
+        id, _, tokens_text = part.partition(":")
+        id, tokens = id.strip().lower(), parse_count(tokens_text)
+        if not id.isalnum() or len(id) > MAX_PART_ID_LENGTH or tokens is None:
+            break
+        sections.append(PromptSection(id, tokens))
+    return tuple(sections[:MAX_SECTIONS])
+
+
 def _parse_token_counts(text: str) -> tuple[int, int]:
     if not text:
         return 0, 0
--- a/poplarspar/platform/documents.py
+++ b/poplarspar/platform/documents.py
@@ -26,6 +26,7 @@
     Engine,
     EngineModel,
     KeyHolder,
+    PromptMemory,
     RouteKind,
     ServiceRoute,
     ServiceSpec,
@@ -118,10 +119,16 @@
 
 
 class _UsualTokens(_Document):
-    # Mean tokens per answer.
+    # Mean tokens per prompt, and per answer.
+    prompt: float = 0.0
     answer: float = 0.0
 
 
+class _PromptMemory(_Document):
+    # Kept after the request with the prompt has ended.
+    keep_ms: Milliseconds
+
+
 class _Engine(_Document):
     slots: int = Field(ge=1)
     models: list[_Model] = []
@@ -137,8 +144,12 @@
     # Factor on a group's times if its members are in several fabric domains.
     far_x: float = Field(default=1.0, ge=1.0)
     usual: _UsualTokens = _UsualTokens()
+    # Memory of a replica group, in tokens.
+    kv_capacity_tokens: int = Field(default=0, ge=0)
+    prompt_memory: _PromptMemory | None = None
 
     def to_state(self) -> Engine:
+        memory = self.prompt_memory
         return Engine(
             slots=self.slots,
             models_by_name={model.name: model.to_state() for model in self.models},
@@ -151,6 +162,13 @@
             open_s=self.form_ms / 1000,
             mean_answer_tokens=int(self.usual.answer),
             far_factor=self.far_x,
+            prompt_memory=PromptMemory(
+                memory.keep_ms / 1000,
+                self.kv_capacity_tokens,
+                int(self.usual.prompt + self.usual.answer),
+            )
+            if memory is not None
+            else None,
         )
 
 
--- a/poplarspar/platform/headers.py
+++ b/poplarspar/platform/headers.py
@@ -35,6 +35,8 @@
 RATE_LIMIT = "Server-Limit"
 # A backend server that leaves has this header in all its answers.
 LEAVING = "Server-Leaving"
+# Version of the weights with which the answer was generated.
+WEIGHTS_VERSION = "Weight-Versions"
 # Seconds for which a backend server wants no requests of this node.
 PAUSE = "Retry-After"
 # How often the store has been restored from an older copy.
--- a/poplarspar/platform/upstream.py
+++ b/poplarspar/platform/upstream.py
@@ -32,8 +32,10 @@
     RATE_LIMIT,
     REQUEST_ID,
     SIGNATURE,
+    WEIGHTS_VERSION,
     WORKSPACE,
     IgnoredHeaders,
+    parse_count,
     parse_leaving,
     parse_load,
     parse_pause,
@@ -84,6 +86,7 @@
         speaks_of_itself = is_own and stream.status != MISDIRECTED
         self.notices = self._parse_notices() if speaks_of_itself else ()
         self.is_stream = headers.get("Content-Type", "").startswith(EVENT_STREAM)
+        self.weights_version = self._parse(WEIGHTS_VERSION, parse_count)
         self.framed = stream.framed
         self.headers = _answer_headers(headers)
 
--- a/poplarspar/state/callers.py
+++ b/poplarspar/state/callers.py
@@ -6,6 +6,14 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+@dataclass(frozen=True)
+class PromptSection:
+    """A part of a prompt; `tokens` is its length."""
+
+    id: str
+    tokens: int
+
+
 @dataclass(frozen=True)
 class CallerRequest:
     """One attempt by a caller, forwarded unchanged.
@@ -34,6 +42,8 @@
         Monotonic time of arrival in seconds.
     prompt_parts : tuple of str
         Ids of the parts of the prompt that other requests may share, in order.
+    prompt_sections : tuple of PromptSection
+        All leading parts of the prompt whose lengths are known, in order.
     """
 
     id: str
@@ -52,6 +62,7 @@
     expected_tokens: int | None
     arrived_at: float
     prompt_parts: tuple[str, ...] = ()
+    prompt_sections: tuple[PromptSection, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/poplarspar/state/serving.py
+++ b/poplarspar/state/serving.py
@@ -92,6 +92,25 @@
     staged_load_s: float
 
 
+@dataclass(frozen=True)
+class PromptMemory:
+    """How much of the prompts that they have read replica groups keep, and how long.
+
+    Attributes
+    ----------
+    keep_s : float
+        Time for which a prompt is kept after a request with it has ended, in seconds.
+    capacity_tokens : int
+        Memory of a replica group, for running requests and for kept prompts.
+    mean_request_tokens : int
+        Memory that a running request needs on average.
+    """
+
+    keep_s: float
+    capacity_tokens: int
+    mean_request_tokens: int
+
+
 @dataclass(frozen=True)
 class Engine:
     """Performance figures of a service's model engines.
@@ -111,6 +130,8 @@
     far_factor : float
         Factor on all times of a replica group whose members are in several fabric
         domains.
+    prompt_memory : PromptMemory or None
+        None if no prompt is kept after its request.
     """
 
     slots: int
@@ -124,6 +145,7 @@
     open_s: float
     mean_answer_tokens: int = 0
     far_factor: float = 1.0
+    prompt_memory: PromptMemory | None = None
 
 
 @dataclass(frozen=True)
