Renew no belief from a request of older weights

The end of a request recorded its prompt again without the version of the weights that had read it, so a change of weights while it ran left a wrong belief. Also a test that a changed prompt_memory ends all beliefs of a target that stays.

--- a/poplarspar/coordination/forwarding/attempts.py
+++ b/poplarspar/coordination/forwarding/attempts.py
@@ -114,7 +114,8 @@
         began.target.exchanges.discard(began.exchange)
         began.exchange.close()
         if began.beginnings and began.target.held is not None:
-            began.target.held.record(began.beginnings, time.monotonic())
+            version = began.exchange.weights_version
+            began.target.held.renew(began.beginnings, time.monotonic(), version)
         self._targets.record_end(began.target)
 
     def _classify(self, target: Target, attempt: Attempt) -> AttemptResult:
--- a/poplarspar/coordination/forwarding/held_prompts.py
+++ b/poplarspar/coordination/forwarding/held_prompts.py
@@ -88,6 +88,13 @@
             self._tokens += tokens
         self._forget_down_to(self.memory.capacity_tokens)
 
+    def renew(
+        self, beginnings: Sequence[Beginning], now: float, weights_version: int | None
+    ) -> None:
+        """Record that a request has ended, whose prompt was read with a version."""
+        if weights_version == self._weights_version:
+            self.record(beginnings, now, weights_version)
+
     def tokens_held(
         self, beginnings: Sequence[Beginning], now: float, in_flight: int
     ) -> int:
--- a/tests/test_beginnings.py
+++ b/tests/test_beginnings.py
@@ -70,6 +70,15 @@
         targets.update(fleet, groups)
         return targets
 
+    def configure(self, memory):
+        """Give the service's backend servers another memory."""
+        service = ServiceSpec(
+            "llm", 100, 0.0, replace(self.engine, prompt_memory=memory)
+        )
+        self.fleet.configuration = replace(
+            self.fleet.configuration, services_by_name={"llm": service}
+        )
+
     def routed(self, caller_request):
         service = ServiceSpec("llm", 100, 0.0, self.engine)
         deadline = time.monotonic() + 1.0
@@ -197,6 +206,30 @@
         self.assertEqual(0, self.held(held, prompt(LONG)))
         self.assertEqual(LONG + 60, self.held(held, prompt(LONG, shared="s2")))
 
+    # A request that began before the change and ends after it.
+    def test_request_of_older_weights_renews_no_belief(self):
+        held = HeldPrompts(MEMORY)
+        self.record(held, prompt(LONG), version=1)
+        self.record(held, prompt(LONG, shared="s2"), version=2)
+        held.renew(beginnings_of(prompt(LONG)), 1.0, 1)
+        self.assertEqual(0, self.held(held, prompt(LONG)))
+        held.renew(beginnings_of(prompt(LONG, shared="s2")), 31.0, 2)
+        renewed = self.held(held, prompt(LONG, shared="s2"), now=32.0)
+        self.assertEqual(LONG + 60, renewed)
+
+    def test_belief_ends_with_a_changed_memory(self):
+        holder = self.send(prompt(LONG))
+        groups = {id: ((f"g-{id}", 1), "m0") for id in self.heads}
+        for changes in ({"keep_s": 1.0}, {"capacity_tokens": 5_000}):
+            self.configure(replace(MEMORY, **changes))
+            self.targets.update(self.fleet, groups)
+            self.assertIs(holder, self.target(holder.backend.id))
+            self.assertEqual(0, self.held(holder.held, prompt(LONG)))
+            self.targets.record_read(holder, prompt(LONG), None)
+        self.configure(None)
+        self.targets.update(self.fleet, groups)
+        self.assertIsNone(holder.held)
+
     def test_belief_ends_after_the_time_for_which_prompts_are_kept(self):
         held = HeldPrompts(MEMORY)
         self.record(held, prompt(LONG), now=0.0)
