Assume a beginning only where it can be held

All nodes assumed half of a beginning at its preferred target also if the target's memory was smaller or full of running requests, and for prompts of one part, which nobody shares. Such requests followed the hash instead of the load.

--- a/poplarspar/coordination/forwarding/beginnings.py
+++ b/poplarspar/coordination/forwarding/beginnings.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Iterable
 
-from poplarspar.coordination.forwarding.held_prompts import Beginning, beginnings_of
+from poplarspar.coordination.forwarding.held_prompts import HeldPrompts, beginnings_of
 from poplarspar.coordination.forwarding.target import Target
 from poplarspar.state.callers import CallerRequest
 from poplarspar.state.serving import Engine
@@ -44,6 +44,8 @@
     ) -> None:
         self._engine = engine
         self._beginnings = beginnings_of(request)
+        # The last part of a prompt belongs to its request alone.
+        self._shared = self._beginnings[-2] if len(self._beginnings) > 1 else None
         self._now = now
         self._load_by_target = {t: t.expected_in_flight(now) for t in targets}
         self._bound = self._load_bound()
@@ -56,7 +58,7 @@
         load = self._load_by_target[target]
         tokens = target.held.tokens_held(self._beginnings, self._now, load)
         if target is self.preferred:
-            tokens = max(tokens, int(self._shared().tokens * ASSUMED_SHARE))
+            tokens = max(tokens, self._assumed_tokens(target.held, load))
         time_factor = self._engine.models_by_name[target.model].time_factor
         read_s = tokens / self._engine.tokens_read_per_s
         saved_s = read_s * time_factor * target.slowdown
@@ -67,15 +69,17 @@
         mean = (sum(loads) + 1) / max(1, len(loads))
         return math.ceil(mean * LOAD_BOUND)
 
-    def _shared(self) -> Beginning:
-        """Return the beginning that other requests are most likely to share."""
-        return self._beginnings[-2 if len(self._beginnings) > 1 else -1]
+    def _assumed_tokens(self, held: HeldPrompts, load: int) -> int:
+        """Return what nodes assume at their preferred target, if it has room."""
+        if self._shared is None or self._shared.tokens > held.room_tokens(load):
+            return 0
+        return int(self._shared.tokens * ASSUMED_SHARE)
 
     def _preferred_target(self) -> Target | None:
         """Return the first target, by rendezvous hashing, below the load bound."""
-        if not self._beginnings:
+        if self._shared is None:
             return None
-        key = self._shared().key
+        key = self._shared.key
         below = [t for t, load in self._load_by_target.items() if load <= self._bound]
         return max(below, key=lambda target: _rank(key, target), default=None)
 
--- a/poplarspar/coordination/forwarding/held_prompts.py
+++ b/poplarspar/coordination/forwarding/held_prompts.py
@@ -95,6 +95,11 @@
         if weights_version == self._weights_version:
             self.record(beginnings, now, weights_version)
 
+    def room_tokens(self, in_flight: int) -> int:
+        """Return the memory beside the running requests of all nodes, in tokens."""
+        running_tokens = in_flight * self.memory.mean_request_tokens
+        return self.memory.capacity_tokens - running_tokens
+
     def tokens_held(
         self, beginnings: Sequence[Beginning], now: float, in_flight: int
     ) -> int:
@@ -105,8 +110,7 @@
         in_flight : int
             Requests of all nodes at the target, which need memory first.
         """
-        running_tokens = in_flight * self.memory.mean_request_tokens
-        self._forget_down_to(self.memory.capacity_tokens - running_tokens)
+        self._forget_down_to(self.room_tokens(in_flight))
         tokens = 0
         for beginning in beginnings:
             held = self._held_by_key.get(beginning.key)
--- a/tests/test_beginnings.py
+++ b/tests/test_beginnings.py
@@ -165,6 +165,22 @@
         # Beginnings differ, and so do their targets.
         self.assertEqual(set(self.heads), set(chosen_by_beginning.values()))
 
+    def test_prompt_that_nobody_shares_goes_by_load_alone(self):
+        own = PromptSection("own", LONG)
+        unshared = request("/draft/1", model="m0", prompt_sections=(own,))
+        chosen = {self.choose(unshared).backend.id for _ in range(100)}
+        self.assertEqual(set(self.heads), chosen)
+
+    def test_nothing_is_assumed_where_a_beginning_has_no_room(self):
+        for capacity_tokens in (0, LONG - 1):
+            self.engine = replace(
+                self.engine,
+                prompt_memory=replace(MEMORY, capacity_tokens=capacity_tokens),
+            )
+            node = self.node()
+            chosen = {self.choose(prompt(LONG), node).backend.id for _ in range(100)}
+            self.assertEqual(set(self.heads), chosen)
+
     def test_many_nodes_meet_at_the_preferred_target_beyond_their_samples(self):
         chosen = Counter()
         for _ in range(10):
