Keep odd lengths of parts from spoiling what is believed of others

A beginning was known by its parts' ids alone, so one read with 1 token counted as held with 90,000. One stated longer than a target's memory evicted all others there, and parts without tokens took places of others.

--- a/poplarspar/coordination/forwarding/held_prompts.py
+++ b/poplarspar/coordination/forwarding/held_prompts.py
@@ -19,7 +19,7 @@
     Attributes
     ----------
     key : bytes
-        Digest of the parts' ids in order, the same at all nodes.
+        Digest of the parts' ids and lengths in order, the same at all nodes.
     tokens : int
         Length of all these parts.
     """
@@ -29,17 +29,21 @@
 
 
 def beginnings_of(request: CallerRequest) -> tuple[Beginning, ...]:
-    """Return the beginnings of a request's prompt, the shortest first."""
+    """Return the beginnings of a request's prompt, the shortest first.
+
+    Parts without tokens make no beginning of their own.
+    """
     beginnings = []
     digest, tokens = hashlib.blake2b(digest_size=8), 0
     for part in request.prompt_sections:
-        digest.update(part.id.encode() + b"\0")
+        digest.update(f"{part.id}:{part.tokens},".encode())
         tokens += part.tokens
-        beginnings.append(Beginning(digest.copy().digest(), tokens))
+        if part.tokens:
+            beginnings.append(Beginning(digest.copy().digest(), tokens))
     return tuple(beginnings)
 
 
-@dataclass
+@dataclass(slots=True)
 class _Held:
     """A beginning at a target; `tokens` are those that the next shorter one lacks."""
 
@@ -68,6 +72,8 @@
     ) -> None:
         """Record that the target has read a prompt.
 
+        Beginnings beyond its memory are left out, since it can't hold them.
+
         Parameters
         ----------
         weights_version : int or None
@@ -77,6 +83,8 @@
         if weights_version is not None and weights_version != self._weights_version:
             self._clear()
             self._weights_version = weights_version
+        capacity_tokens = self.memory.capacity_tokens
+        beginnings = [b for b in beginnings if b.tokens <= capacity_tokens]
         # The longest one is the first to be forgotten, since the others are of use
         # without it.
         for index in reversed(range(len(beginnings))):
@@ -86,7 +94,7 @@
             tokens = beginning.tokens - shorter_tokens
             self._held_by_key[beginning.key] = _Held(tokens, now)
             self._tokens += tokens
-        self._forget_down_to(self.memory.capacity_tokens)
+        self._forget_down_to(capacity_tokens)
 
     def renew(
         self, beginnings: Sequence[Beginning], now: float, weights_version: int | None
--- a/poplarspar/platform/callers.py
+++ b/poplarspar/platform/callers.py
@@ -308,13 +308,14 @@
 def _parse_prompt_sections(text: str) -> tuple[PromptSection, ...]:
     """Return the parts of a prompt, in order, up to the first malformed one."""
     sections = []
-    for part in text.split(","):
+    # The last piece of the split is all the rest, which is left out.
+    for part in text.split(",", MAX_SECTIONS)[:MAX_SECTIONS]:
         id, _, tokens_text = part.partition(":")
         id, tokens = id.strip().lower(), parse_count(tokens_text)
         if not id.isalnum() or len(id) > MAX_PART_ID_LENGTH or tokens is None:
             break
         sections.append(PromptSection(id, tokens))
-    return tuple(sections[:MAX_SECTIONS])
+    return tuple(sections)
 
 
 def _parse_token_counts(text: str) -> tuple[int, int]:
--- a/tests/test_beginnings.py
+++ b/tests/test_beginnings.py
@@ -17,7 +17,7 @@
     beginnings_of,
 )
 from poplarspar.coordination.forwarding.routing import RoutedRequest
-from poplarspar.platform.callers import _parse_prompt_sections
+from poplarspar.platform.callers import MAX_SECTIONS, _parse_prompt_sections
 from poplarspar.platform.documents import parse_configuration
 from poplarspar.state.callers import PromptSection
 from poplarspar.state.serving import (
@@ -282,6 +282,20 @@
             self.record(held, prompt(LONG, own=f"own{number}"))
         self.assertLessEqual(len(held._held_by_key), MAX_BEGINNINGS)
 
+    # A caller that states odd lengths spoils only its own requests.
+    def test_odd_lengths_neither_gain_nor_evict_anything(self):
+        held = HeldPrompts(MEMORY)
+        self.record(held, prompt(1, shared="s1"))
+        self.record(held, prompt(LONG, shared="s2"))
+        self.assertEqual(0, self.held(held, prompt(90_000, shared="s1")))
+        self.record(held, prompt(999_999_999, shared="s1"))
+        self.assertEqual(LONG + 60, self.held(held, prompt(LONG, shared="s2")))
+        parts = tuple(PromptSection(f"p{number}", 0) for number in range(64))
+        for number in range(MAX_BEGINNINGS):
+            last = PromptSection(f"last{number}", 0)
+            self.record(held, request("/draft/1", prompt_sections=(*parts, last)))
+        self.assertEqual(LONG + 60, self.held(held, prompt(LONG, shared="s2")))
+
     def test_order_of_parts_makes_another_beginning(self):
         sections = (PromptSection("a", 500), PromptSection("b", 500))
         first = request("/draft/1", prompt_sections=sections)
@@ -301,6 +315,7 @@
         self.assertEqual((PromptSection("a1", 40),), parse("a1:40,b2,c3:5"))
         for text in ("", ":", "a:-1", "a:1.5", "a b:1", "x" * 65 + ":1"):
             self.assertEqual((), parse(text), text)
+        self.assertEqual(MAX_SECTIONS, len(parse("a:1," * 5000)))
         random.seed(1)
         for _ in range(500):
             parse("".join(random.choices("a1:,- \x00é", k=12)))
