Let neither slow targets nor slow engines gain by small beginnings

A target's slowness multiplied what its memory saved, although its own reading of the rest isn't in its expected delay. With a slow engine 40 of 1,400 tokens moved a request. The test of that stayed green since its holder was over the load bound; it now covers a holder within the bound as well.

--- a/poplarspar/coordination/forwarding/beginnings.py
+++ b/poplarspar/coordination/forwarding/beginnings.py
@@ -17,6 +17,8 @@
 
 # A saving below the accuracy of expected delays is no reason to prefer a target.
 MIN_SAVED_S = 0.004
+# Nor is a small part of the prompt, however slowly it is read.
+MIN_SAVED_SHARE = 0.05
 # Share of a beginning that nodes assume at the target that all of them prefer, without
 # a request of their own there: other nodes may not have had one either.
 ASSUMED_SHARE = 0.5
@@ -43,6 +45,7 @@
         now: float,
     ) -> None:
         self._engine = engine
+        self._min_tokens = request.prompt_tokens * MIN_SAVED_SHARE
         self._beginnings = beginnings_of(request)
         # The last part of a prompt belongs to its request alone.
         self._shared = self._beginnings[-2] if len(self._beginnings) > 1 else None
@@ -60,9 +63,11 @@
         if target is self.preferred:
             tokens = max(tokens, self._assumed_tokens(target.held, load))
         time_factor = self._engine.models_by_name[target.model].time_factor
-        read_s = tokens / self._engine.tokens_read_per_s
-        saved_s = read_s * time_factor * target.slowdown
-        return saved_s if saved_s >= MIN_SAVED_S else 0.0
+        # The time that a target of usual speed needs, since a slow one must not gain by
+        # the time that it would need itself.
+        saved_s = tokens / self._engine.tokens_read_per_s * time_factor
+        is_small = saved_s < MIN_SAVED_S or tokens < self._min_tokens
+        return 0.0 if is_small else saved_s
 
     def _load_bound(self) -> int:
         loads = self._load_by_target.values()
--- a/tests/test_beginnings.py
+++ b/tests/test_beginnings.py
@@ -127,9 +127,24 @@
     def test_short_beginning_never_moves_a_request_to_a_longer_wait(self):
         holder = self.target("h0")
         self.targets.record_read(holder, prompt(SHORT, LONG), None)
-        holder.in_flight = 2
+        # The first is within the load bound, the second is over it.
+        for holder.in_flight in (1, 2):
+            for number in range(30):
+                chosen = self.choose(prompt(SHORT, LONG, own=f"own{number}"))
+                self.assertIsNot(holder, chosen)
+
+    def test_short_beginning_moves_no_request_of_a_slow_engine(self):
+        self.engine = replace(self.engine, tokens_read_per_s=500.0)
+        self.targets = self.node()
+        self.test_short_beginning_never_moves_a_request_to_a_longer_wait()
+
+    # A target that is three times slower would save three times as long, of its own.
+    def test_slow_target_gains_nothing_by_its_slowness(self):
+        holder = self.target("h0")
+        self.targets.record_read(holder, prompt(6_000, 60_000), None)
+        holder.slowdown = 3.0
         for number in range(30):
-            chosen = self.choose(prompt(SHORT, LONG, own=f"own{number}"))
+            chosen = self.choose(prompt(6_000, 60_000, own=f"own{number}"))
             self.assertIsNot(holder, chosen)
 
     def test_saving_is_weighed_against_the_wait(self):
