--- a/poplarspar/coordination/forwarding/attempts.py
+++ b/poplarspar/coordination/forwarding/attempts.py
@@ -15,6 +15,7 @@
 # Connecting within a region takes under 3 ms, and TCP resends a lost packet only
 # after 1 s. Trying another backend server before that is faster.
 CONNECT_TIMEOUT_S = 0.12
+OK = 200
 
 
 @dataclass(frozen=True)
@@ -143,7 +144,8 @@
             return Broke(target, f"status {exchange.status} without a signature")
         target.exchanges.add(exchange)
         beginnings: tuple[Beginning, ...] = ()
-        if target.held is not None:
+        # An error answer says nothing of whether the prompt was read.
+        if target.held is not None and exchange.status == OK:
             version = exchange.weights_version
             beginnings = self._targets.record_read(target, attempt.request, version)
         return Began(exchange, target, sent_at, beginnings)
--- a/tests/test_beginnings.py
+++ b/tests/test_beginnings.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 
 from poplarspar.coordination.forwarding import Targets
+from poplarspar.coordination.forwarding.attempts import Sender
 from poplarspar.coordination.forwarding.held_prompts import (
     MAX_BEGINNINGS,
     HeldPrompts,
@@ -28,7 +29,14 @@
     ServiceSpec,
     ServingConfiguration,
 )
-from tests.test_forwarding import ENGINE, backend, request, route
+from tests.test_forwarding import (
+    ENGINE,
+    FakeExchange,
+    FakeUpstream,
+    backend,
+    request,
+    route,
+)
 
 MEMORY = PromptMemory(30.0, 100_000, 1_000)
 ROUTE = route("draft", RouteKind.STREAM, "llm", target_latency_s=1.0)
@@ -261,6 +269,16 @@
         self.targets.update(self.fleet, groups)
         self.assertIsNone(holder.held)
 
+    def test_answer_that_is_an_error_makes_no_belief(self):
+        holder = self.target("h0")
+        for status, tokens in ((500, 0), (400, 0), (200, LONG + 60)):
+            sender = Sender(self.targets, FakeUpstream(FakeExchange(status)))
+            routed = self.routed(prompt(LONG))
+            sender.finish(sender.send(routed, holder, response_timeout_s=1.0))
+            now = time.monotonic()
+            self.assertEqual(tokens, self.held(holder.held, prompt(LONG), now))
+            self.assertEqual(0, holder.in_flight)
+
     def test_belief_ends_after_the_time_for_which_prompts_are_kept(self):
         held = HeldPrompts(MEMORY)
         self.record(held, prompt(LONG), now=0.0)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -129,6 +129,7 @@
         self.load = options.get("load")
         self.rate_limit = options.get("rate_limit", NoLimit())
         self.notices = options.get("notices", ())
+        self.weights_version = options.get("weights_version")
         self.is_stream = "numbers" in options
         self.framed = options.get("framed", True)
         self._event_numbers = options.get("numbers", ())
