--- a/tests/test_beginnings.py
+++ b/tests/test_beginnings.py
@@ -212,6 +212,17 @@
             chosen[self.choose(prompt(LONG), node).backend.id] += 1
         self.assertEqual(1, len(chosen))
 
+    def test_preferred_target_beyond_a_sample_must_not_be_full_or_cold(self):
+        preferred_id = self.choose(prompt(LONG)).backend.id
+        for changes in ({"in_flight": 9}, {"cold_until": float("inf")}):
+            self.targets = self.node()
+            self.targets._choice._node_count = lambda: 1000
+            self.targets._choice._cold_limit = lambda service, id: 0
+            vars(self.target(preferred_id)).update(changes)
+            for _ in range(30):
+                chosen = self.choose(prompt(LONG))
+                self.assertNotEqual(preferred_id, chosen.backend.id)
+
 
 class BeliefTest(BeginningsTestCase):
     def held(self, held, caller_request, now=0.0, in_flight=0):
