--- a/tests/test_beginnings.py
+++ b/tests/test_beginnings.py
@@ -123,7 +123,6 @@
         self.assertEqual(set(self.heads), chosen)
         self.assertEqual(0, self.targets.prompt_use.requests)
 
-    # A hot beginning: all requests share it.
     def test_hot_beginning_spreads_before_a_target_exceeds_the_bound(self):
         for number in range(36):
             self.send(prompt(LONG, own=f"own{number}"))
@@ -185,7 +184,6 @@
             first, second = (self.choose(caller_request, self.node()) for _ in "ab")
             self.assertEqual(first.backend.id, second.backend.id)
             chosen_by_beginning[number] = first.backend.id
-        # Beginnings differ, and so do their targets.
         self.assertEqual(set(self.heads), set(chosen_by_beginning.values()))
 
     def test_prompt_that_nobody_shares_goes_by_load_alone(self):
@@ -256,7 +254,6 @@
         self.assertEqual(0, self.held(held, prompt(LONG)))
         self.assertEqual(LONG + 60, self.held(held, prompt(LONG, shared="s2")))
 
-    # A request that began before the change and ends after it.
     def test_request_of_older_weights_renews_no_belief(self):
         held = HeldPrompts(MEMORY)
         self.record(held, prompt(LONG), version=1)
