--- a/poplarspar/platform/documents.py
+++ b/poplarspar/platform/documents.py
@@ -8,6 +8,7 @@
     BaseModel,
     ConfigDict,
     Field,
+    FiniteFloat,
     ValidationError,
     model_validator,
 )
@@ -120,8 +121,8 @@
 
 class _UsualTokens(_Document):
     # Mean tokens per prompt, and per answer.
-    prompt: float = 0.0
-    answer: float = 0.0
+    prompt: FiniteFloat = 0.0
+    answer: FiniteFloat = 0.0
 
 
 class _PromptMemory(_Document):
--- a/tests/test_beginnings.py
+++ b/tests/test_beginnings.py
@@ -18,6 +18,7 @@
     beginnings_of,
 )
 from poplarspar.coordination.forwarding.routing import RoutedRequest
+from poplarspar.exceptions import MalformedDocument
 from poplarspar.platform.callers import MAX_SECTIONS, _parse_prompt_sections
 from poplarspar.platform.documents import parse_configuration
 from poplarspar.state.callers import PromptSection
@@ -293,7 +294,6 @@
         self.assertEqual(LONG, self.held(held, prompt(LONG, own="b"), now=30.0))
         self.assertEqual(0, self.held(held, prompt(LONG, own="b"), now=30.1))
 
-    # Running requests need memory first, as when a target is busy.
     def test_belief_ends_with_the_memory(self):
         held = HeldPrompts(MEMORY)
         self.record(held, prompt(LONG))
@@ -323,7 +323,6 @@
             self.record(held, prompt(LONG, own=f"own{number}"))
         self.assertLessEqual(len(held._held_by_key), MAX_BEGINNINGS)
 
-    # A caller that states odd lengths spoils only its own requests.
     def test_odd_lengths_neither_gain_nor_evict_anything(self):
         held = HeldPrompts(MEMORY)
         self.record(held, prompt(1, shared="s1"))
@@ -373,6 +372,9 @@
         self.assertEqual(
             PromptMemory(1.5, 9000, 1000), self.engine_of(engine).prompt_memory
         )
+        for number in (float("inf"), float("nan")):
+            with self.assertRaises(MalformedDocument):
+                self.engine_of({**engine, "usual": {"prompt": number}})
 
     def engine_of(self, engine):
         document = {
