--- a/poplarspar/platform/headers.py
+++ b/poplarspar/platform/headers.py
@@ -122,6 +122,11 @@
     return None if count is None else min(count, MAX_COUNT)
 
 
+def parse_version(text: str) -> int | None:
+    """Decode a version, of which no two are alike; None if malformed."""
+    return parse_integer(text, MAX_COUNT_DIGITS)
+
+
 def parse_load(text: str) -> Load | None:
     """Decode running requests, waiting requests and slots; None if malformed."""
     counts = [parse_count(part) for part in text.split(",")]
--- a/poplarspar/platform/upstream.py
+++ b/poplarspar/platform/upstream.py
@@ -35,11 +35,11 @@
     WEIGHTS_VERSION,
     WORKSPACE,
     IgnoredHeaders,
-    parse_count,
     parse_leaving,
     parse_load,
     parse_pause,
     parse_rate_limit,
+    parse_version,
 )
 from poplarspar.protocol.server_sent_events import split_events
 from poplarspar.state.callers import Headers
@@ -86,7 +86,7 @@
         speaks_of_itself = is_own and stream.status != MISDIRECTED
         self.notices = self._parse_notices() if speaks_of_itself else ()
         self.is_stream = headers.get("Content-Type", "").startswith(EVENT_STREAM)
-        self.weights_version = self._parse(WEIGHTS_VERSION, parse_count)
+        self.weights_version = self._parse(WEIGHTS_VERSION, parse_version)
         self.framed = stream.framed
         self.headers = _answer_headers(headers)
 
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -360,6 +360,15 @@
         self.check_answers(self.read_body, BackendFailed)
         self.check_answers(self.read_events, BackendFailed)
 
+    # Numbers beyond the bound of counts, as of versions that are times.
+    def test_versions_of_weights_are_told_apart(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nWeight-Versions: "
+        values = (b"1733477326", b"1733477327", b"x")
+        server = RawServer([head + value + b"\r\n\r\n" for value in values])
+        self.addCleanup(server.close)
+        versions = [self.send(server.address).weights_version for _ in values]
+        self.assertEqual([1733477326, 1733477327, None], versions)
+
     def test_damaged_reports_fail_the_probe(self):
         backend = parse_backend("i-1", json.dumps(BACKEND))
 
