--- a/bench/beginnings.py
+++ b/bench/beginnings.py
@@ -18,18 +18,19 @@
 from poplarspar.coordination.forwarding import Targets
 from poplarspar.coordination.forwarding.routing import RoutedRequest
 from poplarspar.state.backends import BackendServer, EngineState
-from poplarspar.state.callers import PromptSection
+from poplarspar.state.callers import CallerRequest, PromptSection
 from poplarspar.state.plan import FleetPlan, PlannedGroup
 from poplarspar.state.serving import (
     CallerLimits,
     Fleet,
     PromptMemory,
     RouteKind,
+    ServiceRoute,
     ServiceSpec,
     ServingConfiguration,
+    WeightedService,
 )
 from standins.pool import small_engine
-from tests.test_forwarding import request, route
 
 NODES, ENGINES = 3, 12
 REQUESTS, REQUESTS_PER_S = 1500, 100.0
@@ -38,7 +39,20 @@
 SHARED_TOKENS, OWN_TOKENS = 3000, 300
 BEGINNINGS, SKEW = 40, 1.0
 MEMORY = PromptMemory(60.0, 40_000, 3_500)
-ROUTE = route("draft", RouteKind.STREAM, "llm", target_latency_s=2.0)
+ROUTE = ServiceRoute(
+    name="draft",
+    host="a.example",
+    path_prefix="/",
+    kind=RouteKind.STREAM,
+    services=(WeightedService("llm", 1),),
+    timeout_s=5.0,
+    target_latency_s=2.0,
+    target_gap_s=0.2,
+    priority=0,
+    max_attempts=1,
+    public=True,
+    resumable=False,
+)
 
 
 @dataclass
@@ -110,8 +124,23 @@
             PromptSection(f"o{number}", OWN_TOKENS),
         )
         tokens = SHARED_TOKENS + OWN_TOKENS
-        caller_request = request(
-            "/draft/1", model="m0", prompt_tokens=tokens, prompt_sections=sections
+        caller_request = CallerRequest(
+            id=str(number),
+            method="POST",
+            target="/",
+            host=ROUTE.host,
+            path="/",
+            headers=(),
+            body=b"",
+            api_key="",
+            timeout_s=None,
+            last_event=None,
+            model="m0",
+            prompt_tokens=tokens,
+            max_answer_tokens=100,
+            expected_tokens=None,
+            arrived_at=time.monotonic(),
+            prompt_sections=sections,
         )
         began_at = time.monotonic()
         routed = RoutedRequest(
