--- a/poplarspar/coordination/forwarding/attempts.py
+++ b/poplarspar/coordination/forwarding/attempts.py
@@ -3,6 +3,7 @@
 import time
 from dataclasses import dataclass
 
+from poplarspar.coordination.forwarding.held_prompts import Beginning
 from poplarspar.coordination.forwarding.ports import Attempt, Exchange, Upstream
 from poplarspar.coordination.forwarding.routing import RoutedRequest
 from poplarspar.coordination.forwarding.target import Target
@@ -14,6 +15,7 @@
 # Connecting within a region takes under 3 ms, and TCP resends a lost packet only
 # after 1 s. Trying another backend server before that is faster.
 CONNECT_TIMEOUT_S = 0.12
+OK = 200
 
 
 @dataclass(frozen=True)
@@ -24,11 +26,14 @@
     ----------
     sent_at : float
         Monotonic time at which the request was sent.
+    beginnings : tuple of Beginning
+        What the target may hold of the prompt, empty if it keeps none.
     """
 
     exchange: Exchange
     target: Target
     sent_at: float
+    beginnings: tuple[Beginning, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -109,6 +114,9 @@
         """Close an answer and release its slot at the target."""
         began.target.exchanges.discard(began.exchange)
         began.exchange.close()
+        if began.beginnings and began.target.held is not None:
+            version = began.exchange.weights_version
+            began.target.held.renew(began.beginnings, time.monotonic(), version)
         self._targets.record_end(began.target)
 
     def _classify(self, target: Target, attempt: Attempt) -> AttemptResult:
@@ -135,7 +143,12 @@
             target.record_failure()
             return Broke(target, f"status {exchange.status} without a signature")
         target.exchanges.add(exchange)
-        return Began(exchange, target, sent_at)
+        beginnings: tuple[Beginning, ...] = ()
+        # An error answer says nothing of whether the prompt was read.
+        if target.held is not None and exchange.status == OK:
+            version = exchange.weights_version
+            beginnings = self._targets.record_read(target, attempt.request, version)
+        return Began(exchange, target, sent_at, beginnings)
 
 
 def _log_failure(attempt: Attempt, result: AttemptResult) -> None:
--- a/poplarspar/gauges.py
+++ b/poplarspar/gauges.py
@@ -57,4 +57,5 @@
         "backend_servers_paused": targets.notices.paused_count(),
         "backend_servers_limited": targets.rate_limits.count(),
         "evacuated_zones": len(fleet_updater.fleet.evacuated_zones),
+        **targets.prompt_use.gauges(),
     }
--- a/poplarspar/platform/headers.py
+++ b/poplarspar/platform/headers.py
@@ -35,6 +35,8 @@
 RATE_LIMIT = "Server-Limit"
 # A backend server that leaves has this header in all its answers.
 LEAVING = "Server-Leaving"
+# Version of the weights with which the answer was generated.
+WEIGHTS_VERSION = "Weight-Versions"
 # Seconds for which a backend server wants no requests of this node.
 PAUSE = "Retry-After"
 # How often the store has been restored from an older copy.
@@ -123,6 +125,11 @@
     return None if count is None else min(count, MAX_COUNT)
 
 
+def parse_version(text: str) -> int | None:
+    """Decode a version, of which no two are alike; None if malformed."""
+    return parse_integer(text, MAX_COUNT_DIGITS)
+
+
 def parse_load(text: str) -> Load | None:
     """Decode running requests, waiting requests and slots; None if malformed."""
     counts = [parse_count(part) for part in text.split(",")]
--- a/poplarspar/platform/upstream.py
+++ b/poplarspar/platform/upstream.py
@@ -32,12 +32,14 @@
     RATE_LIMIT,
     REQUEST_ID,
     SIGNATURE,
+    WEIGHTS_VERSION,
     WORKSPACE,
     IgnoredHeaders,
     parse_leaving,
     parse_load,
     parse_pause,
     parse_rate_limit,
+    parse_version,
 )
 from poplarspar.protocol.server_sent_events import split_events
 from poplarspar.state.callers import Headers
@@ -84,6 +86,7 @@
         speaks_of_itself = is_own and stream.status != MISDIRECTED
         self.notices = self._parse_notices() if speaks_of_itself else ()
         self.is_stream = headers.get("Content-Type", "").startswith(EVENT_STREAM)
+        self.weights_version = self._parse(WEIGHTS_VERSION, parse_version)
         self.framed = stream.framed
         self.headers = _answer_headers(headers)
 
