--- a/poplarspar/cmdline.py
+++ b/poplarspar/cmdline.py
@@ -75,9 +75,18 @@
         print("\n".join(lines))
 
     @SetParseFn(str)
-    def check(self, kind: str, path: str) -> None:
-        """Check the file PATH without a cluster; KIND is entry, steward or objects."""
-        from poplarspar.protocol.objects import parse_objects
+    def check(self, kind: str, path: str, against: str = "", json: str = "") -> None:
+        """Check the file PATH without a cluster.
+
+        KIND is entry, steward, objects, or configuration for the platform's document.
+        For the last two the command prints a line for each finding: what is wrong, has
+        no effect or contradicts itself, and, with --against FILE, what differs from
+        the configuration in FILE. With --json each line is a JSON object. The exit
+        status is 2 after an error, 1 after a warning, else 0.
+        """
+        from poplarspar.configuration_check import OBJECTS, FileKind, check_file
+        from poplarspar.coordination.checking import check_entries, entry_differences
+        from poplarspar.platform.documents import parse_entries
         from poplarspar.protocol.settings import (
             read_entry_settings,
             read_steward_settings,
@@ -89,9 +98,17 @@
             case "steward":
                 read_steward_settings(path)
             case "objects":
-                parse_objects(_read_file(path), path)
+                check_file(OBJECTS, path, against, bool(json))
+                return
+            case "configuration":
+                kind = FileKind(parse_entries, check_entries, entry_differences)
+                check_file(kind, path, against, bool(json))
+                return
             case _:
-                message = f"KIND must be entry, steward or objects, not {kind!r}"
+                message = (
+                    "KIND must be entry, steward, objects or configuration, "
+                    f"not {kind!r}"
+                )
                 raise CommandFailed(message, ExitStatus.USAGE_ERROR)
         print(f"{path}: correct")
 
--- a/poplarspar/exceptions.py
+++ b/poplarspar/exceptions.py
@@ -95,7 +95,17 @@
 
 
 class MalformedDocument(ProtocolError):
-    """A document in the store cannot be decoded."""
+    """A document in the store cannot be decoded.
+
+    Parameters
+    ----------
+    problems : tuple of str
+        All problems of the document, of which the message names the first.
+    """
+
+    def __init__(self, message: str, problems: tuple[str, ...] = ()) -> None:
+        super().__init__(message)
+        self.problems = problems or (message,)
 
 
 class TransportError(PoplarsparError):
--- a/poplarspar/platform/documents.py
+++ b/poplarspar/platform/documents.py
@@ -20,6 +20,7 @@
     MemberPhase,
     Membership,
 )
+from poplarspar.state.configuration_entries import ConfigurationEntries, WorkspaceKeys
 from poplarspar.state.serving import (
     CallerLimits,
     CapacityRange,
@@ -266,26 +267,48 @@
     pace: Annotated[float, Field(gt=0, allow_inf_nan=False)] = 1.0
 
 
+def parse_entries(text: str) -> ConfigurationEntries:
+    """Decode the entries of the operator's configuration.
+
+    Raises
+    ------
+    MalformedDocument
+        Names the first field that is missing or of another type.
+    """
+    document = _parse(_Configuration, text)
+    return ConfigurationEntries(
+        version=document.version,
+        routes=tuple(route.to_state() for route in document.routes),
+        services=tuple(service.to_state() for service in document.services),
+        workspaces=None
+        if document.tenants is None
+        else tuple(
+            WorkspaceKeys(tenant.name, tuple(tenant.api_keys), tenant.priority)
+            for tenant in document.tenants
+        ),
+        limits=document.limits.to_state(),
+    )
+
+
 def parse_configuration(text: str) -> ServingConfiguration:
     """Decode the operator's configuration; raises `MalformedDocument`."""
-    document = _parse(_Configuration, text)
+    entries = parse_entries(text)
     routes_by_host: dict[str, list[ServiceRoute]] = {}
-    for route in document.routes:
-        service_route = route.to_state()
-        routes_by_host.setdefault(service_route.host, []).append(service_route)
+    for route in entries.routes:
+        routes_by_host.setdefault(route.host, []).append(route)
     for routes in routes_by_host.values():
         routes.sort(key=lambda route: -len(route.path_prefix))
     return ServingConfiguration(
-        version=document.version,
+        version=entries.version,
         routes_by_host={host: tuple(rows) for host, rows in routes_by_host.items()},
-        services_by_name={s.name: s.to_state() for s in document.services},
+        services_by_name={service.name: service for service in entries.services},
         holder_by_key={
-            key: KeyHolder(tenant.name, tenant.priority)
-            for tenant in document.tenants or ()
-            for key in tenant.api_keys
+            key: KeyHolder(workspace.name, workspace.priority)
+            for workspace in entries.workspaces or ()
+            for key in workspace.keys
         },
-        keys_required=document.tenants is not None,
-        limits=document.limits.to_state(),
+        keys_required=entries.workspaces is not None,
+        limits=entries.limits,
     )
 
 
@@ -329,8 +352,8 @@
     try:
         return model.model_validate_json(text)
     except ValidationError as error:
-        problem = error.errors()[0]
-        location = ".".join(str(part) for part in problem["loc"])
-        raise MalformedDocument(
-            f"{location or 'document'}: {problem['msg']}"
-        ) from error
+        problems = tuple(
+            f"{'.'.join(map(str, problem['loc'])) or 'document'}: {problem['msg']}"
+            for problem in error.errors()
+        )
+        raise MalformedDocument(problems[0], problems) from error
