Refuse numbers of tokens that are none

A mean of NaN or 1e999 tokens for each answer raised OverflowError or ValueError instead of MalformedDocument, in the check and in each node.

--- a/poplarspar/platform/documents.py
+++ b/poplarspar/platform/documents.py
@@ -8,6 +8,7 @@
     BaseModel,
     ConfigDict,
     Field,
+    FiniteFloat,
     ValidationError,
     model_validator,
 )
@@ -120,7 +121,7 @@
 
 class _UsualTokens(_Document):
     # Mean tokens per answer.
-    answer: float = 0.0
+    answer: FiniteFloat = 0.0
 
 
 class _Engine(_Document):
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -277,6 +277,13 @@
                         self.assertTrue(errors)
                         self.assertLess(sum(map(len, errors)), 2000)
 
+    def test_numbers_that_are_none_are_errors(self):
+        for number in ("NaN", "Infinity", "1e999"):
+            engine = {"slots": 1, "models": [], "usual": {"answer": "?"}}
+            content = document(services=[service(engine=engine)])
+            text = json.dumps(content).replace('"?"', number)
+            self.assertEqual(2, self.check(text)[0])
+
     def test_unusable_file_in_force(self):
         path, absent = self.write(document()), self.folder.name + "/absent"
         status, _, errors = run_check("configuration", path, "--against", absent)
