Check files without waiting for a pipe, and print what the output can

Opening a pipe waited for its writer. The path, or a name on a terminal without UTF-8, could raise UnicodeEncodeError. Dropped services now come in order of name.

--- a/poplarspar/configuration_check.py
+++ b/poplarspar/configuration_check.py
@@ -1,9 +1,11 @@
 """The command that checks a configuration before it is sent."""
 
 import json
+import os
+import stat
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 from poplarspar.coordination.checking import check_objects, object_differences
@@ -68,7 +70,7 @@
     if Severity.WARNING in severities:
         raise CommandFailed(f"{path}: correct, with warnings", ExitStatus.FAILED)
     if not as_json:
-        print(f"{path}: correct")
+        _print_text(f"{path}: correct")
 
 
 def _read(kind: FileKind, path: str) -> tuple[Any, list[Finding]]:
@@ -89,7 +91,10 @@
 def _read_text(path: str) -> str:
     """Return the text of a file, if it is no longer than a store accepts."""
     try:
-        with Path(path).open("rb") as file:
+        with open(path, "rb", opener=_open_at_once) as file:
+            if not stat.S_ISREG(os.fstat(file.fileno()).st_mode):
+                message = f"{path}: is not a regular file"
+                raise CommandFailed(message, ExitStatus.USAGE_ERROR)
             data = file.read(MAX_BYTES + 1)
         if len(data) > MAX_BYTES:
             message = f"{path}: is larger than {MAX_BYTES} bytes"
@@ -103,6 +108,11 @@
     return text
 
 
+def _open_at_once(path: str, flags: int) -> int:
+    """Open a file, also a pipe, without waiting for its writer."""
+    return os.open(path, flags | os.O_NONBLOCK)
+
+
 def _print(path: str, findings: list[Finding], as_json: bool) -> None:
     for finding in findings:
         severity = finding.severity.value
@@ -116,4 +126,10 @@
             print(json.dumps(row))
         else:
             line = f"{path}: {severity}: {finding.place}: {finding.message}"
-            print(line.encode(errors="replace").decode())
+            _print_text(line)
+
+
+def _print_text(line: str) -> None:
+    """Print a line, with an escape for what the output can't encode."""
+    encoding = sys.stdout.encoding or "utf-8"
+    print(line.encode(encoding, "backslashreplace").decode(encoding))
--- a/poplarspar/coordination/checking/differences.py
+++ b/poplarspar/coordination/checking/differences.py
@@ -98,7 +98,7 @@
 ) -> Iterator[Finding]:
     after = {service.name: service for service in entries.services}
     before = {service.name: service for service in in_force.services}
-    for name in before.keys() - after.keys():
+    for name in sorted(before.keys() - after.keys()):
         yield _difference(
             f"service {shown(name)}", f"dropped: it gets no requests, {RUNNING_GO_ON}"
         )
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -3,6 +3,7 @@
 import contextlib
 import io
 import json
+import os
 import tempfile
 import unittest
 from pathlib import Path
@@ -277,6 +278,14 @@
                         self.assertTrue(errors)
                         self.assertLess(sum(map(len, errors)), 2000)
 
+    def test_pipe_without_a_writer_ends_with_a_message(self):
+        path = self.folder.name + "/pipe"
+        os.mkfifo(path)
+        for kind in ("configuration", "objects"):
+            status, _, errors = run_check(kind, path)
+            self.assertEqual(2, status)
+            self.assertIn("not a regular file", errors[0])
+
     def test_numbers_that_are_none_are_errors(self):
         for number in ("NaN", "Infinity", "1e999"):
             engine = {"slots": 1, "models": [], "usual": {"answer": "?"}}
@@ -284,6 +293,19 @@
             text = json.dumps(content).replace('"?"', number)
             self.assertEqual(2, self.check(text)[0])
 
+    def test_names_that_the_output_cannot_encode(self):
+        for encoding in ("ascii", "utf-8"):
+            out = io.TextIOWrapper(io.BytesIO(), encoding=encoding)
+            content = document(routes=[route(name="Zürich", service="Ü")])
+            for path in (self.write(content), self.write(document(), "\udcff")):
+                with contextlib.redirect_stdout(out):
+                    with contextlib.redirect_stderr(io.StringIO()):
+                        main(["check", "configuration", path])
+            out.flush()
+            lines = out.buffer.getvalue().decode(encoding).splitlines()
+            self.assertIn("rich': service: no service", lines[0])
+            self.assertTrue(lines[-1].endswith("\\udcff: correct"))
+
     def test_unusable_file_in_force(self):
         path, absent = self.write(document()), self.folder.name + "/absent"
         status, _, errors = run_check("configuration", path, "--against", absent)
