--- a/poplarspar/cmdline.py
+++ b/poplarspar/cmdline.py
@@ -86,7 +86,7 @@
         """
         from poplarspar.configuration_check import OBJECTS, FileKind, check_file
         from poplarspar.coordination.checking import check_entries, entry_differences
-        from poplarspar.platform.documents import parse_entries
+        from poplarspar.platform.operator_files import parse_operator_file
         from poplarspar.protocol.settings import (
             read_entry_settings,
             read_steward_settings,
@@ -98,11 +98,13 @@
             case "steward":
                 read_steward_settings(path)
             case "objects":
-                check_file(OBJECTS, path, against, bool(json))
+                check_file(OBJECTS, path, against, _is_yes("--json", json))
                 return
             case "configuration":
-                kind = FileKind(parse_entries, check_entries, entry_differences)
-                check_file(kind, path, against, bool(json))
+                documents = FileKind(
+                    parse_operator_file, check_entries, entry_differences
+                )
+                check_file(documents, path, against, _is_yes("--json", json))
                 return
             case _:
                 message = (
@@ -203,6 +205,18 @@
         raise CommandFailed(message, ExitStatus.USAGE_ERROR) from error
 
 
+def _is_yes(name: str, text: str) -> bool:
+    """Return whether an option is on; one without a value has the text "True"."""
+    match text.lower():
+        case "yes" | "true":
+            return True
+        case "" | "no" | "false":
+            return False
+        case _:
+            message = f"{name} must be yes or no, not {text!r}"
+            raise CommandFailed(message, ExitStatus.USAGE_ERROR)
+
+
 def _whole_number(name: str, text: str) -> int:
     if not text.isdigit():
         message = f"{name} must be a whole number, not {text!r}"
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -306,6 +306,28 @@
             self.assertIn("rich': service: no service", lines[0])
             self.assertTrue(lines[-1].endswith("\\udcff: correct"))
 
+    def test_fields_that_stand_twice_are_errors(self):
+        text = json.dumps(document())
+        for doubled in ('{"version": 1, ' + text[1:], text[:-1] + ', "routes": []}'):
+            status, rows = self.check(doubled)
+            self.assertEqual((2, 1), (status, len(rows)))
+            self.assertIn("stands twice", rows[0][1])
+        many = '{"note": {' + '"a": 1, ' * 100_000 + '"a": 1}, ' + text[1:]
+        self.assertEqual(2, self.check(many)[0])
+        ignored = '{"note": ' + "9" * 4000 + ', "ratio": NaN, ' + text[1:]
+        self.assertEqual((0, []), self.check(ignored))
+
+    def test_json_without_a_value_or_with_yes_or_no(self):
+        path = self.write(document(routes=[]))
+        for options in (["--json"], ["--json", "yes"], ["--json=true"]):
+            _, lines, _ = run_check("configuration", path, *options)
+            self.assertEqual("warning", json.loads(lines[0])["severity"])
+        for options in ([], ["--json", "no"], ["--json=false"], ["--nojson"]):
+            _, lines, _ = run_check("configuration", path, *options)
+            self.assertIn(": warning: ", lines[0])
+        status, _, errors = run_check("configuration", path, "--json", "7")
+        self.assertEqual((2, ["--json must be yes or no, not '7'"]), (status, errors))
+
     def test_unusable_file_in_force(self):
         path, absent = self.write(document()), self.folder.name + "/absent"
         status, _, errors = run_check("configuration", path, "--against", absent)
