Find weights that are no numbers and engines that read no prompt

Both make each request of the route or service fail in a node. Differences of limits in bytes were rounded to six digits, so 4194304 and 4194305 looked the same, and numbers of hundreds of digits raised OverflowError. A test that expected '1.0 becomes 0.8' expects '1 becomes 0.8', as numbers of limits were shown already.

--- a/poplarspar/coordination/checking/differences.py
+++ b/poplarspar/coordination/checking/differences.py
@@ -90,6 +90,8 @@
 
 
 def _text(value: object) -> str:
+    if isinstance(value, float):
+        return f"{value:g}"
     return str(getattr(value, "value", value))
 
 
@@ -149,4 +151,4 @@
     for name in ("header_bytes", "body_bytes", "header_timeout_s", "idle_timeout_s"):
         old, new = getattr(in_force.limits, name), getattr(entries.limits, name)
         if old != new:
-            yield _difference("limits", f"{name}: {old:g} becomes {new:g}")
+            yield _difference("limits", f"{name}: {_text(old)} becomes {_text(new)}")
--- a/poplarspar/coordination/checking/entries.py
+++ b/poplarspar/coordination/checking/entries.py
@@ -1,5 +1,6 @@
 """Contradictions within one configuration of routes, services and workspaces."""
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 
@@ -75,8 +76,8 @@
     named = set()
     for route in entries.routes:
         weights = [weighted.weight for weighted in route.services]
-        if any(weight < 0 for weight in weights):
-            yield error(_place(route), "split: a weight is negative")
+        if any(weight < 0 or not math.isfinite(weight) for weight in weights):
+            yield error(_place(route), "split: a weight is negative or no number")
         elif sum(weights) <= 0:
             yield error(_place(route), "split: no service has a weight above 0")
         for weighted in route.services:
@@ -175,6 +176,10 @@
             f"{service.connection_limit} connections can't fill {engine.slots} slots, "
             "since each request needs one",
         )
+    if not engine.tokens_read_per_s > 0:
+        yield error(
+            place, f"engine: read_per_s: {engine.tokens_read_per_s:g} reads no prompt"
+        )
     total = sum(model.share for model in engine.models_by_name.values())
     if total > 1.0 + 1e-6:
         yield warning(place, f"models: their shares add up to {total:g}")
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -100,6 +100,7 @@
 
     def test_entries_that_contradict_each_other(self):
         double = route("twice", path_prefix="/pay/")
+        mute = {"slots": 1, "models": [{"name": "m", "size": 1}]}
         cases = [
             (("'twice'", "never match"), {"routes": [route(), double]}),
             (("'pay'", "2 entries"), {"routes": [route(), route(path_prefix="/x/")]}),
@@ -110,6 +111,9 @@
             (("'pay'", "attempts: 0"), {"routes": [route(max_attempts=0)]}),
             (("'pay'", "0 s"), {"routes": [route(timeout_ms=0)]}),
             (("'pay'", "negative"), {"routes": [self.split(2, -1)]}),
+            (("'pay'", "no number"), {"routes": [self.split(1, float("nan"))]}),
+            (("'pay'", "no number"), {"routes": [self.split(1, float("inf"))]}),
+            (("'ledger'", "read_per_s: 0"), {"services": [service(engine=mute)]}),
             (("'pay'", "no service has"), {"routes": [self.split(0, 0)]}),
             (("no request can match",), {"tenants": []}),
             (("keys: one is empty",), {"tenants": [{"name": "a", "api_keys": [""]}]}),
@@ -126,7 +130,8 @@
         self.assertNotIn("secret", str(findings))
 
     def test_entries_and_limits_without_effect(self):
-        engine = {"slots": 13, "models": [{"name": "m", "size": 4, "share": 0.7}] * 2}
+        models = [{"name": "m", "size": 4, "share": 0.7}] * 2
+        engine = {"slots": 13, "models": models, "read_per_s": 50_000}
         scale = {"min": 1, "max": 2}
         once = route(kind="non_idempotent")
         cases = [
@@ -169,7 +174,7 @@
         )
         for words in (
             ("'pay'", "moved", "'vault'", "running requests go on"),
-            ("'pay'", "timeout_s: 1.0 becomes 0.8"),
+            ("'pay'", "timeout_s: 1 becomes 0.8"),
             ("'look'", "dropped", "404"),
             ("'new'", "added"),
             ("'vault'", "added"),
@@ -183,6 +188,12 @@
                 )
         self.assert_found("error", "version", content=document(), against=document())
 
+    def test_limits_in_bytes_are_shown_whole(self):
+        for limit in (4_194_305, 10**400):
+            changed = document(version=4, limits={"max_body_bytes": limit})
+            words = ("limits", f"body_bytes: 4194304 becomes {limit}")
+            self.assert_found("difference", *words, content=changed, against=document())
+
     def test_equal_configuration_with_a_newer_version_has_no_difference(self):
         status, findings = self.check(document(version=4), against=document())
         self.assertEqual((0, []), (status, findings))
