--- a/poplarspar/cmdline.py
+++ b/poplarspar/cmdline.py
@@ -75,9 +75,18 @@
         print("\n".join(lines))
 
     @SetParseFn(str)
-    def check(self, kind: str, path: str) -> None:
-        """Check the file PATH without a cluster; KIND is entry, steward or objects."""
-        from poplarspar.protocol.objects import parse_objects
+    def check(self, kind: str, path: str, against: str = "", json: str = "") -> None:
+        """Check the file PATH without a cluster.
+
+        KIND is entry, steward, objects, or configuration for the platform's document.
+        For the last two the command prints a line for each finding: what is wrong, has
+        no effect or contradicts itself, and, with --against FILE, what differs from
+        the configuration in FILE. With --json each line is a JSON object. The exit
+        status is 2 after an error, 1 after a warning, else 0.
+        """
+        from poplarspar.configuration_check import OBJECTS, FileKind, check_file
+        from poplarspar.coordination.checking import check_entries, entry_differences
+        from poplarspar.platform.operator_files import parse_operator_file
         from poplarspar.protocol.settings import (
             read_entry_settings,
             read_steward_settings,
@@ -89,9 +98,19 @@
             case "steward":
                 read_steward_settings(path)
             case "objects":
-                parse_objects(_read_file(path), path)
+                check_file(OBJECTS, path, against, _is_yes("--json", json))
+                return
+            case "configuration":
+                documents = FileKind(
+                    parse_operator_file, check_entries, entry_differences
+                )
+                check_file(documents, path, against, _is_yes("--json", json))
+                return
             case _:
-                message = f"KIND must be entry, steward or objects, not {kind!r}"
+                message = (
+                    "KIND must be entry, steward, objects or configuration, "
+                    f"not {kind!r}"
+                )
                 raise CommandFailed(message, ExitStatus.USAGE_ERROR)
         print(f"{path}: correct")
 
@@ -186,6 +205,18 @@
         raise CommandFailed(message, ExitStatus.USAGE_ERROR) from error
 
 
+def _is_yes(name: str, text: str) -> bool:
+    """Return whether an option is on; one without a value has the text "True"."""
+    match text.lower():
+        case "yes" | "true":
+            return True
+        case "" | "no" | "false":
+            return False
+        case _:
+            message = f"{name} must be yes or no, not {text!r}"
+            raise CommandFailed(message, ExitStatus.USAGE_ERROR)
+
+
 def _whole_number(name: str, text: str) -> int:
     if not text.isdigit():
         message = f"{name} must be a whole number, not {text!r}"
