--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,6 +27,15 @@
     draw_version_faults,
 )
 from soak.nodes import Node
+from soak.pressure import (
+    BURST_CALLERS,
+    LARGE_WORKSPACE_SHARE,
+    PRIORITY_BY_ROUTE,
+    RELAXED,
+    URGENT,
+    draw_bursts,
+    pressure_problems,
+)
 from soak.probes import Prober
 from standins.cluster import wait_for
 
@@ -52,6 +61,8 @@
         Whether requests and backend servers cause troubles of their own.
     versions : bool
         Whether the planner and connections fail while versions follow each other.
+    pressure : bool
+        Whether callers of different priorities compete for too little room.
     faults_per_s : float
         Number of other faults a second.
     """
@@ -59,6 +70,7 @@
     seconds: float
     troubles: bool
     versions: bool
+    pressure: bool
     faults_per_s: float
     nodes: int
 
@@ -73,6 +85,7 @@
         logs: str = "",
         troubles: bool = False,
         versions: bool = False,
+        pressure: bool = False,
         rate: float = FAULTS_PER_S,
         nodes: int = NODE_COUNT,
     ) -> None:
@@ -81,11 +94,17 @@
         With --logs DIRECTORY the nodes write their logs there. With --troubles a
         prompt part crashes backend servers, and one of them names a limit. With
         --versions the planner and the connections to the store fail while versions of
-        the configuration follow each other. --rate is the number of other faults a
-        second, --nodes that of nodes.
+        the configuration follow each other. With --pressure callers of different
+        priorities and workspaces ask in bursts for more than there is. --rate is the
+        number of other faults a second, --nodes that of nodes.
         """
         options = Options(
-            float(seconds), bool(troubles), bool(versions), float(rate), int(nodes)
+            float(seconds),
+            bool(troubles),
+            bool(versions),
+            bool(pressure),
+            float(rate),
+            int(nodes),
         )
         with tempfile.TemporaryDirectory() as folder:
             directory = Path(logs or folder)
@@ -103,6 +122,7 @@
         seconds: float = 14.0,
         troubles: bool = False,
         versions: bool = False,
+        pressure: bool = False,
         rate: float = FAULTS_PER_S,
         nodes: int = NODE_COUNT,
     ) -> None:
@@ -110,6 +130,7 @@
         options = [f"--seconds={seconds}", f"--rate={rate}", f"--nodes={nodes}"]
         options += ["--troubles"] if troubles else []
         options += ["--versions"] if versions else []
+        options += ["--pressure"] if pressure else []
         first = int(first) or random.SystemRandom().randrange(1, 1 << 31)
         with ThreadPoolExecutor(int(jobs)) as pool:
             seeds = range(first, first + int(count))
@@ -140,7 +161,7 @@
     # Each run uses its own loopback addresses, so that runs can overlap.
     host = f"127.{1 + os.getpid() % 200}.{1 + os.getpid() // 200 % 200}"
     with ExitStack() as stack:
-        environment = Environment()
+        environment = Environment(PRIORITY_BY_ROUTE if options.pressure else {})
         stack.callback(environment.close)
         nodes = []
         for index in range(options.nodes):
@@ -162,9 +183,13 @@
             faults += draw_troubles(seed, options.seconds)
         if options.versions:
             faults += draw_version_faults(seed, options.seconds)
+        if options.pressure:
+            faults += draw_bursts(seed, options.seconds)
         faults.sort(key=lambda fault: fault.starts_at_s)
         observations = _run_faults(seed, faults, nodes, environment, stack)
         lines = find_breaches(observations)
+        if options.pressure:
+            lines += pressure_problems(observations.undisturbed_requests())
         print(f"seed {seed}: {summary(observations)}")
     return lines
 
@@ -176,11 +201,22 @@
     environment: Environment,
     stack: ExitStack,
 ) -> Observations:
-    callers = Callers(nodes, environment, random.Random(seed), CALLERS_PER_KIND)
+    large_share = LARGE_WORKSPACE_SHARE if environment.priority_by_route else 0.0
+    callers = Callers(
+        nodes, environment, random.Random(seed), CALLERS_PER_KIND, large_share
+    )
     prober = Prober(nodes, environment)
     stack.callback(prober.close)
     eventlet.sleep(WARM_UP_S)
-    injector = Injector(nodes, environment, seed)
+    kinds = (RELAXED, URGENT)
+    injector = Injector(
+        nodes,
+        environment,
+        seed,
+        lambda number, duration_s: callers.burst(
+            kinds[number % len(kinds)], BURST_CALLERS, duration_s
+        ),
+    )
     injector.run(faults)
     recovery_deadline = time.monotonic() + RECOVERY_S
     eventlet.sleep(RECOVERY_S + FINAL_CHECK_S)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -26,7 +26,7 @@
 FIRST_PARTS = 4
 HARMFUL_SHARE = 0.15
 KINDS = ("pay", "look", "draft", "explain")
-MODEL_BY_KIND = {"draft": "m0", "explain": "m1"}
+MODEL_BY_KIND = {"draft": "m0", "explain": "m1", "digest": "m0"}
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 
@@ -73,6 +73,8 @@
     ----------
     count : int
         Number of callers for each kind of request.
+    large_share : float
+        Share of the requests that come from the first workspace, 0 for even shares.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         environment: Environment,
         rng: random.Random,
         count: int,
+        large_share: float = 0.0,
     ) -> None:
         self._nodes = nodes
         self._environment = environment
@@ -89,6 +92,7 @@
         self._parts_rng = random.Random(1)
         self._serials = itertools.count(1)
         self._stopped = False
+        self._large_share = large_share
         self.requests: list[SentRequest] = []
         self._tasks = [
             eventlet.spawn(self._call_forever, kind)
@@ -102,20 +106,29 @@
         for task in self._tasks:
             task.wait()
 
-    def _call_forever(self, kind: str) -> None:
-        while not self._stopped:
+    def burst(self, kind: str, count: int, duration_s: float) -> None:
+        """Add callers of one kind for some time."""
+        ends_at = time.monotonic() + duration_s
+        tasks = [
+            eventlet.spawn(self._call_forever, kind, ends_at) for _ in range(count)
+        ]
+        for task in tasks:
+            task.wait()
+
+    def _call_forever(self, kind: str, ends_at: float = float("inf")) -> None:
+        while not self._stopped and time.monotonic() < ends_at:
             node = self._choose_node()
             if node is None:
                 eventlet.sleep(REQUEST_PAUSE_S)
                 continue
-            self._use_connection(kind, node)
+            self._use_connection(kind, node, ends_at)
 
     def _choose_node(self) -> Node | None:
         """Return a random node in the balancer's rotation, or None if it is empty."""
         found = [node for node in self._nodes if node.in_rotation]
         return self._rng.choice(found) if found else None
 
-    def _use_connection(self, kind: str, node: Node) -> None:
+    def _use_connection(self, kind: str, node: Node, ends_at: float) -> None:
         """Send requests on one connection until the node closes it."""
         host, port = node.address.split(":")
         connection = HTTPConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
@@ -126,7 +139,7 @@
             return
         reused = False
         try:
-            while not self._stopped:
+            while not self._stopped and time.monotonic() < ends_at:
                 request = self._send(kind, node, connection, reused)
                 if request.connection_closes or not request.complete:
                     return
@@ -141,6 +154,8 @@
         self, kind: str, node: Node, connection: HTTPConnection, reused: bool
     ) -> SentRequest:
         workspace = self._rng.choice(list(KEYS))
+        if self._large_share and self._rng.random() < self._large_share:
+            workspace = next(iter(KEYS))
         number = next(self._serials)
         streamed = kind in MODEL_BY_KIND
         timeout_ms = STREAM_TIMEOUT_MS if streamed else CALL_TIMEOUT_MS
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -77,6 +77,14 @@
             for disturbance in self.disturbances
         )
 
+    def undisturbed_requests(self) -> list[SentRequest]:
+        """Return the requests during which no unplanned fault affected their node."""
+        return [
+            request
+            for request in self.requests
+            if self.is_undisturbed(request.node, request.sent_at, request.ended_at)
+        ]
+
 
 def find_breaches(observations: Observations) -> list[str]:
     """Return a line for each guarantee that the system broke."""
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -121,6 +121,7 @@
 class Environment:
     """Store and backend servers in this process, each behind the fault proxy."""
 
+    priority_by_route: dict[str, int] = field(default_factory=dict)
     runs: list[Run] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
     harms: list[Harm] = field(default_factory=list)
@@ -179,6 +180,10 @@
             ),
             _split_route(route, content.split, kind="idempotent", **call),
         ]
+        if self.priority_by_route:
+            document["routes"].append(_route(route, "digest", **model))
+        for each in document["routes"]:
+            each["priority"] = self.priority_by_route.get(each["name"], 1)
         document["services"].append({**document["services"][0], "name": VAULT})
         document["services"].append(
             {
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import eventlet
@@ -210,8 +211,15 @@
 class Injector:
     """Injects faults and records the disturbance that each one causes."""
 
-    def __init__(self, nodes: list[Node], environment: Environment, seed: int):
+    def __init__(
+        self,
+        nodes: list[Node],
+        environment: Environment,
+        seed: int,
+        burst: Callable[[int, float], None],
+    ):
         self._nodes = nodes
+        self._burst = burst
         self._environment = environment
         self._rng = random.Random(seed + 1)
         self.disturbances: list[Disturbance] = []
@@ -309,6 +317,8 @@
                 environment.end_harmful_request()
             case "pauses":
                 self._let_pause(fault)
+            case "burst":
+                self._burst(fault.target, fault.duration_s)
             case "store_restored":
                 environment.restore_store(2.0 + fault.target % 8, fault.duration_s)
             case "limit":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
 from soak.environment import Change, Harm, NamedLimit
 from soak.faults import Disturbance, PlannedStop, draw_faults, draw_version_faults
 from soak.nodes import Node
+from soak.pressure import pressure_problems
 from soak.probes import Probe
 from soak.versions import KeyKnown, OwnRoute, RanAt
 from standins.engines import event_text
@@ -49,10 +50,41 @@
     def test_short_run_with_harmful_requests_and_a_limit(self):
         self.run_seed(SHORT_SEED, 10.0, "--troubles", "--rate=0")
 
+    def test_short_run_with_bursts_of_urgent_and_relaxed_requests(self):
+        self.run_seed(SHORT_SEED, 10.0, "--pressure", "--rate=0")
+
     def test_short_run_while_versions_follow_each_other(self):
         self.run_seed(SHORT_SEED, 14.0, "--versions", "--rate=0")
 
 
+class PressureCheckTest(unittest.TestCase):
+    def problems(self, *rows):
+        requests = [
+            SimpleNamespace(
+                kind=kind,
+                workspace=workspace,
+                complete=number < served,
+                status=200 if number < served else 503,
+            )
+            for kind, workspace, served, count in rows
+            for number in range(count)
+        ]
+        return list(pressure_problems(requests))
+
+    def test_most_urgent_kind_must_not_be_served_worst(self):
+        self.assertEqual(
+            [], self.problems(("draft", "a", 50, 100), ("digest", "a", 54, 100))
+        )
+        found = self.problems(("draft", "a", 50, 100), ("digest", "a", 60, 100))
+        self.assertIn("most urgent", found[0])
+
+    def test_no_kind_and_no_workspace_is_starved(self):
+        found = self.problems(("draft", "a", 90, 100), ("digest", "a", 5, 100))
+        self.assertIn("digest was served 0.05", found[0])
+        found = self.problems(("draft", "a", 90, 100), ("draft", "b", 5, 100))
+        self.assertIn("b was served 0.05", found[0])
+
+
 class StopDuringKillTest(unittest.TestCase):
     # Guards against reporting a kill by the soak, seed 15, as the process's own exit.
     def test_stop_of_a_node_that_is_killed_meanwhile_is_no_problem(self):
