--- a/soak/pressure.py
+++ b/soak/pressure.py
@@ -23,7 +23,7 @@
 
 
 def draw_bursts(seed: int, length_s: float) -> list[Fault]:
-    """Return bursts of both kinds, also at the same moment."""
+    """Return bursts of both kinds in turn, which may overlap."""
     rng = random.Random(seed + 4)
     return [
         Fault(
