Count a node's calls to the store by kind and part

Cause: metrics did not tell which calls make the price. Counters store_KIND_PART_calls now do; lease calls have no part. The store's wire models are in a module of their own, since the file had grown.

--- a/poplarspar/coordination/store_ports.py
+++ b/poplarspar/coordination/store_ports.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from poplarspar.state.snapshot import StoredValue
@@ -58,6 +59,19 @@
     as_of: int
 
 
+class CallKind(Enum):
+    """What a call to the store does; the last ones are leases' and name no key."""
+
+    WATCH = "watch"
+    READ_ALL = "read_all"
+    READ_ALL_OLD = "read_all_old"
+    READ = "read"
+    WRITE = "write"
+    LEASE_GRANT = "lease_grant"
+    LEASE_RENEWAL = "lease_renewal"
+    LEASE_END = "lease_end"
+
+
 class WatchedStore(Store, Protocol):
     """A store whose watch also reports deletions.
 
@@ -82,6 +96,14 @@
         Answers to calls that wait on earlier ones may never arrive.
         """
 
+    def on_call(self, callback: Callable[[CallKind, str], None]) -> None:
+        """Call `callback`, which must not wait, with the kind and key of each call.
+
+        The key is a prefix for watches and reads of all values, and empty for leases.
+
+        Calls count also if the store refuses or does not answer them.
+        """
+
     def reconnect(self) -> None:
         """Use new connections from now on, since the open ones may be silent."""
 
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -273,6 +273,7 @@
             settings.drain_s,
             self._session,
             self._quarantine_exchange,
+            self.metrics.count,
         )
         self._stack.callback(spawn_supervised(self._session.run).kill)
         self._stack.callback(spawn_supervised(self._quarantine_exchange.run).kill)
--- a/poplarspar/platform/store.py
+++ b/poplarspar/platform/store.py
@@ -7,9 +7,10 @@
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import ValidationError
 
 from poplarspar.coordination.store_ports import (
+    CallKind,
     Change,
     Changes,
 )
@@ -31,6 +32,13 @@
     IgnoredHeaders,
     parse_integer,
 )
+from poplarspar.platform.store_messages import (
+    Committed,
+    Events,
+    Item,
+    ItemPage,
+    Lease,
+)
 from poplarspar.state.snapshot import StoredValue
 from poplarspar.transport.http import HttpClient
 
@@ -50,39 +58,6 @@
 ERAS = 1 << 11
 
 
-class _Message(BaseModel):
-    model_config = ConfigDict(defer_build=True)
-
-
-class _Item(_Message):
-    key: str
-    revision: int
-    value: str = ""
-    lease: int = 0
-    deleted: bool = False
-
-
-class _ItemPage(_Message):
-    items: list[_Item]
-    # Whether another page follows; it starts after this page's last key.
-    more_pages: bool = False
-    as_of: int
-
-
-class _Events(_Message):
-    events: list[_Item]
-    as_of: int
-
-
-class _Committed(_Message):
-    revision: int
-
-
-class _Lease(_Message):
-    lease: int = 0
-    ttl_ms: int = Field(gt=0)
-
-
 @dataclass(frozen=True)
 class _Answer:
     """An answer of the store, and the era in which the store gave it."""
@@ -115,6 +90,7 @@
         self._newest_revision = 0
         self._restore_callbacks: list[Callable[[], None]] = []
         self._reconnect_callbacks: list[Callable[[], None]] = []
+        self._call_callbacks: list[Callable[[CallKind, str], None]] = []
         self._has_era = False
         self._ignored = IgnoredHeaders()
         self.era = 0
@@ -130,6 +106,10 @@
         """Call `callback`, which must not wait, once calls use new connections."""
         self._reconnect_callbacks.append(callback)
 
+    def on_call(self, callback: Callable[[CallKind, str], None]) -> None:
+        """Call `callback` before each call; see `WatchedStore.on_call`."""
+        self._call_callbacks.append(callback)
+
     def reconnect(self) -> None:
         """Use new connections from now on; waiting calls keep theirs."""
         self._client.close()
@@ -139,10 +119,11 @@
 
     def read(self, key: str) -> StoredValue:
         """Return the value at `key`, at revision 0 when absent."""
+        self._record_call(CallKind.READ, key)
         answer = self._get("kv-key", {"key": key})
         if answer.status == NOT_FOUND:
             return StoredValue(key, 0, "")
-        item = self._parse(_Item, answer)
+        item = self._parse(Item, answer)
         if item.key != key:
             raise self._reject_copy()
         revision = answer.revision(item.revision)
@@ -161,8 +142,10 @@
                 # Despite its name, the field is the key after which kv-range continues.
                 query["since_rev"] = after
             newest_revision = self._newest_revision
+            kind = CallKind.READ_ALL_OLD if may_be_old else CallKind.READ_ALL
+            self._record_call(kind, prefix)
             answer = self._get("kv-range", query, may_be_old=may_be_old)
-            page = self._parse(_ItemPage, answer)
+            page = self._parse(ItemPage, answer)
             page_as_of = answer.revision(page.as_of)
             if page_as_of < newest_revision and not may_be_old:
                 raise self._reject_copy()
@@ -191,12 +174,14 @@
             "wait_ms": int(wait_s * 1000),
         }
         is_present = era == self.era % ERAS
+        if is_present:
+            self._record_call(CallKind.WATCH, prefix)
         answer = self._get("kv-watch", query, wait_s) if is_present else None
         if answer is None or answer.status == GONE or answer.era % ERAS != era:
             raise HistoryLost(
                 f"store has discarded the history of {prefix!r} after {after}"
             )
-        batch = self._parse(_Events, answer)
+        batch = self._parse(Events, answer)
         return Changes(
             tuple(_to_change(item, answer) for item in batch.events),
             answer.revision(batch.as_of),
@@ -220,7 +205,7 @@
             put["lease"] = self._lease_number(lease)
         newest_revision = self._newest_revision
         answer = self._commit(key, expected, puts=[put])
-        revision = answer.revision(self._parse(_Committed, answer).revision)
+        revision = answer.revision(self._parse(Committed, answer).revision)
         if revision <= newest_revision:
             raise self._reject_copy()
         self._record_revision(revision)
@@ -228,12 +213,13 @@
 
     def delete(self, key: str, expected: int) -> None:
         """Delete the key if it is at revision `expected`."""
-        self._parse(_Committed, self._commit(key, expected, remove=[key]))
+        self._parse(Committed, self._commit(key, expected, remove=[key]))
 
     def grant_lease(self, ttl_s: float) -> str:
         """Return the identifier of a new lease."""
+        self._record_call(CallKind.LEASE_GRANT)
         answer = self._post("kv-lease", {"ttl_ms": int(ttl_s * 1000)})
-        return f"{answer.era}:{self._parse(_Lease, answer).lease}"
+        return f"{answer.era}:{self._parse(Lease, answer).lease}"
 
     def renew_lease(self, lease: str) -> bool:
         """Renew a lease and return whether it still existed."""
@@ -241,10 +227,11 @@
             number = self._lease_number(lease)
         except LeaseEnded:
             return False
+        self._record_call(CallKind.LEASE_RENEWAL)
         answer = self._post(f"kv-keep/{number}", None)
         if answer.status == NOT_FOUND:
             return False
-        self._parse(_Lease, answer)
+        self._parse(Lease, answer)
         # After a restore the number may be that of another node's lease.
         return lease.startswith(f"{answer.era}:")
 
@@ -254,6 +241,7 @@
             number = self._lease_number(lease)
         except LeaseEnded:
             return
+        self._record_call(CallKind.LEASE_END)
         answer = self._send("DELETE", f"kv-lease-end/{number}")
         if answer.status not in (OK, NOT_FOUND):
             raise StoreUnavailable(f"store answered with status {answer.status}")
@@ -262,6 +250,10 @@
         """Close the connections."""
         self._client.close()
 
+    def _record_call(self, kind: CallKind, key: str = "") -> None:
+        for callback in self._call_callbacks:
+            callback(kind, key)
+
     def _record_revision(self, revision: int) -> None:
         self._newest_revision = max(self._newest_revision, revision)
 
@@ -303,6 +295,7 @@
             "puts": list(puts),
             "remove": list(remove),
         }
+        self._record_call(CallKind.WRITE, key)
         answer = self._post("kv-txn", body)
         if answer.status == CONFLICT:
             raise RevisionConflict(f"{key!r} is not at revision {expected}")
@@ -382,7 +375,7 @@
             raise StoreUnavailable("store: an answer can't be decoded") from error
 
 
-def _to_change(item: _Item, answer: _Answer) -> Change:
+def _to_change(item: Item, answer: _Answer) -> Change:
     text = None if item.deleted else _decode_value(item.value)
     return Change(item.key, answer.revision(item.revision), text)
 
--- a/poplarspar/watching.py
+++ b/poplarspar/watching.py
@@ -12,6 +12,7 @@
 from poplarspar.coordination.prefix_watcher import PrefixWatcher
 from poplarspar.coordination.quarantine import QUARANTINE_PREFIX, QuarantineExchange
 from poplarspar.coordination.session import NODE_PREFIX, Session
+from poplarspar.coordination.store_calls import StoreCalls
 from poplarspar.coordination.store_health import StoreHealth
 from poplarspar.coordination.store_ports import (
     Change,
@@ -105,8 +106,19 @@
         drain_s: float,
         session: Session,
         exchange: QuarantineExchange,
+        count: Callable[[str], None],
     ) -> None:
-        """Start all watches of a node; backend servers may drain for `drain_s`."""
+        """Start all watches of a node; backend servers may drain for `drain_s`.
+
+        Calls of the store are counted with `count`, by their names.
+        """
+        part_by_prefix = {
+            operator_prefix: "operator",
+            backend_prefix: "backends",
+            NODE_PREFIX: "nodes",
+            QUARANTINE_PREFIX: "quarantine",
+        }
+        self._store.on_call(StoreCalls(count, part_by_prefix).record)
         self._announcements.watchers = Watchers(
             operator=self._watch_operator(operator_prefix, updater),
             quarantine=self._watch_quarantine(exchange),
