Let the planner of a small fleet read backend servers' entries for all nodes

Cause: each of few nodes read the entries every drain_ms - 0.6 s, which made two fifths of the calls. The planner reads them somewhat more often now, and each update of the plan says how old its knowledge is. A node reads by itself as soon as that age, counted from the moment at which it asked, reaches the time after which it read before; so no bound is later under any failure.

Candidates compare capacities as they are written: up to now each took itself for the first where its capacity has more than two digits, and all claimed the key at once.

--- a/poplarspar/coordination/announcements.py
+++ b/poplarspar/coordination/announcements.py
@@ -1,8 +1,11 @@
-"""Reading of the store by the planner for the other nodes of a large fleet.
+"""Reading of the store by the planner for the other nodes.
 
 The planner watches the store and announces, with the plan, which revisions the other
 nodes must have read. A node reads them then, and otherwise calls the store rarely. It
 watches the store itself without a fresh plan, or while its planner can't read.
+
+In a small fleet that holds for the entries of backend servers only, and as long as the
+planner's last confirmation is younger than a read of the node's own would be.
 """
 
 import time
@@ -10,6 +13,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from poplarspar.coordination.entry_confirmations import EntryConfirmations
 from poplarspar.coordination.fleet import FleetUpdater
 from poplarspar.coordination.prefix_watcher import PrefixWatcher
 from poplarspar.coordination.quarantine import (
@@ -20,8 +24,8 @@
 from poplarspar.coordination.store_health import StoreHealth
 from poplarspar.state.plan import StoreRevisions
 
-# In smaller fleets every node watches the store itself, since a change then reaches it
-# sooner and the calls are few.
+# In smaller fleets every node watches the rest of the store itself, since a change then
+# reaches it sooner and the calls are few.
 MAX_NODES_READING = 20
 # Plans arrive several times a second; without one for this long, the node reads the
 # store itself, early enough to notice a draining backend server in time.
@@ -89,6 +93,8 @@
     ----------
     watchers : Watchers
         Set before the first plan arrives.
+    confirmations : EntryConfirmations
+        Those that the planner of a small fleet has sent.
     received : StoreRevisions
         What the planner announced last; zeros without a connection to a planner.
     """
@@ -113,6 +119,7 @@
         self._plan_age_s = plan_age_s
         self._reconnect = reconnect
         self.received = StoreRevisions()
+        self.confirmations = EntryConfirmations()
         self._announced_changes = 0
         self._backend_revision = 0
         self._backends_announced_at = float("-inf")
@@ -122,10 +129,18 @@
 
     def is_follower(self) -> bool:
         """Return whether another node reads the store for this one, or tries to."""
-        if self._node_count() <= MAX_NODES_READING or self._session.is_planner:
+        return self.is_large_fleet() and self.is_informed()
+
+    def is_informed(self) -> bool:
+        """Return whether a planner tells what this node must read, if it can read."""
+        if self._session.is_planner:
             return False
         return self._plan_age_s() <= ANNOUNCEMENT_MAX_AGE_S
 
+    def is_large_fleet(self) -> bool:
+        """Return whether the planner reads the whole store for all nodes."""
+        return self._node_count() > MAX_NODES_READING
+
     def reader_of_operator(self) -> StoreReader:
         """Return who reads the operator's values."""
         return self._reader(self.received.operator)
@@ -140,7 +155,10 @@
 
     def reader_of_backends(self) -> StoreReader:
         """Return who reads the entries of backend servers."""
-        reader = self._reader(self.received.backends)
+        if self.is_large_fleet():
+            reader = self._reader(self.received.backends)
+        else:
+            reader = self._reader_in_small_fleet()
         if reader is StoreReader.FOLLOWER and self._health.healthy_s() < MIN_HEALTHY_S:
             return StoreReader.EVERY_NODE
         return reader
@@ -158,13 +176,27 @@
     def _reader(self, received_revision: int) -> StoreReader:
         if self.is_follower() and received_revision:
             return StoreReader.FOLLOWER
-        is_large = self._node_count() > MAX_NODES_READING
-        if is_large and self._session.is_planner:
+        if self.is_large_fleet() and self._session.is_planner:
+            return StoreReader.PLANNER
+        return StoreReader.EVERY_NODE
+
+    def _reader_in_small_fleet(self) -> StoreReader:
+        """Return who reads the entries of backend servers."""
+        if self._session.is_planner and self._node_count() > 1:
             return StoreReader.PLANNER
+        is_confirmed = self.received.backends and self.confirmations.left_s() > 0
+        if is_confirmed and self.is_informed():
+            return StoreReader.FOLLOWER
         return StoreReader.EVERY_NODE
 
-    def receive(self, revisions: StoreRevisions) -> None:
-        """Read what the planner has announced, unless this node has."""
+    def receive(
+        self, revisions: StoreRevisions, asked_at: float = float("-inf")
+    ) -> None:
+        """Read what the planner has announced, unless this node has.
+
+        `asked_at` is when this node asked, on the clock of `boot_clock_s`.
+        """
+        self.confirmations.record(revisions.backends_age_ms, asked_at)
         watchers = self.watchers
         if self.received.operator and not revisions.operator:
             watchers.operator.renew_watch("the planner can't read the store")
@@ -197,7 +229,10 @@
         planner_changed = self._session.planner_revision > self._nodes.revision
         newest_nodes = self.watchers.nodes.newest_revision
         # In a small fleet an announcement costs no calls, unless a watch has failed.
-        is_small = self._node_count() <= MAX_NODES_READING
+        is_small = not self.is_large_fleet()
+        backends = self._needed_backend_revision(is_small)
+        # A node that has read all that is announced knows as much as this one.
+        is_confirmed = is_small and backends
         operator = self.watchers.operator
         operator_revision = self._operator.update(operator.newest_revision, is_small)
         is_newest = operator_revision == operator.newest_revision
@@ -207,11 +242,16 @@
             quarantine=self._quarantine.update(
                 self._quarantine_exchange.needed_revision
             ),
-            backends=self._needed_backend_revision(),
+            backends=backends,
+            backends_age_ms=self._backends_age_ms() if is_confirmed else 0,
             nodes=self._nodes.update(newest_nodes, planner_changed),
         )
 
-    def _needed_backend_revision(self) -> int:
+    def _backends_age_ms(self) -> int:
+        """Return the time since the store last answered about entries, at least 1."""
+        return 1 + int(self.watchers.backends.answered_s() * 1000)
+
+    def _needed_backend_revision(self, is_small: bool) -> int:
         """Return the revision of entries, 0 while this node may miss changes."""
         if self._health.healthy_s() < MIN_HEALTHY_S:
             self._backend_revision = 0
@@ -219,9 +259,14 @@
         changes = self._fleet_updater.needed_changes
         now = time.monotonic()
         is_due = now >= self._backends_announced_at + ANNOUNCEMENT_INTERVAL_S
-        has_news = changes != self._announced_changes and is_due
+        # All that is known must be announced with a confirmation.
+        has_news = changes != self._announced_changes and (is_due or is_small)
         if has_news or not self._backend_revision:
             self._announced_changes = changes
             self._backends_announced_at = now
-            self._backend_revision = self.watchers.backends.known_revision
+            backends = self.watchers.backends
+            # Others may have read all changes without having reached the same revision.
+            self._backend_revision = (
+                backends.complete_revision if is_small else backends.known_revision
+            )
         return self._backend_revision
--- a/poplarspar/coordination/prefix_watcher.py
+++ b/poplarspar/coordination/prefix_watcher.py
@@ -1,6 +1,5 @@
 """Watch of the store values under a prefix, which survives store outages."""
 
-import random
 import time
 from collections.abc import Callable
 from enum import Enum
@@ -9,12 +8,15 @@
 from eventlet import hubs
 from eventlet.event import Event as Signal
 
+from poplarspar.coordination.known_values import KnownValues
 from poplarspar.coordination.store_health import StoreHealth
+from poplarspar.coordination.store_leases import boot_clock_s
 from poplarspar.coordination.store_ports import (
     Change,
     Changes,
     WatchedStore,
 )
+from poplarspar.coordination.store_retries import StoreRetries
 from poplarspar.coordination.supervision import spawn_logged
 from poplarspar.events import Event
 from poplarspar.exceptions import (
@@ -25,12 +27,6 @@
 )
 from poplarspar.logs import log_event
 
-MIN_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 0.4
-# The longest pause of a node for which the planner reads, which tries more often.
-FOLLOWER_MAX_BACKOFF_S = 1.6
-# Interrupted calls of one watcher without an answered one in between.
-MAX_INTERRUPTIONS = 1
 # While a fleet starts, changes follow each other closely and each one matters to the
 # planner.
 STARTUP_S = 5.0
@@ -45,8 +41,8 @@
 # follower reads it with the announcement.
 CATCH_UP_DELAY_S = 0.8
 URGENT_CATCH_UP_DELAY_S = 0.4
-# Messages between nodes carry unsigned numbers of 64 bits.
-DIGESTS = 1 << 63
+# What a planner announces of a part of the store that has no values.
+FIRST_REVISION = 1
 
 
 class ReadingWay(Enum):
@@ -77,6 +73,12 @@
     is_follower : callable
         Returns whether another node reads the store for this one, and announces what
         this one must read; during an outage, that the store is back.
+    is_informed : callable, optional
+        Returns whether another node announces what this one must read, so that this
+        one tries an unavailable store rarely, and reads all values again at a lower
+        price; followers are by default.
+    pause_check_s : callable
+        Returns after what time at most the interval between watches may change.
     is_hurried : callable
         Returns whether changes in the first seconds are wanted at once.
     is_small : bool
@@ -98,6 +100,8 @@
         replace: Callable[[tuple[Change, ...]], None],
         apply: Callable[[tuple[Change, ...]], None],
         is_follower: Callable[[], bool] = lambda: False,
+        is_informed: Callable[[], bool] | None = None,
+        pause_check_s: Callable[[], float] = lambda: PAUSE_CHECK_S,
         is_hurried: Callable[[], bool] = lambda: True,
         is_small: bool = False,
         is_urgent: bool = False,
@@ -111,26 +115,31 @@
         self._replace = replace
         self._apply = apply
         self._is_follower = is_follower
+        self._pause_check_s = pause_check_s
+        self._is_informed = is_informed or is_follower
+        self._retries = StoreRetries(health, self._is_informed, is_urgent)
         self._is_hurried = is_hurried
         self._is_small = is_small
         self._is_urgent = is_urgent
-        self._answered_at = time.monotonic()
+        self._answered_at = boot_clock_s()
         self._wanted_revision = 0
         self._wanted = Signal()
         self._fruitless_watches = 0
         self._known_revision: int | None = None
         # The same, but kept after a failure; 0 after lost history.
         self._applied_revision = 0
-        self._backoff_s = MIN_BACKOFF_S
-        self._interruptions = 0
         self._started_at = time.monotonic()
         self._read_all_at = float("-inf")
         self._catching_up = False
+        # Whether earlier values may not be the last ones of this history of the store.
+        self._needs_newest = True
         self._watching_task: object | None = None
-        self._revision_by_key: dict[str, int] = {}
+        self._known_values = KnownValues()
         # Digest of another node that a read of all values has not confirmed.
         self._refuted_digest = 0
-        self.newest_revision = 0
+        self.newest_revision = FIRST_REVISION
+        # Whoever has read the values up to it has all changes that this watcher knows.
+        self.complete_revision = 0
 
     def catch_up_to(self, revision: int, digest: int = 0) -> None:
         """Read all values if the watch does not soon report what another node has.
@@ -155,11 +164,8 @@
 
     @property
     def digest(self) -> int:
-        """Sum of the revisions of all present values, which shows omitted changes.
-
-        The newest revision alone hides older ones that a watch has omitted.
-        """
-        return sum(self._revision_by_key.values()) % DIGESTS
+        """See `KnownValues`."""
+        return self._known_values.digest()
 
     def _lacks(self, revision: int, digest: int) -> bool:
         """Return whether another node knows values that this watcher does not."""
@@ -169,7 +175,7 @@
 
     def answered_s(self) -> float:
         """Return the seconds since the store last answered this watcher."""
-        return time.monotonic() - self._answered_at
+        return boot_clock_s() - self._answered_at
 
     @property
     def known_revision(self) -> int:
@@ -185,6 +191,7 @@
     def read_again(self, cause: str = "the store was restored") -> None:
         """Read all values again, since those known may be out of date."""
         self._known_revision = None
+        self._needs_newest = True
         if self._watching_task is None:
             self.watch_now()
         else:
@@ -253,30 +260,16 @@
                 log_event(Event.WATCH_ABANDONED, prefix=self._prefix, cause=str(error))
             except CallInterrupted as error:
                 log_event(Event.CALL_INTERRUPTED, prefix=self._prefix, cause=str(error))
-                self._interruptions += 1
-                if self._interruptions > MAX_INTERRUPTIONS:
-                    self._wait_while_unavailable(str(error))
-                else:
-                    # A short read shows whether the store still answers.
-                    self._known_revision = None
-                    eventlet.sleep(MIN_BACKOFF_S * random.uniform(0.5, 1.0))
+                # A short read shows whether the store still answers.
+                self._known_revision = None
+                self._needs_newest = True
+                self._retries.wait_after_interruption(str(error))
             except StoreUnavailable as error:
-                self._wait_while_unavailable(str(error))
-
-    def _wait_while_unavailable(self, cause: str) -> None:
-        """Record a failure of the store and wait until this watcher may call it."""
-        self._health.record_failure(cause)
-        # The answer to a waiting watch request would be lost in an outage, so the
-        # watcher sends short reads of all values until one succeeds.
-        self._known_revision = None
-        backoff_s = self._backoff_s * random.uniform(0.5, 1.0)
-        # Hundreds of followers should not try it as often as one node may.
-        is_urgent = self._is_urgent and not self._is_follower()
-        self._health.wait_for_turn(self, backoff_s, is_urgent)
-        self._backoff_s = min(2 * self._backoff_s, self._max_backoff_s())
-
-    def _max_backoff_s(self) -> float:
-        return FOLLOWER_MAX_BACKOFF_S if self._is_follower() else MAX_BACKOFF_S
+                # The answer to a waiting watch request would be lost in an outage, so
+                # the watcher sends short reads of all values until one succeeds.
+                self._known_revision = None
+                self._needs_newest = True
+                self._retries.wait_while_unavailable(str(error))
 
     def _poll(self) -> None:
         resync_at = self._read_all_at + self._resync_interval_s()
@@ -284,14 +277,17 @@
         is_announced = self._wanted_revision > self.known_revision
         may_be_old = self._is_follower() and self._applied_revision > 0
         if may_be_old and (is_due or (is_announced and self._is_small)):
+            if not self._read_old():
+                self._watch(self._applied_revision)
+        elif is_due and self._is_small and self._reads_old():
             self._read_old()
+            # It reports at once what the read was too old for.
+            self._watch(self._applied_revision)
         elif is_due:
             self._read_all()
         else:
             self._watch(self._known_revision)
-        self._health.record_success()
-        self._interruptions = 0
-        self._backoff_s = MIN_BACKOFF_S
+        self._retries.record_success()
         self._pause()
 
     def _pause(self) -> None:
@@ -303,7 +299,7 @@
             return
         self._fruitless_watches = 0
         while (left_s := began_at + self._pause_s() - time.monotonic()) > 0:
-            with eventlet.Timeout(min(left_s, PAUSE_CHECK_S), False):
+            with eventlet.Timeout(min(left_s, self._pause_check_s()), False):
                 self._wanted.wait()
             if self._wanted.ready():
                 eventlet.sleep(max(0.0, began_at + MIN_PAUSE_S - time.monotonic()))
@@ -328,24 +324,30 @@
         if self._known_revision is not None and changes.as_of < self._known_revision:
             return
         self._record_revision(changes, way, sent_at)
-        self._revision_by_key = {item.key: item.revision for item in changes.items}
+        self._known_values.replace(changes.items)
+        self._needs_newest = False
         self._replace(changes.items)
 
-    def _read_old(self) -> None:
-        """Read all values, which may be old; if they are too old, the changes since."""
+    def _reads_old(self) -> bool:
+        """Return whether a watch may follow a cheaper read, which may be old."""
+        is_current = self._applied_revision > 0 and not self._needs_newest
+        return is_current and self._is_informed()
+
+    def _read_old(self) -> bool:
+        """Read all values, which may be old; return whether they were new enough."""
         needed_revision = max(self._applied_revision, self._wanted_revision)
         sent_at = time.monotonic()
         changes = self._store.read_all(self._prefix, may_be_old=True)
         if changes.as_of < needed_revision:
             self._known_revision = self._applied_revision
-            self._watch(self._known_revision)
-            return
+            return False
         self._read_all_at = time.monotonic()
         self._record_revision(changes, ReadingWay.OLD_READ, sent_at)
-        self._revision_by_key = {item.key: item.revision for item in changes.items}
+        self._known_values.replace(changes.items)
         # The announced change may be a deletion, which is not among the values.
         self.newest_revision = max(self.newest_revision, self._wanted_revision)
         self._replace(changes.items)
+        return True
 
     def _watch(self, after: int) -> None:
         self._watching_task = eventlet.getcurrent()
@@ -354,7 +356,7 @@
             changes = self._store.changes(self._prefix, after, self._watch_timeout_s())
         finally:
             self._watching_task = None
-        self._answered_at = time.monotonic()
+        self._answered_at = boot_clock_s()
         # `catch_up_to` may have read all values during the watch request.
         items = tuple(
             item for item in changes.items if item.revision > self.known_revision
@@ -363,18 +365,16 @@
             # A watch without changes may have missed some, so the known revision
             # advances only with changes and the next watch starts at the same revision.
             self._record_revision(changes, ReadingWay.WATCH, sent_at)
-        for item in items:
-            if item.text is None:
-                self._revision_by_key.pop(item.key, None)
-            else:
-                self._revision_by_key[item.key] = item.revision
+        self._known_values.apply(items)
         self._apply(items)
 
     def _record_revision(
         self, changes: Changes, way: ReadingWay, sent_at: float
     ) -> None:
         newest = max((item.revision for item in changes.items), default=0)
-        self._answered_at = time.monotonic()
+        self._answered_at = boot_clock_s()
+        # All values include no deletions.
+        self.complete_revision = newest if way is ReadingWay.WATCH else changes.as_of
         if self._is_urgent and newest > self.newest_revision:
             log_event(
                 Event.OPERATOR_VALUES_READ,
@@ -384,7 +384,7 @@
                 before=self.newest_revision,
                 as_of=changes.as_of,
                 announced=self._wanted_revision,
-                after_ms=int((self._answered_at - sent_at) * 1000),
+                after_ms=int((time.monotonic() - sent_at) * 1000),
             )
         self._known_revision = self._applied_revision = changes.as_of
         self.newest_revision = max(self.newest_revision, newest)
--- a/poplarspar/coordination/session.py
+++ b/poplarspar/coordination/session.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from poplarspar.coordination.store_leases import Lease
 from poplarspar.coordination.store_ports import (
     Change,
     WatchedStore,
@@ -46,53 +47,6 @@
 MAX_STAGGER_S = 1.0
 
 
-def boot_clock_s() -> float:
-    """Return seconds of a clock that also counts while the VM is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-class Lease:
-    """A renewable lease in the store."""
-
-    def __init__(self, store: WatchedStore, ttl_s: float) -> None:
-        self._store = store
-        self._ttl_s = ttl_s
-        self._expires_at = float("-inf")
-        self.id = ""
-
-    def is_valid(self) -> bool:
-        """Return whether the lease has not expired, so the store still has its keys."""
-        return bool(self.id) and boot_clock_s() < self._expires_at
-
-    def keep_alive(self) -> bool:
-        """Renew the lease, or create a new one, and return whether it is new."""
-        sent_at = boot_clock_s()
-        if self.id and self._store.renew_lease(self.id):
-            self._expires_at = sent_at + self._ttl_s
-            return False
-        self.id = ""
-        self.id = self._store.grant_lease(self._ttl_s)
-        self._expires_at = sent_at + self._ttl_s
-        return True
-
-    def forget(self) -> None:
-        """Count the lease as ended, since the store no longer has it."""
-        self.id = ""
-        self._expires_at = float("-inf")
-
-    def revoke(self) -> bool:
-        """Revoke the lease, which deletes its keys; return whether the store did so."""
-        if not self.id:
-            return True
-        try:
-            self._store.end_lease(self.id)
-        except StoreUnavailable as error:
-            log_event(Event.LEASE_NOT_ENDED, cause=str(error))
-            return False
-        self.id = ""
-        return True
-
-
 class Session:
     """A node's membership in the list of nodes, and its candidacy as the planner.
 
@@ -132,7 +86,8 @@
         self._name = name
         self._address = address
         self._secret = secret
-        self._capacity = capacity
+        # As other nodes read it, so that all agree on the order of the candidates.
+        self._capacity = _parse_capacity(_capacity_text(capacity))
         self._on_change = on_change
         self._member_lease = Lease(store, max(MEMBER_TTL_S, ttl_min_s))
         self._planner_lease = Lease(store, max(PLANNER_TTL_S, ttl_min_s))
@@ -142,6 +97,7 @@
         self._closed = False
         self._keep_nodes_until = float("-inf")
         self._planner_entry = Change(PLANNER_KEY, 0, None)
+        self._last_planner = ""
         self._spares = StoredValue(SPARES_KEY, 0, "")
         self.capacity_by_node: dict[str, float] = {}
         self.planner_key_released = False
@@ -276,6 +232,9 @@
         if item.revision < self._planner_entry.revision or item == self._planner_entry:
             return
         self._planner_entry = item
+        if item.text:
+            # Its key ends because it can't plan any longer, so no node waits for it.
+            self._last_planner = item.text.partition(" ")[0]
         log_event(
             Event.PLANNER_CHANGED,
             planner=(item.text or "").partition(" ")[0],
@@ -289,7 +248,9 @@
         """Return the delay before this node claims a vacant planner key."""
         own = (-self._capacity, self._name)
         nodes_ahead = sum(
-            (-capacity, name) < own for name, capacity in self.capacity_by_node.items()
+            (-capacity, name) < own
+            for name, capacity in self.capacity_by_node.items()
+            if name != self._last_planner
         )
         return min(MAX_STAGGER_S, STAGGER_S * nodes_ahead)
 
@@ -323,7 +284,7 @@
 
     def _write_member_key(self) -> None:
         """Write this node's key under its membership lease."""
-        key, capacity = MEMBER_PREFIX + self._name, f"{self._capacity:.2f}"
+        key, capacity = MEMBER_PREFIX + self._name, _capacity_text(self._capacity)
         try:
             self._store.compare_and_swap(key, 0, capacity, self._member_lease.id)
         except RevisionConflict:
@@ -333,10 +294,24 @@
             self._store.compare_and_swap(key, revision, capacity, self._member_lease.id)
         self._member_key_written = True
 
+    def _finds_planner(self) -> bool:
+        """Return whether a node that came first has the planner key by now.
+
+        That costs one call, and a claim that fails several.
+        """
+        stored = self._store.read(PLANNER_KEY)
+        if not stored.revision or stored.text == self._own_text():
+            return False
+        self._set_planner(Change(PLANNER_KEY, stored.revision, stored.text))
+        self._on_change()
+        return True
+
     def _claim_planner_key(self) -> None:
         remaining_s = self._vacant_since + self._stagger_s() - time.monotonic()
         if self._closed or remaining_s > 0 or self._planner_entry.text:
             return
+        if self._stagger_s() and self._finds_planner():
+            return
         self._planner_lease.keep_alive()
         text = self._own_text()
         lease_id = self._planner_lease.id
@@ -360,6 +335,10 @@
         self._on_change()
 
 
+def _capacity_text(capacity: float) -> str:
+    return f"{capacity:.2f}"
+
+
 def _parse_capacity(text: str) -> float:
     """Return the cores in a node's value, 0 if another version wrote it."""
     try:
--- a/poplarspar/planning.py
+++ b/poplarspar/planning.py
@@ -20,6 +20,7 @@
 )
 from poplarspar.coordination.pools.plan_updates import apply_update
 from poplarspar.coordination.session import Session
+from poplarspar.coordination.store_leases import boot_clock_s
 from poplarspar.coordination.supervision import spawn_supervised
 from poplarspar.events import Event
 from poplarspar.logs import log_event
@@ -79,6 +80,7 @@
         self._on_plan_change = on_plan_change
         self._plan_received_at = float("-inf")
         self._has_planners_plan = False
+        self._load_sent_at = float("-inf")
         self.plan = FleetPlan()
         self.fencing = FencingTokens(settings.fencing_required)
 
@@ -160,6 +162,7 @@
 
     def load(self) -> NodeLoad:
         """Return this node's current load, for the planner."""
+        self._load_sent_at = boot_clock_s()
         return NodeLoad(
             self.plan.serial if self._has_planners_plan else 0,
             self._targets.loads(),
@@ -169,7 +172,7 @@
 
     def apply(self, load: NodeLoad, update: PlanUpdate) -> None:
         """Apply the planner's update of the plan."""
-        self._announcements.receive(update.revisions)
+        self._announcements.receive(update.revisions, self._load_sent_at)
         if not update.serial:
             # A new planner has no plan yet; the previous planner's still applies.
             self._has_planners_plan = False
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -154,6 +154,7 @@
   backendRevision @12 :UInt64;
   nodesRevision @13 :UInt64;
   operatorDigest @14 :UInt64;
+  backendsAgeMs @15 :UInt32;
 }
 
 struct Message {
--- a/poplarspar/protocol/plans.py
+++ b/poplarspar/protocol/plans.py
@@ -14,7 +14,7 @@
 )
 from poplarspar.state.rate_limits import RateLimit
 
-# Callers name the numbers of tokens, whose sums may exceed a field.
+# Callers name the numbers of tokens, whose sums may exceed a field; ages can too.
 MAX_UINT32 = 2**32 - 1
 
 
@@ -67,6 +67,7 @@
         backendRevision=update.revisions.backends,
         nodesRevision=update.revisions.nodes,
         operatorDigest=update.revisions.operator_digest,
+        backendsAgeMs=min(update.revisions.backends_age_ms, MAX_UINT32),
     )
     _set_rate_limits(builder, update.rate_limits)
     _set_demands(builder, update.demands)
@@ -135,6 +136,7 @@
             fields.backendRevision,
             fields.nodesRevision,
             fields.operatorDigest,
+            fields.backendsAgeMs,
         ),
         rate_limits=_read_rate_limits(fields),
         demands=_read_demands(fields),
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -173,6 +173,8 @@
         Newest change of a backend server's entry that nodes must read.
     operator_digest : int
         Sum of the revisions of all the operator's documents, 0 if unknown.
+    backends_age_ms : int
+        Time for which the planner may have missed changes of entries, 0 if unknown.
     """
 
     operator: int = 0
@@ -180,6 +182,7 @@
     backends: int = 0
     nodes: int = 0
     operator_digest: int = 0
+    backends_age_ms: int = 0
 
 
 @dataclass(frozen=True)
--- a/poplarspar/watching.py
+++ b/poplarspar/watching.py
@@ -9,7 +9,7 @@
     Watchers,
 )
 from poplarspar.coordination.fleet import FleetUpdater
-from poplarspar.coordination.prefix_watcher import PrefixWatcher
+from poplarspar.coordination.prefix_watcher import PAUSE_CHECK_S, PrefixWatcher
 from poplarspar.coordination.quarantine import QUARANTINE_PREFIX, QuarantineExchange
 from poplarspar.coordination.session import NODE_PREFIX, Session
 from poplarspar.coordination.store_calls import StoreCalls
@@ -29,12 +29,14 @@
 # The planner of a large fleet notices sooner that it can't read the store any more,
 # since other nodes rely on it.
 PLANNER_WATCH_TIMEOUT_S = 0.8
-RELAXED_WATCH_TIMEOUT_S = 8.0
+# With the read of all values that follows, it is shorter than the history that the
+# store keeps, without which the next watch costs two calls more.
+RELAXED_WATCH_TIMEOUT_S = 14.0
+RELAXED_RESYNC_INTERVAL_S = 14.0
 # Bounds the calls of all nodes while changes follow each other closely. The first one
 # still ends a waiting watch request at once.
 OPERATOR_WATCH_INTERVAL_S = 0.25
 OPERATOR_RESYNC_INTERVAL_S = 10.0
-RELAXED_OPERATOR_RESYNC_INTERVAL_S = 30.0
 # The planner reads the values between its watches, so that what these have omitted is
 # announced to all nodes within seconds.
 PLANNER_OPERATOR_RESYNC_INTERVAL_S = 1.0
@@ -42,7 +44,7 @@
 # of a fleet start together, and the interval gathers their entries.
 NODES_WATCH_TIMEOUT_S = 8.0
 NODES_WATCH_INTERVAL_S = 0.2
-NODES_RESYNC_INTERVAL_S = 30.0
+USUAL_RESYNC_INTERVAL_S = 30.0
 # Entries of backend servers change constantly, so the node batches their changes. The
 # margin covers the watch request, so that the node notices a drain within `drain_s`.
 BACKEND_WATCH_TIMEOUT_S = 1.0
@@ -50,14 +52,16 @@
 BACKEND_RESYNC_INTERVAL_S = 60.0
 # Longer than a read of the entries takes while the store answers.
 OVERDUE_CHECK_INTERVAL_S = 0.5
-# In a large fleet the planner reads entries for all nodes. Changes that it doesn't
-# announce concern members of groups.
+# The planner reads entries for all nodes. Changes that it doesn't announce concern
+# members of groups.
 PLANNER_BACKEND_WATCH_INTERVAL_S = 0.8
+# In a small fleet it is shorter than the history that the store keeps, so that an
+# announced change takes one call.
+CONFIRMED_WATCH_INTERVAL_S = 15.0
+# While a node follows a plan, a change of the nodes only divides limits.
+INFORMED_NODES_WATCH_INTERVAL_S = 1.0
 # Bounds the reads of all nodes while many of them share evidence.
 QUARANTINE_WATCH_INTERVAL_S = 0.5
-# The plan reveals missed changes, and on most days there are none at all.
-RELAXED_QUARANTINE_WATCH_TIMEOUT_S = 20.0
-QUARANTINE_RESYNC_INTERVAL_S = 30.0
 # A node of a large fleet reads what the planner announces; in between, these find what
 # an announcement may have left out.
 FOLLOWER_WATCH_INTERVAL_S = 30.0
@@ -118,6 +122,7 @@
             NODE_PREFIX: "nodes",
             QUARANTINE_PREFIX: "quarantine",
         }
+        self._session = session
         self._store.on_call(StoreCalls(count, part_by_prefix).record)
         self._announcements.watchers = Watchers(
             operator=self._watch_operator(operator_prefix, updater),
@@ -155,13 +160,16 @@
         self, prefix: str, updater: FleetUpdater, drain_s: float
     ) -> PrefixWatcher:
         """Follow the entries of backend servers."""
+        usual_s = max(0.0, drain_s - BACKEND_WATCH_MARGIN_S)
+        self._announcements.confirmations.interval_s = usual_s
         return self._start(
             prefix,
-            lambda: BACKEND_WATCH_TIMEOUT_S,
-            lambda: self._backend_interval_s(drain_s),
+            self._backend_timeout_s,
+            lambda: self._backend_interval_s(usual_s),
             lambda: BACKEND_RESYNC_INTERVAL_S,
             updater.replace_backend_entries,
             updater.apply_backend_changes,
+            pause_check_s=self._backend_check_s,
         )
 
     def _watch_nodes(self, session: Session) -> PrefixWatcher:
@@ -169,9 +177,13 @@
         reader = self._announcements.reader_of_nodes
         return self._start(
             NODE_PREFIX,
-            lambda: NODES_WATCH_TIMEOUT_S,
-            lambda: self._interval_s(reader(), NODES_WATCH_INTERVAL_S),
-            lambda: self._resync_s(reader(), NODES_RESYNC_INTERVAL_S),
+            lambda: self._planned_s(
+                NODES_WATCH_TIMEOUT_S,
+                RELAXED_WATCH_TIMEOUT_S,
+                self._announcements.received.nodes,
+            ),
+            lambda: self._interval_s(reader(), self._nodes_interval_s()),
+            lambda: self._resync_s(reader(), self._usual_resync_s()),
             session.replace,
             session.apply,
             is_small=True,
@@ -184,11 +196,11 @@
             QUARANTINE_PREFIX,
             lambda: self._planned_s(
                 WATCH_TIMEOUT_S,
-                RELAXED_QUARANTINE_WATCH_TIMEOUT_S,
+                RELAXED_WATCH_TIMEOUT_S,
                 self._announcements.received.quarantine,
             ),
             lambda: self._interval_s(reader(), QUARANTINE_WATCH_INTERVAL_S),
-            lambda: self._resync_s(reader(), QUARANTINE_RESYNC_INTERVAL_S),
+            lambda: self._resync_s(reader(), self._usual_resync_s()),
             exchange.replace,
             exchange.apply,
             is_small=True,
@@ -204,6 +216,7 @@
         apply: Callable[[tuple[Change, ...]], None],
         is_small: bool = False,
         is_urgent: bool = False,
+        pause_check_s: Callable[[], float] = lambda: PAUSE_CHECK_S,
     ) -> PrefixWatcher:
         watcher = PrefixWatcher(
             self._store,
@@ -215,7 +228,9 @@
             replace=replace,
             apply=apply,
             is_follower=self._announcements.is_follower,
-            is_hurried=lambda: not self._follows_plan(),
+            is_informed=self._announcements.is_informed,
+            pause_check_s=pause_check_s,
+            is_hurried=self._is_hurried,
             is_small=is_small,
             is_urgent=is_urgent,
         )
@@ -229,19 +244,52 @@
         self._stack.callback(spawn_supervised(watcher.run).kill)
         return watcher
 
-    def _backend_interval_s(self, drain_s: float) -> float:
+    def _is_hurried(self) -> bool:
+        """Return whether changes matter at once while the fleet starts.
+
+        They do to the planner, which forms groups, and to whoever may become it.
+        """
+        return self._is_planner() or not self._session.planner_endpoint()[0]
+
+    def _backend_interval_s(self, usual_s: float) -> float:
         """Return the time between two reads of changed entries.
 
-        In a large fleet the plan tells when entries have changed that nodes need.
+        The plan tells when entries have changed that nodes need.
         """
-        usual_s = max(0.0, drain_s - BACKEND_WATCH_MARGIN_S)
+        is_large = self._announcements.is_large_fleet()
         match self._announcements.reader_of_backends():
             case StoreReader.EVERY_NODE:
                 return usual_s
-            case StoreReader.PLANNER:
+            case StoreReader.PLANNER if is_large:
                 return min(usual_s, PLANNER_BACKEND_WATCH_INTERVAL_S)
-            case StoreReader.FOLLOWER:
+            case StoreReader.PLANNER:
+                return self._announcements.confirmations.planner_pause_s()
+            case StoreReader.FOLLOWER if is_large:
                 return FOLLOWER_WATCH_INTERVAL_S
+            case StoreReader.FOLLOWER:
+                return CONFIRMED_WATCH_INTERVAL_S
+
+    def _backend_timeout_s(self) -> float:
+        """Return how long a watch of entries may wait for the first change."""
+        match self._announcements.reader_of_backends():
+            case StoreReader.PLANNER if not self._announcements.is_large_fleet():
+                confirmations = self._announcements.confirmations
+                return confirmations.planner_wait_s(BACKEND_WATCH_TIMEOUT_S)
+            case _:
+                return BACKEND_WATCH_TIMEOUT_S
+
+    def _backend_check_s(self) -> float:
+        """Return the time until the planner's confirmation ends, if that is soon."""
+        left_s = self._announcements.confirmations.left_s()
+        return min(left_s, PAUSE_CHECK_S) if left_s > 0 else PAUSE_CHECK_S
+
+    def _nodes_interval_s(self) -> float:
+        """Return the time between two watch requests for the list of nodes."""
+        announcements = self._announcements
+        has_planner = announcements.received.nodes and announcements.is_informed()
+        if has_planner and self._session.planner_endpoint()[0]:
+            return INFORMED_NODES_WATCH_INTERVAL_S
+        return NODES_WATCH_INTERVAL_S
 
     def _operator_timeout_s(self) -> float:
         match self._announcements.reader_of_operator():
@@ -259,10 +307,16 @@
             return PLANNER_OPERATOR_RESYNC_INTERVAL_S
         return self._planned_s(
             OPERATOR_RESYNC_INTERVAL_S,
-            RELAXED_OPERATOR_RESYNC_INTERVAL_S,
+            RELAXED_RESYNC_INTERVAL_S,
             self._announcements.received.operator,
         )
 
+    def _usual_resync_s(self) -> float:
+        """Return an interval of reads, which cost less while another node plans."""
+        if self._announcements.is_informed():
+            return RELAXED_RESYNC_INTERVAL_S
+        return USUAL_RESYNC_INTERVAL_S
+
     @staticmethod
     def _interval_s(reader: StoreReader, usual_s: float) -> float:
         return FOLLOWER_WATCH_INTERVAL_S if reader is StoreReader.FOLLOWER else usual_s
