Try an unavailable store less often while another node tells what to read

Cause: nodes that the store turns away tried it several times a second, each watcher in its own turn, and once more for each announcement. The watch of the operator's values takes the turn now, an announcement starts no further read while that watch fails, and a node hears the planner also before its first plan.

--- a/poplarspar/coordination/announcements.py
+++ b/poplarspar/coordination/announcements.py
@@ -119,6 +119,7 @@
         self._plan_age_s = plan_age_s
         self._reconnect = reconnect
         self.received = StoreRevisions()
+        self._received_at = float("-inf")
         self.confirmations = EntryConfirmations()
         self._announced_changes = 0
         self._backend_revision = 0
@@ -129,14 +130,18 @@
 
     def is_follower(self) -> bool:
         """Return whether another node reads the store for this one, or tries to."""
-        return self.is_large_fleet() and self.is_informed()
-
-    def is_informed(self) -> bool:
-        """Return whether a planner tells what this node must read, if it can read."""
-        if self._session.is_planner:
+        if not self.is_large_fleet() or self._session.is_planner:
             return False
         return self._plan_age_s() <= ANNOUNCEMENT_MAX_AGE_S
 
+    def is_informed(self) -> bool:
+        """Return whether a planner tells what this node must read, if it can read.
+
+        It does so also while it has no plan yet.
+        """
+        received_s = time.monotonic() - self._received_at
+        return received_s <= ANNOUNCEMENT_MAX_AGE_S and not self._session.is_planner
+
     def is_large_fleet(self) -> bool:
         """Return whether the planner reads the whole store for all nodes."""
         return self._node_count() > MAX_NODES_READING
@@ -185,7 +190,8 @@
         if self._session.is_planner and self._node_count() > 1:
             return StoreReader.PLANNER
         is_confirmed = self.received.backends and self.confirmations.left_s() > 0
-        if is_confirmed and self.is_informed():
+        # Without a fresh plan, the entries tell which groups are open.
+        if is_confirmed and self._plan_age_s() <= ANNOUNCEMENT_MAX_AGE_S:
             return StoreReader.FOLLOWER
         return StoreReader.EVERY_NODE
 
@@ -201,6 +207,7 @@
         if self.received.operator and not revisions.operator:
             watchers.operator.renew_watch("the planner can't read the store")
         self.received = revisions
+        self._received_at = time.monotonic()
         watchers.operator.watch_until(revisions.operator)
         watchers.operator.catch_up_to(revisions.operator, revisions.operator_digest)
         watchers.quarantine.watch_until(revisions.quarantine)
--- a/poplarspar/coordination/known_values.py
+++ b/poplarspar/coordination/known_values.py
@@ -1,4 +1,6 @@
-"""Revisions of the values that a node knows under a prefix."""
+"""Values that a node knows under a prefix, and how it has read them."""
+
+from enum import Enum
 
 from poplarspar.coordination.store_ports import Change
 
@@ -6,6 +8,15 @@
 DIGESTS = 1 << 63
 
 
+class ReadingWay(Enum):
+    """How a watcher has read values."""
+
+    WATCH = "watch"
+    READ = "read"
+    OLD_READ = "old_read"
+    CATCH_UP = "catch_up"
+
+
 class KnownValues:
     """Revisions of all present values."""
 
--- a/poplarspar/coordination/prefix_watcher.py
+++ b/poplarspar/coordination/prefix_watcher.py
@@ -2,13 +2,12 @@
 
 import time
 from collections.abc import Callable
-from enum import Enum
 
 import eventlet
 from eventlet import hubs
 from eventlet.event import Event as Signal
 
-from poplarspar.coordination.known_values import KnownValues
+from poplarspar.coordination.known_values import KnownValues, ReadingWay
 from poplarspar.coordination.store_health import StoreHealth
 from poplarspar.coordination.store_leases import boot_clock_s
 from poplarspar.coordination.store_ports import (
@@ -45,15 +44,6 @@
 FIRST_REVISION = 1
 
 
-class ReadingWay(Enum):
-    """How a watcher has read values."""
-
-    WATCH = "watch"
-    READ = "read"
-    OLD_READ = "old_read"
-    CATCH_UP = "catch_up"
-
-
 class PrefixWatcher:
     """Reads all values under a prefix, then watches them for changes.
 
@@ -152,6 +142,9 @@
         """
         if self._catching_up or not self._lacks(revision, digest):
             return
+        if self._known_revision is None and not self._health.is_available:
+            # The next attempt reads all values anyway.
+            return
         self._catching_up = True
         if self._is_urgent:
             log_event(
--- a/poplarspar/coordination/store_health.py
+++ b/poplarspar/coordination/store_health.py
@@ -51,8 +51,11 @@
     def wait_for_turn(
         self, watcher: object, backoff_s: float, is_urgent: bool = False
     ) -> None:
-        """Wait until a watcher should call the store again after a failure."""
-        if self._trying is None:
+        """Wait until a watcher should call the store again after a failure.
+
+        An urgent one takes the turn from the others, since its values are needed first.
+        """
+        if self._trying is None or is_urgent:
             self._trying = watcher
         max_wait_s = URGENT_MAX_TURN_WAIT_S if is_urgent else MAX_TURN_WAIT_S
         wait_s = backoff_s if self._trying is watcher else max_wait_s
--- a/poplarspar/coordination/store_retries.py
+++ b/poplarspar/coordination/store_retries.py
@@ -55,7 +55,6 @@
         self._health.record_failure(cause)
         backoff_s = self._backoff_s * random.uniform(0.5, 1.0)
         # Informed nodes should not try it as often as one node may.
-        is_informed = self._is_informed()
-        self._health.wait_for_turn(self, backoff_s, self._is_urgent and not is_informed)
-        max_backoff_s = INFORMED_MAX_BACKOFF_S if is_informed else MAX_BACKOFF_S
+        self._health.wait_for_turn(self, backoff_s, self._is_urgent)
+        max_backoff_s = INFORMED_MAX_BACKOFF_S if self._is_informed() else MAX_BACKOFF_S
         self._backoff_s = min(2 * self._backoff_s, max_backoff_s)
--- a/poplarspar/watching.py
+++ b/poplarspar/watching.py
@@ -44,6 +44,8 @@
 # of a fleet start together, and the interval gathers their entries.
 NODES_WATCH_TIMEOUT_S = 8.0
 NODES_WATCH_INTERVAL_S = 0.2
+# While a node knows and hears the planner, a change of the others only divides limits.
+INFORMED_NODES_WATCH_INTERVAL_S = 1.0
 USUAL_RESYNC_INTERVAL_S = 30.0
 # Entries of backend servers change constantly, so the node batches their changes. The
 # margin covers the watch request, so that the node notices a drain within `drain_s`.
@@ -58,8 +60,6 @@
 # In a small fleet it is shorter than the history that the store keeps, so that an
 # announced change takes one call.
 CONFIRMED_WATCH_INTERVAL_S = 15.0
-# While a node follows a plan, a change of the nodes only divides limits.
-INFORMED_NODES_WATCH_INTERVAL_S = 1.0
 # Bounds the reads of all nodes while many of them share evidence.
 QUARANTINE_WATCH_INTERVAL_S = 0.5
 # A node of a large fleet reads what the planner announces; in between, these find what
@@ -170,6 +170,7 @@
             updater.replace_backend_entries,
             updater.apply_backend_changes,
             pause_check_s=self._backend_check_s,
+            is_hurried=self._is_planning_soon,
         )
 
     def _watch_nodes(self, session: Session) -> PrefixWatcher:
@@ -217,6 +218,7 @@
         is_small: bool = False,
         is_urgent: bool = False,
         pause_check_s: Callable[[], float] = lambda: PAUSE_CHECK_S,
+        is_hurried: Callable[[], bool] | None = None,
     ) -> PrefixWatcher:
         watcher = PrefixWatcher(
             self._store,
@@ -230,7 +232,7 @@
             is_follower=self._announcements.is_follower,
             is_informed=self._announcements.is_informed,
             pause_check_s=pause_check_s,
-            is_hurried=self._is_hurried,
+            is_hurried=is_hurried or (lambda: not self._follows_plan()),
             is_small=is_small,
             is_urgent=is_urgent,
         )
@@ -244,8 +246,8 @@
         self._stack.callback(spawn_supervised(watcher.run).kill)
         return watcher
 
-    def _is_hurried(self) -> bool:
-        """Return whether changes matter at once while the fleet starts.
+    def _is_planning_soon(self) -> bool:
+        """Return whether entries matter at once while the fleet starts.
 
         They do to the planner, which forms groups, and to whoever may become it.
         """
@@ -283,14 +285,6 @@
         left_s = self._announcements.confirmations.left_s()
         return min(left_s, PAUSE_CHECK_S) if left_s > 0 else PAUSE_CHECK_S
 
-    def _nodes_interval_s(self) -> float:
-        """Return the time between two watch requests for the list of nodes."""
-        announcements = self._announcements
-        has_planner = announcements.received.nodes and announcements.is_informed()
-        if has_planner and self._session.planner_endpoint()[0]:
-            return INFORMED_NODES_WATCH_INTERVAL_S
-        return NODES_WATCH_INTERVAL_S
-
     def _operator_timeout_s(self) -> float:
         match self._announcements.reader_of_operator():
             case StoreReader.PLANNER:
@@ -317,6 +311,14 @@
             return RELAXED_RESYNC_INTERVAL_S
         return USUAL_RESYNC_INTERVAL_S
 
+    def _nodes_interval_s(self) -> float:
+        """Return the time between two watch requests for the list of nodes."""
+        announcements = self._announcements
+        hears_planner = announcements.received.nodes and announcements.is_informed()
+        if hears_planner and self._session.planner_endpoint()[0]:
+            return INFORMED_NODES_WATCH_INTERVAL_S
+        return NODES_WATCH_INTERVAL_S
+
     @staticmethod
     def _interval_s(reader: StoreReader, usual_s: float) -> float:
         return FOLLOWER_WATCH_INTERVAL_S if reader is StoreReader.FOLLOWER else usual_s
@@ -330,4 +332,5 @@
 
         A planner that can't read the store announces revision 0.
         """
-        return relaxed_s if announced and self._follows_plan() else usual_s
+        follows = self._follows_plan() or self._announcements.is_informed()
+        return relaxed_s if announced and follows else usual_s
