--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -170,6 +170,7 @@
   operatorDigest @14 :UInt64;
   unused @15 :Void;
   reportedWindow @16 :UInt64;
+  backendsAgeMs @17 :UInt32;
 }
 
 struct Message {
