--- a/poplarspar/coordination/duties/holding.py
+++ b/poplarspar/coordination/duties/holding.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from poplarspar.coordination.drain import Drain
-from poplarspar.coordination.session import boot_clock_s
+from poplarspar.coordination.store_leases import boot_clock_s
 from poplarspar.events import Event
 from poplarspar.logs import log_event
 from poplarspar.state.duties import DutyTerm
--- a/poplarspar/coordination/duties/true_clock.py
+++ b/poplarspar/coordination/duties/true_clock.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 
-from poplarspar.coordination.session import boot_clock_s
+from poplarspar.coordination.store_leases import boot_clock_s
 from poplarspar.events import Event
 from poplarspar.logs import log_event
 
