Don't wait for the counts of a process once its node runs again

One that was killed never answers; a newer process of its node shows that. A stored record that is empty counts as one that can't be decoded.

--- a/poplarspar/coordination/duties/usage_ledger.py
+++ b/poplarspar/coordination/duties/usage_ledger.py
@@ -54,7 +54,9 @@
         """
         try:
             stored = self._store.read(USAGE_KEY)
-            record = self._codec.parse(stored.text) if stored.text else UsageRecord()
+            record = (
+                self._codec.parse(stored.text) if stored.revision else UsageRecord()
+            )
         except (StoreUnavailable, MalformedDocument) as error:
             self._log(error)
             return False
--- a/poplarspar/coordination/duties/usage_totals.py
+++ b/poplarspar/coordination/duties/usage_totals.py
@@ -103,9 +103,17 @@
         ----------
         began_at : float
             Begin of the window; processes that were not seen since have no part in it.
+            One that is silent while another of its node runs has ended.
         """
         ended = self._ended_window_by_process
-        awaited = [p for p, at in self._seen_at_by_process.items() if at >= began_at]
+        running = self._running()
+        restarted = {_node_of(process) for process in running}
+        awaited = [
+            process
+            for process, seen_at in self._seen_at_by_process.items()
+            if seen_at >= began_at
+            and (process in running or _node_of(process) not in restarted)
+        ]
         return bool(awaited) and all(ended.get(p, 0) >= window for p in awaited)
 
     def most_have_ended(self, window: int) -> bool:
@@ -113,11 +121,14 @@
 
         The holder's own clock may be wrong.
         """
-        since = self._clock() - RECENT_S
-        running = [p for p, at in self._received_at_by_process.items() if at >= since]
+        running = self._running()
         ended = [p for p in running if self._ended_window_by_process[p] >= window]
         return 2 * len(ended) >= len(running)
 
+    def _running(self) -> set[str]:
+        since = self._clock() - RECENT_S
+        return {p for p, at in self._received_at_by_process.items() if at >= since}
+
     def _add(self, window: int, process: str, workspace: str, requests: int) -> None:
         if window <= self._committed_window:
             return
@@ -129,3 +140,8 @@
         if requests > counts.get(workspace, 0):
             counts[workspace] = requests
             self.change_count += 1
+
+
+def _node_of(process: str) -> str:
+    """Return the name of a process's node, which a dot parts from its own."""
+    return process.rpartition(".")[0]
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -152,47 +152,56 @@
 
 class ReportTest(UsageTestCase):
     def test_counts_of_all_nodes_are_reported_once_the_window_ends(self):
-        a, b = self.node("a", 7), self.node("b")
+        a, b = self.node("a.1", 7), self.node("b.1")
         a.serve("w1", 2)
         b.serve("w1", 3)
         b.serve("w2")
         self.play(5.9, a, b)
         ((term, report),) = self.platform.calls
-        self.assertEqual(("a", 7), (term.holder, term.token))
+        self.assertEqual(("a.1", 7), (term.holder, term.token))
         self.assertEqual(UsageReport(FIRST, {"w1": 5, "w2": 1}), report)
 
     def test_windows_without_requests_are_reported_too(self):
-        self.play(11.0, self.node("a", 7))
+        self.play(11.0, self.node("a.1", 7))
         self.assertEqual({FIRST: {}, FIRST + 1: {}}, self.platform.counts())
 
     def test_killed_node_s_counts_are_reported(self):
-        a, b = self.node("a", 7), self.node("b")
+        a, b = self.node("a.1", 7), self.node("b.1")
         b.serve("w1", 3)
         self.play(1.0, a, b)
         self.play(14.0, a)
         self.assertEqual({"w1": 3}, self.platform.counts()[FIRST])
 
     def test_window_waits_for_a_node_that_is_cut_off_but_not_past_its_due_time(self):
-        a, b, c = self.node("a", 7), self.node("b"), self.node("c")
+        a, b, c = self.node("a.1", 7), self.node("b.1"), self.node("c.1")
         self.play(1.0, a, b, c)
         b.serve("w1", 3)
         self.play(9.0, a)
         self.assertEqual([], self.platform.calls)
-        self.listed -= {"b", "c"}
+        self.listed -= {"b.1", "c.1"}
         self.play(11.0, a, b)
         self.play(14.9, a)
         self.assertEqual({"w1": 3}, self.platform.counts()[FIRST])
 
     def test_holder_whose_clock_is_ahead_commits_no_window_that_goes_on(self):
-        a, b, c = self.node("a", 7, ahead_s=20.0), self.node("b"), self.node("c")
+        a, b, c = self.node("a.1", 7, ahead_s=20.0), self.node("b.1"), self.node("c.1")
         for _ in range(100):
             b.serve("w1")
             self.play(self.now - START + 0.1, a, b, c)
         counts = self.platform.counts()
         self.assertEqual(25, counts[FIRST]["w1"])
 
+    def test_killed_process_is_not_awaited_once_its_node_runs_again(self):
+        a, b = self.node("a.1", 7), self.node("b.1")
+        b.serve("w1")
+        self.play(1.0, a, b)
+        self.play(6.0, a)
+        self.assertEqual([], self.platform.calls)
+        self.play(6.7, a, self.node("b.2"))
+        self.assertEqual({"w1": 1}, self.platform.counts()[FIRST])
+
     def test_node_that_stops_holds_no_window_up(self):
-        a, b = self.node("a", 7), self.node("b")
+        a, b = self.node("a.1", 7), self.node("b.1")
         b.serve("w1")
         self.play(1.0, a, b)
         b.usage.meter.finish()
@@ -203,23 +212,23 @@
         self.assertEqual({"w1": 1}, self.platform.counts()[FIRST])
 
     def test_report_without_answer_is_repeated_exactly(self):
-        a, b = self.node("a", 7), self.node("b")
+        a, b = self.node("a.1", 7), self.node("b.1")
         a.serve("w1")
         self.platform.answers = [NotAnswered(), Postponed()]
         self.play(5.5, a, b)
         # Later counts of the window change nothing.
-        b.usage.totals.receive("c", NodeUsage(1, (UsageCount(FIRST, "w1", 9),)))
-        a.usage.totals.receive("c", NodeUsage(1, (UsageCount(FIRST, "w1", 9),)))
+        b.usage.totals.receive("c.1", NodeUsage(1, (UsageCount(FIRST, "w1", 9),)))
+        a.usage.totals.receive("c.1", NodeUsage(1, (UsageCount(FIRST, "w1", 9),)))
         self.play(9.0, a, b)
         reports = [report for _, report in self.platform.calls]
         self.assertEqual(3 * [UsageReport(FIRST, {"w1": 1})], reports)
 
     def test_new_holder_repeats_the_report_of_the_last_exactly(self):
-        a, b = self.node("a", 7), self.node("b")
+        a, b = self.node("a.1", 7), self.node("b.1")
         a.serve("w1")
         self.platform.answers = [NotAnswered()]
         self.play(5.3, a, b)
-        b.usage.totals.receive("c", NodeUsage(1, (UsageCount(FIRST, "w1", 9),)))
+        b.usage.totals.receive("c.1", NodeUsage(1, (UsageCount(FIRST, "w1", 9),)))
         b.lead(9)
         self.play(8.9, b)
         (first, second) = self.platform.calls
@@ -227,10 +236,10 @@
         self.assertEqual((7, 9), (first[0].token, second[0].token))
 
     def test_second_holder_adopts_what_the_first_has_committed(self):
-        a, b = self.node("a", 7), self.node("b")
+        a, b = self.node("a.1", 7), self.node("b.1")
         self.play(4.9, a, b)
         a.serve("w1")
-        self.listed = {"b"}
+        self.listed = {"b.1"}
         b.lead(9)
         self.now = START + 5.1
         b.hand_on(b)
@@ -244,7 +253,7 @@
         self.assertEqual([UsageReport(FIRST, {})] * 2, reports)
 
     def test_holder_with_a_lower_token_stops_for_its_term(self):
-        a = self.node("a", 7)
+        a = self.node("a.1", 7)
         self.platform.answers = [Superseded()]
         self.play(20.0, a)
         self.assertEqual(1, len(self.platform.calls))
@@ -254,7 +263,7 @@
         self.assertEqual([FIRST, *range(FIRST, FIRST + 4)], windows)
 
     def test_refused_calls_are_repeated_rarely_and_windows_stay_in_order(self):
-        a = self.node("a", 7)
+        a = self.node("a.1", 7)
         self.platform.answers = [Postponed()] * 6
         self.play(26.0, a)
         windows = [report.window for _, report in self.platform.calls]
@@ -262,7 +271,7 @@
         self.assertEqual([FIRST + 1, FIRST + 2, FIRST + 3], windows[7:10])
 
     def test_late_report_is_sent_and_logged(self):
-        a = self.node("a", 7)
+        a = self.node("a.1", 7)
         self.store.down = True
         self.play(20.0, a)
         self.assertEqual([], self.platform.calls)
@@ -273,7 +282,7 @@
         self.assertEqual(set(range(FIRST, FIRST + 4)), set(self.platform.counts()))
 
     def test_windows_kept_in_a_long_outage_are_bounded(self):
-        a = self.node("a", 7)
+        a = self.node("a.1", 7)
         self.play(6.0, a)
         self.store.down = True
         self.now = START + HOUR
@@ -288,29 +297,29 @@
 
 class StoredRecordTest(UsageTestCase):
     def test_restart_of_all_nodes_within_a_window_keeps_what_was_stored(self):
-        a, b = self.node("a", 7), self.node("b")
+        a, b = self.node("a.1", 7), self.node("b.1")
         a.serve("w1", 2)
         b.serve("w1", 3)
         self.play(3.0, a, b)
         self.listed.clear()
-        c = self.node("c", 12)
+        c = self.node("c.1", 12)
         c.serve("w1", 4)
         self.play(6.5, c)
         self.assertEqual({"w1": 9}, self.platform.counts()[FIRST])
 
     def test_restart_of_all_nodes_after_a_commit_repeats_it(self):
-        a = self.node("a", 7)
+        a = self.node("a.1", 7)
         a.serve("w1", 2)
         self.platform.answers = [NotAnswered()]
         self.play(5.3, a)
         self.listed.clear()
-        c = self.node("c", 12)
+        c = self.node("c.1", 12)
         self.play(9.5, c)
         reports = [report for _, report in self.platform.calls]
         self.assertEqual([UsageReport(FIRST, {"w1": 2})] * 2, reports)
 
     def test_report_waits_for_a_commit_whose_answer_was_lost(self):
-        a = self.node("a", 7)
+        a = self.node("a.1", 7)
         self.play(4.9, a)
         self.store.loses_answers = True
         self.play(5.5, a)
@@ -320,7 +329,7 @@
         self.assertEqual(1, len(self.platform.calls))
 
     def test_store_gets_two_writes_a_window(self):
-        a, b = self.node("a", 7), self.node("b")
+        a, b = self.node("a.1", 7), self.node("b.1")
         while self.now < START + 50.0:
             b.serve("w1")
             self.play(self.now - START + 0.3, a, b)
@@ -328,11 +337,12 @@
 
     def test_record_that_can_not_be_decoded_is_left_alone(self):
         self.store.stored = StoredValue(USAGE_KEY, 4, '{"reported": "x"}')
-        self.play(20.0, self.node("a", 7))
+        self.play(20.0, self.node("a.1", 7))
         self.assertEqual((0, []), (self.store.writes, self.platform.calls))
 
     def test_restored_store_leads_to_no_second_report(self):
-        a, b = self.node("a", 7), self.node("b")
+        a, b = self.node("a.1", 7), self.node("b.1")
+        a.serve("w1")
         self.play(4.0, a, b)
         older = self.store.stored
         a.serve("w1")
@@ -341,7 +351,7 @@
         self.platform.answers = [NotAnswered()]
         self.play(10.4, a, b)
         self.store.stored = StoredValue(USAGE_KEY, 90, older.text)
-        a.usage.totals.receive("c", NodeUsage(1, (UsageCount(FIRST + 1, "w1", 9),)))
+        a.usage.totals.receive("c.1", NodeUsage(1, (UsageCount(FIRST + 1, "w1", 9),)))
         a.lead(11)
         self.play(24.0, a, b)
         windows = [report.window for _, report in self.platform.calls]
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -11,7 +11,7 @@
 
 class MeterTest(UsageTestCase):
     def test_repeated_handing_on_counts_nothing_twice(self):
-        a, b = self.node("a", 7), self.node("b")
+        a, b = self.node("a.1", 7), self.node("b.1")
         b.serve("w1", 3)
         b.hand_on(a)
         b.usage.meter.start_link()
@@ -19,7 +19,7 @@
         self.assertEqual({"w1": 3}, a.usage.totals.requests_by_workspace(FIRST))
 
     def test_only_changed_counts_are_handed_on(self):
-        a, b = self.node("a", 7), self.node("b")
+        a, b = self.node("a.1", 7), self.node("b.1")
         b.serve("w1")
         b.serve("w2")
         b.hand_on(a)
@@ -28,10 +28,10 @@
         self.assertEqual(UsageCount(FIRST, "w2", 2), count)
 
     def test_new_planner_gets_all_counts_that_are_not_reported(self):
-        a, b = self.node("a", 7), self.node("b")
+        a, b = self.node("a.1", 7), self.node("b.1")
         b.serve("w1", 3)
         self.play(5.9, a, b)
-        c = self.node("c")
+        c = self.node("c.1")
         b.serve("w1", 4)
         b.hand_on(a)
         b.usage.meter.start_link()
@@ -40,7 +40,7 @@
         self.assertEqual({"w1": 4}, c.usage.totals.requests_by_workspace(FIRST + 1))
 
     def test_without_the_duty_nothing_is_counted(self):
-        usage = UsageExchange(None, self.node("a").clock)
+        usage = UsageExchange(None, self.node("a.1").clock)
         usage.meter.record("w1")
         self.assertEqual(NodeUsage(), usage.meter.load())
         usage.wait_handed_on(HOUR)
