--- a/poplarspar/coordination/duties/usage_reporter.py
+++ b/poplarspar/coordination/duties/usage_reporter.py
@@ -70,6 +70,8 @@
         self._nodes = nodes
         self._started_window = clock.window()
         self._known_by_window: dict[int, UsageReport] = {}
+        # Those that another holder committed, and may have reported in time.
+        self._inherited_windows: set[int] = set()
         self._stored_change = 0
         self._holds = False
         self._copy_at = float("-inf")
@@ -157,6 +159,9 @@
         record = self._ledger.record
         self._totals.merge(record)
         self._usage.record_reported(record.reported)
+        self._inherited_windows.update(
+            r.window for r in record.committed if r.window not in self._known_by_window
+        )
         self._know(record)
         return True
 
@@ -212,14 +217,17 @@
 
     def _confirm(self, report: UsageReport) -> None:
         is_late = self._clock.is_late(report.window)
+        is_inherited = report.window in self._inherited_windows
+        self._inherited_windows.discard(report.window)
         log_event(
             Event.USAGE_LATE if is_late else Event.USAGE_REPORTED,
             window=report.window,
             requests=sum(report.requests_by_workspace.values()),
             after_ms=round(self._clock.ended_s(report.window) * 1000),
+            inherited=is_inherited,
         )
         self.reported_count += 1
-        self.late_count += is_late
+        self.late_count += is_late and not is_inherited
         self._pause_s = FIRST_PAUSE_S
         self._usage.record_reported(report.window)
 
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -300,7 +300,7 @@
     USAGE_LATE = (
         276,
         "usage of a window reported late",
-        "The store or the platform was down, or the holder of the duties changed.",
+        "The store or platform was down, or the holder changed; see `inherited`.",
         "See docs/OPERATIONS.md.",
     )
     USAGE_LOST = (
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -231,6 +231,7 @@
         b.usage.totals.receive("c.1", NodeUsage(1, (UsageCount(FIRST, "w1", 9),)))
         b.lead(9)
         self.play(8.9, b)
+        self.assertEqual(0, b.reporter.late_count)
         (first, second) = self.platform.calls
         self.assertEqual(first[1], second[1])
         self.assertEqual((7, 9), (first[0].token, second[0].token))
@@ -279,6 +280,7 @@
         with self.assertLogs("poplarspar", "INFO") as logs:
             self.play(21.5, a)
         self.assertIn("usage of a window reported late", "".join(logs.output))
+        self.assertEqual(2, a.reporter.late_count)
         self.assertEqual(set(range(FIRST, FIRST + 4)), set(self.platform.counts()))
 
     def test_windows_kept_in_a_long_outage_are_bounded(self):
