Decide how many backend servers each availability zone needs, and follow the orders

The platform bills every backend server of a service with a range, and nobody ordered fewer. The decision runs without network or clock.

--- /dev/null
+++ b/poplarspar/coordination/duties/ordering.py
@@ -0,0 +1,314 @@
+"""The duty to order backend servers, performed by one node at a time."""
+
+import time
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable, Iterable, Mapping
+from typing import Protocol
+
+import eventlet
+
+from poplarspar.coordination.duties.capacity_orders import CapacityOrders
+from poplarspar.coordination.duties.forecast import DemandForecast, LossCount
+from poplarspar.coordination.duties.ports import DutyPort
+from poplarspar.coordination.duties.scaling import (
+    CapacityTarget,
+    GroupDemand,
+    ServiceDemand,
+    Unmeasured,
+    ZoneSupply,
+    choose_target,
+    largest_step,
+)
+from poplarspar.events import Event
+from poplarspar.logs import log_event
+from poplarspar.state.backends import BackendServer
+from poplarspar.state.duties import (
+    CapacityOrder,
+    DutyResult,
+    DutyTerm,
+    Superseded,
+)
+from poplarspar.state.plan import FleetPlan
+from poplarspar.state.serving import Fleet, ServiceSpec
+
+CHECK_INTERVAL_S = 0.5
+
+
+class Holding(Protocol):
+    """The right to perform duties; see `duties.holding.DutyHolding`."""
+
+    def term(self) -> DutyTerm | None:
+        """Return the present term, None while this node must make no call."""
+
+    def lose(self, term: DutyTerm) -> None:
+        """Make no further call in a term."""
+
+
+class ServiceCapacity:
+    """What one service needs, and the orders for it, during a term."""
+
+    def __init__(self, service: ServiceSpec) -> None:
+        self.spec = service
+        self._boot_s = service.capacity.boot_s
+        models = service.engine.models_by_name.values() if service.engine else ()
+        lead_s = self._boot_s + max((model.load_s for model in models), default=0.0)
+        self._forecast = DemandForecast(lead_s)
+        self._losses = LossCount(lead_s)
+        self._targets: deque[tuple[float, CapacityTarget]] = deque()
+        self._supply_by_zone: dict[str, ZoneSupply] = {}
+        self._present_at_by_zone: dict[str, float] = {}
+        self._is_at_most = False
+        self.orders = CapacityOrders(service.name, self._boot_s)
+        self.target: CapacityTarget | None = None
+
+    def observe(self, now: float, fleet: Fleet, plan: FleetPlan) -> None:
+        """Take in the list of backend servers, the plan and the demand."""
+        backends = [
+            backend
+            for backend in fleet.backends_by_id.values()
+            if backend.service == self.spec.name
+        ]
+        present_by_zone: dict[str, set[str]] = {zone: set() for zone in self._zones()}
+        for backend in backends:
+            present = present_by_zone.setdefault(backend.zone, set())
+            if not backend.draining:
+                present.add(backend.id)
+        listed = {backend.id for backend in backends}
+        change = self.orders.observe(now, present_by_zone, listed)
+        self._losses.record(now, change.lost)
+        for zone in change.not_shown:
+            ordered = self.orders.by_zone[zone].ordered
+            present = len(present_by_zone[zone])
+            log_event(
+                Event.CAPACITY_NOT_SHOWN,
+                service=self.spec.name,
+                zone=zone,
+                count=ordered,
+                present=present,
+            )
+        for zone, ids in present_by_zone.items():
+            if ids:
+                self._present_at_by_zone[zone] = now
+        self._supply_by_zone = self._supplies(now, backends, present_by_zone, plan)
+        self.target = choose_target(
+            self.spec.capacity,
+            self._demand(now, plan),
+            self._losses.recent(now),
+            self._supply_by_zone,
+            fleet.evacuated_zones,
+        )
+        if self.target is not None:
+            self._targets.append((now, self.target))
+            self._log_shortage()
+        while self._targets and self._targets[0][0] < now - self._boot_s:
+            self._targets.popleft()
+
+    def due(self, now: float) -> list[CapacityOrder]:
+        """Return the orders that are due, at most one to take servers away."""
+        if self.target is None:
+            return []
+        orders = [
+            order
+            for zone, count in self.target.count_by_zone.items()
+            if (order := self.orders.more(now, zone, count)) is not None
+        ]
+        if orders or not self._may_lower(now):
+            return orders
+        surplus_by_zone = {
+            zone: self._supply_by_zone[zone].present - self._held_count(zone)
+            for zone in self.target.count_by_zone
+            if not self.orders.by_zone[zone].arriving
+        }
+        for zone in sorted(surplus_by_zone, key=lambda zone: -surplus_by_zone[zone]):
+            step = min(surplus_by_zone[zone], self._largest_step(zone))
+            order = self.orders.fewer(now, zone, step)
+            if order is not None:
+                return [order]
+        return []
+
+    def fields(self) -> dict[str, object]:
+        """Return log fields with the reasons of the present target."""
+        target = self.target
+        return {
+            "demand": target.demand,
+            "losses": target.losses,
+            "floor": target.floor,
+            "groups_by_model": target.groups_by_model,
+            "present": sum(s.present for s in self._supply_by_zone.values()),
+        }
+
+    def present(self) -> int:
+        """Return how many backend servers are present."""
+        return sum(supply.present for supply in self._supply_by_zone.values())
+
+    def wanted(self) -> int:
+        """Return how many backend servers are wanted."""
+        return sum(self.target.count_by_zone.values()) if self.target else 0
+
+    def _zones(self) -> Iterable[str]:
+        return self.orders.by_zone
+
+    def _demand(self, now: float, plan: FleetPlan) -> ServiceDemand:
+        engine = self.spec.engine
+        if engine is None:
+            # Nodes don't report the requests that plain services run.
+            return Unmeasured()
+        measured = {
+            demand.model: demand.groups
+            for demand in plan.demands
+            if demand.service == self.spec.name
+        }
+        self._forecast.record(now, measured)
+        expected = self._forecast.expected(now)
+        return GroupDemand(expected, engine) if expected else Unmeasured()
+
+    def _supplies(
+        self,
+        now: float,
+        backends: list[BackendServer],
+        present_by_zone: Mapping[str, set[str]],
+        plan: FleetPlan,
+    ) -> dict[str, ZoneSupply]:
+        by_id = {backend.id: backend for backend in backends}
+        leaving: Counter[str] = Counter(b.zone for b in backends if b.draining)
+        groups: dict[str, Counter[str]] = defaultdict(Counter)
+        for group in plan.groups:
+            if group.head in by_id:
+                groups[by_id[group.head].zone][group.model] += 1
+        return {
+            zone: ZoneSupply(
+                len(ids),
+                leaving[zone],
+                groups[zone],
+                _count_domains(by_id, ids),
+                away=not ids and self._present_s_ago(now, zone) < self._boot_s,
+            )
+            for zone, ids in present_by_zone.items()
+        }
+
+    def _present_s_ago(self, now: float, zone: str) -> float:
+        return now - self._present_at_by_zone.get(zone, float("-inf"))
+
+    def _log_shortage(self) -> None:
+        """Log once when the range ends below what is needed."""
+        at_most = self.target.total > self.spec.capacity.most * len(
+            self.target.count_by_zone
+        )
+        if at_most and not self._is_at_most:
+            log_event(
+                Event.CAPACITY_AT_MOST,
+                service=self.spec.name,
+                needed=self.target.total,
+                most=self.spec.capacity.most,
+            )
+        self._is_at_most = at_most
+
+    def _may_lower(self, now: float) -> bool:
+        is_watched = self._forecast.observed_s(now) >= self._boot_s
+        return is_watched and self.orders.is_settled(now, self._supply_by_zone)
+
+    def _held_count(self, zone: str) -> int:
+        """Return the highest target of a zone within the boot time."""
+        return max(target.count_by_zone.get(zone, 0) for _, target in self._targets)
+
+    def _largest_step(self, zone: str) -> int:
+        return largest_step(
+            zone,
+            self._supply_by_zone,
+            self.target.groups_by_model,
+            self.spec.engine,
+        )
+
+
+class CapacityDuty:
+    """Orders backend servers while this node holds the duties.
+
+    Parameters
+    ----------
+    fleet, plan : callable
+        Return the present copy of each.
+    """
+
+    def __init__(
+        self,
+        holding: Holding,
+        port: DutyPort,
+        fleet: Callable[[], Fleet],
+        plan: Callable[[], FleetPlan],
+    ) -> None:
+        self._holding = holding
+        self._port = port
+        self._fleet = fleet
+        self._plan = plan
+        self._token = 0
+        self._capacity_by_service: dict[str, ServiceCapacity] = {}
+
+    def run(self) -> None:
+        """Order what is due until the task is killed."""
+        while True:
+            self.check(time.monotonic())
+            eventlet.sleep(CHECK_INTERVAL_S)
+
+    def check(self, now: float) -> None:
+        """Order what is due now."""
+        term = self._holding.term()
+        configuration = self._fleet().configuration
+        if term is None or configuration is None:
+            self._capacity_by_service.clear()
+            return
+        if term.token != self._token:
+            # What was ordered in an earlier term says nothing about the present.
+            self._token = term.token
+            self._capacity_by_service.clear()
+        for service in configuration.services_by_name.values():
+            if service.capacity is not None:
+                self._check_service(now, service)
+
+    def gauges(self) -> dict[str, float]:
+        """Return the gauges of the duty."""
+        capacities = self._capacity_by_service.values()
+        return {
+            "capacity_servers_present": sum(c.present() for c in capacities),
+            "capacity_servers_wanted": sum(c.wanted() for c in capacities),
+            "capacity_orders_unconfirmed": sum(
+                c.orders.unconfirmed() for c in capacities
+            ),
+        }
+
+    def _check_service(self, now: float, service: ServiceSpec) -> None:
+        capacity = self._capacity_by_service.get(service.name)
+        if capacity is None or capacity.spec != service:
+            capacity = self._capacity_by_service[service.name] = ServiceCapacity(
+                service
+            )
+        capacity.observe(now, self._fleet(), self._plan())
+        for order in capacity.due(now):
+            term = self._holding.term()
+            if term is None or term.token != self._token:
+                return
+            result = self._port.order_capacity(term, order)
+            self._record(capacity, term, order, result)
+
+    def _record(
+        self,
+        capacity: ServiceCapacity,
+        term: DutyTerm,
+        order: CapacityOrder,
+        result: DutyResult,
+    ) -> None:
+        capacity.orders.record(time.monotonic(), order, result)
+        log_event(
+            Event.CAPACITY_ORDERED,
+            service=order.service,
+            zone=order.zone,
+            count=order.count,
+            result=type(result).__name__.lower(),
+            **capacity.fields(),
+        )
+        if isinstance(result, Superseded):
+            self._holding.lose(term)
+
+
+def _count_domains(by_id: Mapping[str, BackendServer], ids: Iterable[str]) -> int:
+    states = (by_id[id].engine_state for id in ids)
+    return len({state.domain for state in states if state is not None and state.domain})
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -420,6 +420,24 @@
         "The eligible backend servers had `expected` requests for `slots` slots.",
         "If it persists, add backend servers; see event 215 for the groups.",
     )
+    CAPACITY_ORDERED = (
+        280,
+        "backend servers ordered",
+        "`demand`, `losses` and `floor` say how many are needed; `result` is the reply.",
+        "If `result` stays not performed, check the platform's interface for duties.",
+    )
+    CAPACITY_NOT_SHOWN = (
+        281,
+        "order of backend servers not shown by the list",
+        "The platform didn't carry it out, or new backend servers don't start.",
+        "If it recurs, check whether the platform has backend servers left in `zone`.",
+    )
+    CAPACITY_AT_MOST = (
+        282,
+        "more backend servers needed than may be ordered",
+        "The zones would need `needed` with the losses of the last seconds.",
+        "Raise the range of the service if `needed` stays above it.",
+    )
     REQUEST_FAILED = (
         500,
         "request failed inside the daemon",
