Order backend servers while this node holds the duties

Every node keeps the demand of the last lead time, so that a new holder can lower at once. 30 tests of test_scaling, test_layers and test_events pass.

--- a/poplarspar/coordination/duties/capacity_orders.py
+++ b/poplarspar/coordination/duties/capacity_orders.py
@@ -3,7 +3,6 @@
 from collections.abc import Mapping, Set
 from dataclasses import dataclass, field
 
-from poplarspar.coordination.duties.scaling import ZoneSupply
 from poplarspar.state.duties import (
     CapacityOrder,
     DutyResult,
@@ -18,7 +17,7 @@
 # New backend servers enter the list within this time after they have booted.
 LISTED_S = 3.0
 # Groups form again from spares in this time, before the next step.
-STEP_PAUSE_S = 1.0
+STEP_PAUSE_S = 2.0
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 8.0
 
@@ -125,12 +124,12 @@
             for orders in self.by_zone.values()
         )
 
-    def is_settled(self, now: float, supply_by_zone: Mapping[str, ZoneSupply]) -> bool:
+    def is_settled(self, now: float) -> bool:
         """Return whether the list shows all lower orders, and groups have formed."""
         return not any(
             orders.departing or now < orders.vanished_at + STEP_PAUSE_S
             for orders in self.by_zone.values()
-        ) and not any(supply.leaving for supply in supply_by_zone.values())
+        )
 
     def more(self, now: float, zone: str, count: int) -> CapacityOrder | None:
         """Return the order for at least `count` backend servers, None if it is out."""
--- a/poplarspar/coordination/duties/forecast.py
+++ b/poplarspar/coordination/duties/forecast.py
@@ -5,6 +5,8 @@
 # Reports of nodes arrive within this time, so a history that is shorter by it counts as
 # complete.
 START_TOLERANCE_S = 1.0
+# Nodes measure rates over about this time; earlier ones are too inaccurate to be kept.
+SETTLING_S = 6.0
 
 
 class DemandForecast:
@@ -30,6 +32,8 @@
             if not any(groups_by_model.values()):
                 return
             self._began_at = now
+        if now < self._began_at + SETTLING_S:
+            self._samples.clear()
         self._samples.append((now, dict(groups_by_model)))
         while self._samples[0][0] < now - self._lead_s:
             self._samples.popleft()
@@ -46,7 +50,7 @@
             peaks = earlier if at < now - self._lead_s / 2 else later
             for model, groups in groups_by_model.items():
                 peaks[model] = max(peaks.get(model, 0.0), groups)
-        complete = self.observed_s(now) >= self._lead_s - START_TOLERANCE_S
+        complete = self.observed_s(now) >= SETTLING_S + self._lead_s - START_TOLERANCE_S
         return {
             model: max(
                 earlier.get(model, 0.0),
--- a/poplarspar/coordination/duties/ordering.py
+++ b/poplarspar/coordination/duties/ordering.py
@@ -44,15 +44,26 @@
         """Make no further call in a term."""
 
 
+def lead_time_s(service: ServiceSpec) -> float:
+    """Return the time from an order until an ordered backend server serves."""
+    models = service.engine.models_by_name.values() if service.engine else ()
+    return service.capacity.boot_s + max((m.load_s for m in models), default=0.0)
+
+
 class ServiceCapacity:
-    """What one service needs, and the orders for it, during a term."""
+    """What one service needs, and the orders for it, during a term.
 
-    def __init__(self, service: ServiceSpec) -> None:
+    Parameters
+    ----------
+    forecast : DemandForecast
+        Demand that this node has seen, also before the term.
+    """
+
+    def __init__(self, service: ServiceSpec, forecast: DemandForecast) -> None:
         self.spec = service
         self._boot_s = service.capacity.boot_s
-        models = service.engine.models_by_name.values() if service.engine else ()
-        lead_s = self._boot_s + max((model.load_s for model in models), default=0.0)
-        self._forecast = DemandForecast(lead_s)
+        lead_s = lead_time_s(service)
+        self._forecast = forecast
         self._losses = LossCount(lead_s)
         self._targets: deque[tuple[float, CapacityTarget]] = deque()
         self._supply_by_zone: dict[str, ZoneSupply] = {}
@@ -92,7 +103,7 @@
         self._supply_by_zone = self._supplies(now, backends, present_by_zone, plan)
         self.target = choose_target(
             self.spec.capacity,
-            self._demand(now, plan),
+            self._demand(now),
             self._losses.recent(now),
             self._supply_by_zone,
             fleet.evacuated_zones,
@@ -148,17 +159,11 @@
     def _zones(self) -> Iterable[str]:
         return self.orders.by_zone
 
-    def _demand(self, now: float, plan: FleetPlan) -> ServiceDemand:
+    def _demand(self, now: float) -> ServiceDemand:
         engine = self.spec.engine
         if engine is None:
             # Nodes don't report the requests that plain services run.
             return Unmeasured()
-        measured = {
-            demand.model: demand.groups
-            for demand in plan.demands
-            if demand.service == self.spec.name
-        }
-        self._forecast.record(now, measured)
         expected = self._forecast.expected(now)
         return GroupDemand(expected, engine) if expected else Unmeasured()
 
@@ -170,15 +175,21 @@
         plan: FleetPlan,
     ) -> dict[str, ZoneSupply]:
         by_id = {backend.id: backend for backend in backends}
-        leaving: Counter[str] = Counter(b.zone for b in backends if b.draining)
+        # Groups with a member that leaves will close.
+        closing = {
+            backend.engine_state.membership.key
+            for backend in backends
+            if backend.draining
+            and backend.engine_state is not None
+            and backend.engine_state.membership is not None
+        }
         groups: dict[str, Counter[str]] = defaultdict(Counter)
         for group in plan.groups:
-            if group.head in by_id:
+            if group.head in by_id and (group.name, group.epoch) not in closing:
                 groups[by_id[group.head].zone][group.model] += 1
         return {
             zone: ZoneSupply(
                 len(ids),
-                leaving[zone],
                 groups[zone],
                 _count_domains(by_id, ids),
                 away=not ids and self._present_s_ago(now, zone) < self._boot_s,
@@ -205,7 +216,7 @@
 
     def _may_lower(self, now: float) -> bool:
         is_watched = self._forecast.observed_s(now) >= self._boot_s
-        return is_watched and self.orders.is_settled(now, self._supply_by_zone)
+        return is_watched and self.orders.is_settled(now)
 
     def _held_count(self, zone: str) -> int:
         """Return the highest target of a zone within the boot time."""
@@ -241,6 +252,7 @@
         self._fleet = fleet
         self._plan = plan
         self._token = 0
+        self._forecast_by_key: dict[tuple[str, float], DemandForecast] = {}
         self._capacity_by_service: dict[str, ServiceCapacity] = {}
 
     def run(self) -> None:
@@ -250,19 +262,26 @@
             eventlet.sleep(CHECK_INTERVAL_S)
 
     def check(self, now: float) -> None:
-        """Order what is due now."""
-        term = self._holding.term()
+        """Record the demand, and order what is due while this node holds the duties."""
         configuration = self._fleet().configuration
-        if term is None or configuration is None:
-            self._capacity_by_service.clear()
+        if configuration is None:
             return
-        if term.token != self._token:
+        services = [
+            service
+            for service in configuration.services_by_name.values()
+            if service.capacity is not None
+        ]
+        for service in services:
+            self._record_demand(now, service)
+        term = self._holding.term()
+        if term is None or term.token != self._token:
             # What was ordered in an earlier term says nothing about the present.
-            self._token = term.token
             self._capacity_by_service.clear()
-        for service in configuration.services_by_name.values():
-            if service.capacity is not None:
-                self._check_service(now, service)
+        if term is None:
+            return
+        self._token = term.token
+        for service in services:
+            self._check_service(now, service)
 
     def gauges(self) -> dict[str, float]:
         """Return the gauges of the duty."""
@@ -275,12 +294,26 @@
             ),
         }
 
+    def _record_demand(self, now: float, service: ServiceSpec) -> None:
+        """Record the demand, also for a later term of this node."""
+        key = _key(service)
+        forecast = self._forecast_by_key.get(key)
+        if forecast is None:
+            forecast = self._forecast_by_key[key] = DemandForecast(key[1])
+        forecast.record(
+            now,
+            {
+                demand.model: demand.groups
+                for demand in self._plan().demands
+                if demand.service == service.name
+            },
+        )
+
     def _check_service(self, now: float, service: ServiceSpec) -> None:
         capacity = self._capacity_by_service.get(service.name)
         if capacity is None or capacity.spec != service:
-            capacity = self._capacity_by_service[service.name] = ServiceCapacity(
-                service
-            )
+            capacity = ServiceCapacity(service, self._forecast_by_key[_key(service)])
+            self._capacity_by_service[service.name] = capacity
         capacity.observe(now, self._fleet(), self._plan())
         for order in capacity.due(now):
             term = self._holding.term()
@@ -309,6 +342,10 @@
             self._holding.lose(term)
 
 
+def _key(service: ServiceSpec) -> tuple[str, float]:
+    return service.name, lead_time_s(service)
+
+
 def _count_domains(by_id: Mapping[str, BackendServer], ids: Iterable[str]) -> int:
     states = (by_id[id].engine_state for id in ids)
     return len({state.domain for state in states if state is not None and state.domain})
--- a/poplarspar/coordination/duties/scaling.py
+++ b/poplarspar/coordination/duties/scaling.py
@@ -10,6 +10,9 @@
 
 # With the groups that this share asks for, one request in twenty is late or refused.
 SERVED_SHARE = 0.95
+# With as many groups as the demand, which must be left after the loss of a zone, one in
+# seven is.
+SERVED_SHARE_WITHOUT_ZONE = 0.86
 # Slots of plain services that are kept for each request that runs.
 SLOTS_PER_REQUEST = 1.5
 
@@ -46,8 +49,6 @@
     ----------
     present : int
         Backend servers in the platform's list that are not leaving.
-    leaving : int
-        Those in the list that are leaving.
     groups_by_model : Counter
         Replica groups that serve, by model.
     domains : int
@@ -57,7 +58,6 @@
     """
 
     present: int
-    leaving: int = 0
     groups_by_model: Counter[str] = field(default_factory=Counter)
     domains: int = 1
     away: bool = False
@@ -91,12 +91,12 @@
         return max(self.demand + self.losses, self.floor)
 
 
-def needed_groups(demand: GroupDemand) -> dict[str, int]:
-    """Return the fewest replica groups of each model that serve callers in time.
+def needed_groups(demand: GroupDemand, served_share: float) -> dict[str, int]:
+    """Return the fewest replica groups of each model that serve a share in time.
 
     The share served in time is that of `pools.demand.Demand.utility`.
     """
-    factor = -math.log(1.0 - SERVED_SHARE) / SATURATION_RATE
+    factor = -math.log(1.0 - served_share) / SATURATION_RATE
     return {
         model: max(1, math.ceil(factor * demand.groups_by_model.get(model, 0.0)))
         for model in demand.engine.models_by_name
@@ -131,13 +131,16 @@
             return None
         case SlotDemand(running, slots_per_server):
             members = math.ceil(SLOTS_PER_REQUEST * running / max(1, slots_per_server))
+            without_zone = math.ceil(running / max(1, slots_per_server))
             groups_by_model, smallest, largest = {}, 1, 1
         case GroupDemand(engine=engine):
             sizes = {
                 name: model.members for name, model in engine.models_by_name.items()
             }
-            groups_by_model = needed_groups(demand)
+            groups_by_model = needed_groups(demand, SERVED_SHARE)
             members = sum(sizes[m] * n for m, n in groups_by_model.items())
+            kept = needed_groups(demand, SERVED_SHARE_WITHOUT_ZONE)
+            without_zone = sum(sizes[m] * n for m, n in kept.items())
             smallest, largest = min(sizes.values()), max(sizes.values())
     zones = [
         zone
@@ -149,7 +152,9 @@
     losses = max(lost, largest)
     # With a zone away already, the others must carry the demand, not the next loss too.
     is_whole = len(zones) == len(supply_by_zone) and len(zones) > 1
-    floor = math.ceil(members * len(zones) / (len(zones) - 1)) if is_whole else members
+    floor = 0
+    if is_whole:
+        floor = math.ceil(without_zone * len(zones) / (len(zones) - 1))
     share = math.ceil(max(members + losses, floor) / len(zones))
     count_by_zone = {}
     for zone in zones:
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -297,7 +297,13 @@
         if settings.duties is None or port is None:
             return
         self._duties = DutyPart(
-            settings.name, settings.duties, port, self._session, self.drain
+            settings.name,
+            settings.duties,
+            port,
+            self._session,
+            self.drain,
+            lambda: self._fleet_updater.fleet,
+            lambda: self._planning.plan,
         )
         self._duties.start(self._stack)
 
