Take no backend server away while losses go on, and order no more than can load

Silent servers count as lost before their entry ends. 35 tests of test_scaling, test_layers and test_events pass.

--- a/poplarspar/coordination/duties/forecast.py
+++ b/poplarspar/coordination/duties/forecast.py
@@ -1,5 +1,6 @@
 """Demand and losses to be expected until an ordered backend server serves."""
 
+import math
 from collections import deque
 
 # Reports of nodes arrive within this time, so a history that is shorter by it counts as
@@ -68,22 +69,43 @@
         return max(0.0, later.get(model, 0.0) - earlier.get(model, 0.0))
 
 
-class LossCount:
-    """Backend servers that were lost within the lead time, which may recur.
+class LossForecast:
+    """Backend servers that will be lost within the lead time, at the present rate.
 
     Those that a lower order takes away are no losses, also if they never announced it.
+
+    Parameters
+    ----------
+    lead_s : float
+        Time from an order until an ordered backend server serves, in seconds.
+    recent_s : float
+        Shortest time to which losses are related, in seconds.
     """
 
-    def __init__(self, lead_s: float) -> None:
+    def __init__(self, lead_s: float, recent_s: float) -> None:
         self._lead_s = lead_s
+        self._recent_s = recent_s
         self._lost_at: deque[float] = deque()
+        self._began_at: float | None = None
 
     def record(self, now: float, count: int) -> None:
-        """Add backend servers that have vanished unannounced."""
+        """Add backend servers that have vanished unannounced since the last call."""
+        if self._began_at is None:
+            self._began_at = now
         self._lost_at.extend([now] * count)
 
-    def recent(self, now: float) -> int:
-        """Return how many were lost within the past lead time."""
+    def watched_s(self, now: float) -> float:
+        """Return for how long losses have been counted."""
+        return 0.0 if self._began_at is None else now - self._began_at
+
+    def rate_per_s(self, now: float) -> float:
+        """Return the losses in a second, over the past lead time or recently."""
         while self._lost_at and self._lost_at[0] < now - self._lead_s:
             self._lost_at.popleft()
-        return len(self._lost_at)
+        watched_s = min(self._lead_s, max(self._recent_s, self.watched_s(now)))
+        recent = sum(at > now - self._recent_s for at in self._lost_at)
+        return max(len(self._lost_at) / watched_s, recent / self._recent_s)
+
+    def expected(self, now: float) -> int:
+        """Return how many will be lost within the lead time."""
+        return math.ceil(self.rate_per_s(now) * self._lead_s)
--- a/poplarspar/coordination/duties/ordering.py
+++ b/poplarspar/coordination/duties/ordering.py
@@ -2,13 +2,13 @@
 
 import time
 from collections import Counter, defaultdict, deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Set
 from typing import Protocol
 
 import eventlet
 
 from poplarspar.coordination.duties.capacity_orders import CapacityOrders
-from poplarspar.coordination.duties.forecast import DemandForecast, LossCount
+from poplarspar.coordination.duties.forecast import DemandForecast, LossForecast
 from poplarspar.coordination.duties.ports import DutyPort
 from poplarspar.coordination.duties.scaling import (
     CapacityNeed,
@@ -17,9 +17,11 @@
     Unmeasured,
     ZoneSupply,
     assess_need,
+    bearable_need,
     higher_counts,
     largest_step,
     surplus_of,
+    useful_additions,
 )
 from poplarspar.events import Event
 from poplarspar.logs import log_event
@@ -66,7 +68,7 @@
         self._boot_s = service.capacity.boot_s
         lead_s = lead_time_s(service)
         self._forecast = forecast
-        self._losses = LossCount(lead_s)
+        self._losses = LossForecast(lead_s, self._boot_s)
         self._needs: deque[tuple[float, CapacityNeed]] = deque()
         self._supply_by_zone: dict[str, ZoneSupply] = {}
         self._present_at_by_zone: dict[str, float] = {}
@@ -74,12 +76,20 @@
         self.orders = CapacityOrders(service.name, self._boot_s)
         self.need: CapacityNeed | None = None
 
-    def observe(self, now: float, fleet: Fleet, plan: FleetPlan) -> None:
-        """Take in the list of backend servers, the plan and the demand."""
+    def observe(
+        self, now: float, fleet: Fleet, plan: FleetPlan, silent: Set[str]
+    ) -> None:
+        """Take in the list of backend servers, the plan and the demand.
+
+        Parameters
+        ----------
+        silent : set of str
+            Ids of backend servers that don't answer, which count as lost.
+        """
         backends = [
             backend
             for backend in fleet.backends_by_id.values()
-            if backend.service == self.spec.name
+            if backend.service == self.spec.name and backend.id not in silent
         ]
         present_by_zone: dict[str, set[str]] = {zone: set() for zone in self._zones()}
         for backend in backends:
@@ -105,12 +115,12 @@
         self._supply_by_zone = self._supplies(now, backends, present_by_zone, plan)
         self.need = assess_need(
             self._demand(now),
-            self._losses.recent(now),
+            self._losses.expected(now),
             self._supply_by_zone,
             fleet.evacuated_zones,
         )
         if self.need is not None:
-            self._needs.append((now, self.need))
+            self._needs.append((now, self._least_need(now)))
             self._log_shortage()
         while self._needs and self._needs[0][0] < now - self._boot_s:
             self._needs.popleft()
@@ -121,7 +131,7 @@
             return []
         capacity = self.spec.capacity
         expected = {zone: self.orders.expected(zone) for zone in self.need.zones}
-        higher = higher_counts(self.need, capacity, expected)
+        higher = higher_counts(self.need, capacity, expected, self._useful_additions())
         orders = self.orders.repeated(now) + [
             order
             for zone, count in higher.items()
@@ -130,12 +140,15 @@
         if orders or not self._may_lower(now):
             return orders
         needs = [need for _, need in self._needs]
-        for zone in sorted(expected, key=lambda zone: -expected[zone]):
+        ready = {
+            zone: self._supply_by_zone[zone].present - self._supply_by_zone[zone].cold
+            for zone in self.need.zones
+        }
+        for zone in sorted(ready, key=lambda zone: -ready[zone]):
             if self.orders.by_zone[zone].arriving:
                 continue
-            step = min(
-                surplus_of(zone, needs, capacity, expected), self._largest_step(zone)
-            )
+            surplus = surplus_of(zone, needs, capacity, ready)
+            step = min(surplus, self._largest_step(zone))
             order = self.orders.fewer(now, zone, step)
             if order is not None:
                 return [order]
@@ -195,6 +208,7 @@
         return {
             zone: ZoneSupply(
                 len(ids),
+                sum(map(_is_cold, (by_id[id] for id in ids))),
                 groups[zone],
                 _count_domains(by_id, ids),
                 away=not ids and self._present_s_ago(now, zone) < self._boot_s,
@@ -219,14 +233,27 @@
         self._is_at_most = at_most
 
     def _may_lower(self, now: float) -> bool:
-        is_watched = self._forecast.observed_s(now) >= self._boot_s
-        return is_watched and self.orders.is_settled(now)
+        watched_s = min(self._forecast.observed_s(now), self._losses.watched_s(now))
+        return watched_s >= self._boot_s and self.orders.is_settled(now)
+
+    def _useful_additions(self) -> float:
+        cold = sum(supply.cold for supply in self._supply_by_zone.values())
+        arriving = sum(orders.arriving for orders in self.orders.by_zone.values())
+        return useful_additions(self.spec.engine, self._boot_s, cold + arriving)
+
+    def _least_need(self, now: float) -> CapacityNeed:
+        """Return the need below which nothing is taken away."""
+        engine = self.spec.engine
+        if engine is None:
+            return self.need
+        rate = self._losses.rate_per_s(now)
+        return bearable_need(self.need, engine, rate, lead_time_s(self.spec))
 
     def _largest_step(self, zone: str) -> int:
         return largest_step(
             zone,
             self._supply_by_zone,
-            self.need.groups_by_model,
+            self._needs[-1][1].groups_by_model,
             self.spec.engine,
         )
 
@@ -238,6 +265,8 @@
     ----------
     fleet, plan : callable
         Return the present copy of each.
+    silent : callable
+        Returns the ids of backend servers that don't answer the planner.
     clock : callable
         Returns monotonic seconds.
     """
@@ -248,6 +277,7 @@
         port: DutyPort,
         fleet: Callable[[], Fleet],
         plan: Callable[[], FleetPlan],
+        silent: Callable[[], Set[str]],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._clock = clock
@@ -255,6 +285,7 @@
         self._port = port
         self._fleet = fleet
         self._plan = plan
+        self._silent = silent
         self._token = 0
         self._forecast_by_key: dict[tuple[str, float], DemandForecast] = {}
         self._capacity_by_service: dict[str, ServiceCapacity] = {}
@@ -318,7 +349,7 @@
         if capacity is None or capacity.spec != service:
             capacity = ServiceCapacity(service, self._forecast_by_key[_key(service)])
             self._capacity_by_service[service.name] = capacity
-        capacity.observe(now, self._fleet(), self._plan())
+        capacity.observe(now, self._fleet(), self._plan(), self._silent())
         for order in capacity.due(now):
             term = self._holding.term()
             if term is None or term.token != self._token:
@@ -350,6 +381,11 @@
     return service.name, lead_time_s(service)
 
 
+def _is_cold(backend: BackendServer) -> bool:
+    state = backend.engine_state
+    return state is not None and not (state.model or state.staged_models)
+
+
 def _count_domains(by_id: Mapping[str, BackendServer], ids: Iterable[str]) -> int:
     states = (by_id[id].engine_state for id in ids)
     return len({state.domain for state in states if state is not None and state.domain})
--- a/poplarspar/coordination/duties/scaling.py
+++ b/poplarspar/coordination/duties/scaling.py
@@ -3,7 +3,7 @@
 import math
 from collections import Counter
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from poplarspar.coordination.pools.demand import SATURATION_RATE
 from poplarspar.state.serving import CapacityRange, Engine
@@ -13,6 +13,9 @@
 # With as many groups as the demand, which must be left after the loss of a zone, one in
 # seven is.
 SERVED_SHARE_WITHOUT_ZONE = 0.86
+# While the loss of a replica group is noticed and its survivors form groups again, its
+# requests are late.
+RECOVERY_S = 1.2
 # Slots of plain services that are kept for each request that runs.
 SLOTS_PER_REQUEST = 1.5
 
@@ -49,6 +52,8 @@
     ----------
     present : int
         Backend servers in the platform's list that are not leaving.
+    cold : int
+        Those of them that must still load a model from the weight store.
     groups_by_model : Counter
         Replica groups that serve, by model.
     domains : int
@@ -58,6 +63,7 @@
     """
 
     present: int
+    cold: int = 0
     groups_by_model: Counter[str] = field(default_factory=Counter)
     domains: int = 1
     away: bool = False
@@ -172,17 +178,76 @@
     )
 
 
+def bearable_need(
+    need: CapacityNeed, engine: Engine, losses_per_s: float, lead_s: float
+) -> CapacityNeed:
+    """Return the need below which nothing is taken away while losses go on.
+
+    Each loss makes the requests of one group late until it is noticed and groups form
+    again: the more, the fewer groups there are. And where more are lost than can load
+    their model, those that serve become fewer, whatever is ordered.
+    """
+    total = sum(need.groups_by_model.values())
+    least = losses_per_s * RECOVERY_S / (1.0 - SERVED_SHARE)
+    groups_by_model = {
+        model: max(count, math.ceil(least * count / total))
+        for model, count in need.groups_by_model.items()
+    }
+    shortage = max(0.0, losses_per_s - loads_per_s(engine)) * lead_s
+    return replace(
+        need,
+        demand=sum(
+            engine.models_by_name[model].members * count
+            for model, count in groups_by_model.items()
+        ),
+        losses=need.losses + math.ceil(shortage),
+        groups_by_model=groups_by_model,
+    )
+
+
+def loads_per_s(engine: Engine | None) -> float:
+    """Return how many backend servers can load a model in a second."""
+    if engine is None:
+        return math.inf
+    slowest_s = max(model.load_s for model in engine.models_by_name.values())
+    at_once = engine.concurrent_loads / slowest_s if slowest_s else math.inf
+    return min(at_once, engine.loads_per_s or math.inf)
+
+
+def useful_additions(engine: Engine | None, boot_s: float, unready: int) -> float:
+    """Return how many more backend servers could begin to load once they have booted.
+
+    Parameters
+    ----------
+    unready : int
+        Backend servers that boot, wait for a load, or load.
+    """
+    if engine is None:
+        return math.inf
+    by_then = engine.concurrent_loads + loads_per_s(engine) * boot_s
+    return max(0.0, by_then - unready)
+
+
 def higher_counts(
-    need: CapacityNeed, capacity: CapacityRange, count_by_zone: Mapping[str, int]
+    need: CapacityNeed,
+    capacity: CapacityRange,
+    count_by_zone: Mapping[str, int],
+    most_more: float = math.inf,
 ) -> dict[str, int]:
     """Return the zones that need more backend servers, and how many they should have.
 
     The zone with the fewest comes first, so that the loss of one costs little.
+
+    Parameters
+    ----------
+    most_more : float
+        How many more can be of use.
     """
     counts = {
         zone: max(capacity.fewest, count_by_zone.get(zone, 0)) for zone in need.zones
     }
-    while not need.is_met(counts):
+    while not need.is_met(counts) and most_more >= 1.0:
+        most_more -= 1.0
         zone = min(counts, key=counts.__getitem__)
         if counts[zone] >= capacity.most:
             break
--- a/poplarspar/duties.py
+++ b/poplarspar/duties.py
@@ -1,6 +1,6 @@
 """A node's duties towards the platform, which it performs while it is the planner."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from contextlib import ExitStack
 
 from poplarspar.coordination.drain import Drain
@@ -42,11 +42,12 @@
         drain: Drain,
         fleet: Callable[[], Fleet],
         plan: Callable[[], FleetPlan],
+        silent: Callable[[], Set[str]],
     ) -> None:
         self._settings = settings
         self.holding = DutyHolding(holder, settings.hold_s, session, drain)
         self.port = PacedDutyPort(port, settings.calls_per_s)
-        self._capacity = CapacityDuty(self.holding, self.port, fleet, plan)
+        self._capacity = CapacityDuty(self.holding, self.port, fleet, plan, silent)
 
     def start(self, stack: ExitStack) -> None:
         """Start the task of each duty and register its cleanup with `stack`."""
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -304,6 +304,7 @@
             self.drain,
             lambda: self._fleet_updater.fleet,
             lambda: self._planning.plan,
+            self._planning.silent_backends,
         )
         self._duties.start(self._stack)
 
--- a/poplarspar/planning.py
+++ b/poplarspar/planning.py
@@ -87,6 +87,7 @@
     ) -> None:
         """Start all tasks and register their cleanup with `stack`."""
         health_monitor = HealthMonitor(reports, lambda: self._planner.wake())
+        self._health_monitor = health_monitor
         self._plan_exchange = PlanExchange(
             lambda head: self._planner.suspect(head), self._announcements.revisions
         )
@@ -108,6 +109,15 @@
         plan_poller = PlanPoller(self._name, self._session.planner_endpoint, self)
         stack.callback(spawn_supervised(plan_poller.run).kill)
 
+    def silent_backends(self) -> set[str]:
+        """Return the ids of backend servers that don't answer this planner."""
+        now = time.monotonic()
+        return {
+            id
+            for id, observation in self._health_monitor.by_id.items()
+            if observation.is_silent(now)
+        }
+
     def plan_age_s(self) -> float:
         """Return the seconds since the last plan arrived, infinite before the first."""
         return time.monotonic() - self._plan_received_at
