--- a/poplarspar/duties.py
+++ b/poplarspar/duties.py
@@ -1,6 +1,6 @@
 """A node's duties towards the platform, which it performs while it is the planner."""
 
-from collections.abc import Callable, Set
+from collections.abc import Callable
 from contextlib import ExitStack
 
 from poplarspar.coordination.drain import Drain
@@ -9,11 +9,17 @@
     DutyHolding,
     DutyPort,
     PacedDutyPort,
+    UsageExchange,
+    UsageLedger,
+    UsageReporter,
+    WindowClock,
 )
 from poplarspar.coordination.session import Session
+from poplarspar.coordination.store_ports import Store
 from poplarspar.coordination.supervision import spawn_supervised
+from poplarspar.planning import PlanningPart
+from poplarspar.protocol.usage import UsageJson
 from poplarspar.state.duties import Duty, DutySettings
-from poplarspar.state.plan import FleetPlan
 from poplarspar.state.serving import Fleet
 
 
@@ -40,23 +46,46 @@
         port: DutyPort,
         session: Session,
         drain: Drain,
+        store: Store,
+        usage: UsageExchange,
         fleet: Callable[[], Fleet],
-        plan: Callable[[], FleetPlan],
-        silent: Callable[[], Set[str]],
+        planning: PlanningPart,
     ) -> None:
         self._settings = settings
         self.holding = DutyHolding(holder, settings.hold_s, session, drain)
         self.port = PacedDutyPort(port, settings.calls_per_s)
-        self._capacity = CapacityDuty(self.holding, self.port, fleet, plan, silent)
+        self._reporter: UsageReporter | None = None
+        if Duty.USAGE in settings.duties:
+            self._reporter = UsageReporter(
+                self.holding,
+                self.port,
+                UsageLedger(store, UsageJson()),
+                usage,
+                WindowClock(settings, usage.clock.now),
+                lambda: frozenset(session.capacity_by_node),
+            )
+        self._capacity: CapacityDuty | None = None
+        if Duty.CAPACITY in settings.duties:
+            self._capacity = CapacityDuty(
+                self.holding,
+                self.port,
+                fleet,
+                lambda: planning.plan,
+                planning.silent_backends,
+            )
 
     def start(self, stack: ExitStack) -> None:
         """Start the task of each duty and register its cleanup with `stack`."""
-        if Duty.CAPACITY in self._settings.duties:
+        if self._reporter is not None:
+            stack.callback(spawn_supervised(self._reporter.run).kill)
+        if self._capacity is not None:
             stack.callback(spawn_supervised(self._capacity.run).kill)
 
     def gauges(self) -> dict[str, float]:
         """Return the gauges of the duties."""
-        return {
-            "duties_held_seconds": self.holding.held_s(),
-            **self._capacity.gauges(),
-        }
+        gauges = {"duties_held_seconds": self.holding.held_s()}
+        if self._reporter is not None:
+            gauges.update(self._reporter.gauges())
+        if self._capacity is not None:
+            gauges.update(self._capacity.gauges())
+        return gauges
