--- a/poplarspar/coordination/duties/scaling.py
+++ b/poplarspar/coordination/duties/scaling.py
@@ -285,7 +285,9 @@
     """Return how many backend servers may be taken from a zone at once.
 
     The platform may take members although there are spares, each from another replica
-    group. So many may go that the groups that are left still meet the demand.
+    group. So many may go that the groups that are left still meet the demand, with those
+    that form again at once from free backend servers. Of these, half may be taken
+    themselves, or be in other domains.
 
     Parameters
     ----------
@@ -296,6 +298,11 @@
     if engine is None:
         return max(0, supply.present - 1)
     serving = sum((s.groups_by_model for s in supply_by_zone.values()), Counter())
+    members = sum(
+        model.members * supply.groups_by_model[name]
+        for name, model in engine.models_by_name.items()
+    )
+    replaced = max(0, supply.present - supply.cold - members) // 2
     spares = supply.present
     step = supply.present
     for name, model in engine.models_by_name.items():
@@ -303,5 +310,5 @@
         surplus = max(0, serving[name] - groups_by_model.get(name, 0))
         spares -= model.members * max(0, here - surplus)
         if surplus < here:
-            step = min(step, surplus)
+            step = min(step, surplus + replaced)
     return max(0, min(step, spares))
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -162,9 +162,13 @@
                     self.assertLessEqual(step, 12 - 2 * min(small, kept))
 
     def test_each_one_taken_may_break_another_group(self):
-        supply = supplies(12, large=0, small=4)
+        supply = supplies(8, large=0, small=4)
         self.assertEqual(2, self.step(supply, {"large": 0, "small": 10}))
 
+    def test_half_of_the_free_ones_may_replace_members(self):
+        supply = supplies(12, large=0, small=4)
+        self.assertEqual(4, self.step(supply, {"large": 0, "small": 10}))
+
     def test_zone_with_the_only_group_of_a_model_keeps_it(self):
         supply = supplies() | {
             "b": ZoneSupply(12, groups_by_model=Counter(small=4)),
