--- a/poplarspar/coordination/duties/capacity_orders.py
+++ b/poplarspar/coordination/duties/capacity_orders.py
@@ -58,7 +58,7 @@
     Attributes
     ----------
     lost : int
-        Backend servers that vanished unannounced, though no order took them away.
+        Backend servers that no longer answer.
     not_shown : tuple of str
         Zones whose last order the list should show by now.
     """
@@ -82,16 +82,17 @@
     by_zone: dict[str, ZoneOrders] = field(default_factory=dict)
 
     def observe(
-        self, now: float, present_by_zone: Mapping[str, Set[str]], listed: Set[str]
+        self, now: float, present_by_zone: Mapping[str, Set[str]], silent: Set[str]
     ) -> ListChange:
         """Compare the list with the orders.
 
         Parameters
         ----------
         present_by_zone : mapping of str to set of str
-            Ids of the backend servers that are not leaving.
-        listed : set of str
-            Ids of all backend servers in the list, also of those that are leaving.
+            Ids of the backend servers that answer and are not leaving.
+        silent : set of str
+            Ids of those that don't answer. One that vanishes from the list while it
+            answers leaves unannounced, and is no loss.
         """
         lost = 0
         not_shown = []
@@ -101,7 +102,7 @@
             )
             left = orders.present_ids - ids
             taken = min(orders.departing, len(left))
-            lost += max(0, len(left - listed) - taken)
+            lost += len(left & silent)
             if orders.departing and left:
                 orders.vanished_at = now
             orders.departing -= taken
--- a/poplarspar/coordination/duties/forecast.py
+++ b/poplarspar/coordination/duties/forecast.py
@@ -6,7 +6,7 @@
 # Reports of nodes arrive within this time, so a history that is shorter by it counts as
 # complete.
 START_TOLERANCE_S = 1.0
-# Nodes measure rates over about this time; earlier ones are too inaccurate to be kept.
+# Nodes measure rates over about this time; before, they are too inaccurate.
 SETTLING_S = 6.0
 
 
@@ -34,7 +34,7 @@
                 return
             self._began_at = now
         if now < self._began_at + SETTLING_S:
-            self._samples.clear()
+            return
         self._samples.append((now, dict(groups_by_model)))
         while self._samples[0][0] < now - self._lead_s:
             self._samples.popleft()
@@ -72,8 +72,6 @@
 class LossForecast:
     """Backend servers that will be lost within the lead time, at the present rate.
 
-    Those that a lower order takes away are no losses, also if they never announced it.
-
     Parameters
     ----------
     lead_s : float
@@ -89,7 +87,7 @@
         self._began_at: float | None = None
 
     def record(self, now: float, count: int) -> None:
-        """Add backend servers that have vanished unannounced since the last call."""
+        """Add backend servers that have been lost since the last call."""
         if self._began_at is None:
             self._began_at = now
         self._lost_at.extend([now] * count)
--- a/poplarspar/coordination/duties/ordering.py
+++ b/poplarspar/coordination/duties/ordering.py
@@ -96,8 +96,7 @@
             present = present_by_zone.setdefault(backend.zone, set())
             if not backend.draining:
                 present.add(backend.id)
-        listed = {backend.id for backend in backends}
-        change = self.orders.observe(now, present_by_zone, listed)
+        change = self.orders.observe(now, present_by_zone, silent)
         self._losses.record(now, change.lost)
         for zone in change.not_shown:
             ordered = self.orders.by_zone[zone].ordered
--- a/poplarspar/coordination/duties/scaling.py
+++ b/poplarspar/coordination/duties/scaling.py
@@ -285,8 +285,8 @@
     """Return how many backend servers may be taken from a zone at once.
 
     The platform may take members although there are spares, each from another replica
-    group. So many may go that the groups that are left still meet the demand, with those
-    that form again at once from free backend servers. Of these, half may be taken
+    group. So many may go that the groups that are left still meet the demand, with
+    those that form again at once from free backend servers. Half of these may be taken
     themselves, or be in other domains.
 
     Parameters
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -6,7 +6,11 @@
 
 from poplarspar.coordination.duties import CapacityDuty
 from poplarspar.coordination.duties.capacity_orders import STEP_PAUSE_S
-from poplarspar.coordination.duties.forecast import DemandForecast, LossForecast
+from poplarspar.coordination.duties.forecast import (
+    SETTLING_S,
+    DemandForecast,
+    LossForecast,
+)
 from poplarspar.coordination.duties.scaling import (
     RECOVERY_S,
     SERVED_SHARE,
@@ -184,7 +188,7 @@
         expected = []
         for tick in range(int(until * 2)):
             forecast.record(tick / 2, {"m": demand_at(tick / 2)})
-            expected.append(forecast.expected(tick / 2)["m"])
+            expected.append(forecast.expected(tick / 2).get("m", 0.0))
         return expected
 
     def test_wave_shorter_than_the_lead_time_changes_nothing(self):
@@ -192,6 +196,13 @@
         settled = wave[2 * 24 :]
         self.assertLess(max(settled) - min(settled), 0.05)
 
+    def test_demand_is_unknown_until_nodes_have_measured_it(self):
+        forecast = DemandForecast(LEAD_S)
+        forecast.record(0.0, {"m": 40.0})
+        self.assertEqual({}, forecast.expected(0.0))
+        forecast.record(SETTLING_S, {"m": 4.0})
+        self.assertEqual({"m": 4.0}, forecast.expected(SETTLING_S))
+
     def test_growth_goes_on_until_new_servers_serve(self):
         growth = self.peaks(lambda t: 1.0 + 0.1 * t, 60)
         at = 2 * 40
@@ -350,6 +361,13 @@
         taken = [order for _, _, order in self.platform.orders if order.count < 8]
         self.assertEqual([], taken)
 
+    def test_servers_that_leave_unannounced_are_no_losses(self):
+        self.play(60.0)
+        orders = len(self.platform.orders)
+        self.platform.ids["c"][-1] = "c-new"
+        self.play(4.0)
+        self.assertEqual(orders, len(self.platform.orders))
+
     def test_demand_that_jumps_is_ordered_at_once(self):
         self.play(60.0)
         self.platform.small = 6.0
