--- a/poplarspar/coordination/duties/__init__.py
+++ b/poplarspar/coordination/duties/__init__.py
@@ -1,6 +1,7 @@
 """Duties towards the platform, performed by one node at a time."""
 
 from poplarspar.coordination.duties.holding import DutyHolding
+from poplarspar.coordination.duties.ordering import CapacityDuty
 from poplarspar.coordination.duties.pacing import PacedDutyPort
 from poplarspar.coordination.duties.ports import DutyPort
 from poplarspar.coordination.duties.true_clock import TrueClock
@@ -13,6 +14,7 @@
 
 __all__ = [
     "USAGE_KEY",
+    "CapacityDuty",
     "DutyHolding",
     "DutyPort",
     "PacedDutyPort",
--- a/poplarspar/duties.py
+++ b/poplarspar/duties.py
@@ -1,9 +1,11 @@
 """A node's duties towards the platform, which it performs while it is the planner."""
 
+from collections.abc import Callable
 from contextlib import ExitStack
 
 from poplarspar.coordination.drain import Drain
 from poplarspar.coordination.duties import (
+    CapacityDuty,
     DutyHolding,
     DutyPort,
     PacedDutyPort,
@@ -15,8 +17,10 @@
 from poplarspar.coordination.session import Session
 from poplarspar.coordination.store_ports import Store
 from poplarspar.coordination.supervision import spawn_supervised
+from poplarspar.planning import PlanningPart
 from poplarspar.protocol.usage import UsageJson
 from poplarspar.state.duties import Duty, DutySettings
+from poplarspar.state.serving import Fleet
 
 
 class DutyPart:
@@ -44,6 +48,8 @@
         drain: Drain,
         store: Store,
         usage: UsageExchange,
+        fleet: Callable[[], Fleet],
+        planning: PlanningPart,
     ) -> None:
         self._settings = settings
         self.holding = DutyHolding(holder, settings.hold_s, session, drain)
@@ -58,15 +64,28 @@
                 WindowClock(settings, usage.clock.now),
                 lambda: frozenset(session.capacity_by_node),
             )
+        self._capacity: CapacityDuty | None = None
+        if Duty.CAPACITY in settings.duties:
+            self._capacity = CapacityDuty(
+                self.holding,
+                self.port,
+                fleet,
+                lambda: planning.plan,
+                planning.silent_backends,
+            )
 
     def start(self, stack: ExitStack) -> None:
         """Start the task of each duty and register its cleanup with `stack`."""
         if self._reporter is not None:
             stack.callback(spawn_supervised(self._reporter.run).kill)
+        if self._capacity is not None:
+            stack.callback(spawn_supervised(self._capacity.run).kill)
 
     def gauges(self) -> dict[str, float]:
         """Return the gauges of the duties."""
         gauges = {"duties_held_seconds": self.holding.held_s()}
         if self._reporter is not None:
             gauges.update(self._reporter.gauges())
+        if self._capacity is not None:
+            gauges.update(self._capacity.gauges())
         return gauges
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -290,6 +290,8 @@
             self.drain,
             self._adapters.store,
             self._usage,
+            lambda: self._fleet_updater.fleet,
+            self._planning,
         )
         self._duties.start(self._stack)
 
--- a/poplarspar/planning.py
+++ b/poplarspar/planning.py
@@ -92,6 +92,7 @@
     ) -> None:
         """Start all tasks and register their cleanup with `stack`."""
         health_monitor = HealthMonitor(reports, lambda: self._planner.wake())
+        self._health_monitor = health_monitor
         self._plan_exchange = PlanExchange(
             lambda head: self._planner.suspect(head),
             self._announcements.revisions,
@@ -115,6 +116,15 @@
         plan_poller = PlanPoller(self._name, self._session.planner_endpoint, self)
         stack.callback(spawn_supervised(plan_poller.run).kill)
 
+    def silent_backends(self) -> set[str]:
+        """Return the ids of backend servers that don't answer this planner."""
+        now = time.monotonic()
+        return {
+            id
+            for id, observation in self._health_monitor.by_id.items()
+            if observation.is_silent(now)
+        }
+
     def _exchange(self, node: str, load: NodeLoad) -> PlanUpdate:
         self._usage.totals.receive(node, load.usage)
         return self._plan_exchange.exchange(node, load)
