Offer freed room to one waiting request, the most urgent first

Waiting requests of a node raced for a signal, and no decision used their priority. Each service and model now has one queue: by priority, what was delivered, fairness between workspaces and the time until which a start is of use. A slot counts as free if the first event can be in time there, what would start too late is refused at once, and starved kinds go with the most urgent. Retries of the less urgent leave a quarter of the budget. All of this takes effect for services whose requests have more than one priority; elsewhere waiters stand in order of arrival. The queue of the product's own interface uses the same order.

--- a/poplarspar/coordination/fairness.py
+++ b/poplarspar/coordination/fairness.py
@@ -1,11 +1,14 @@
 """Weighted fair queueing of waiting requests between workspaces."""
 
-from collections import Counter, deque
-from collections.abc import Callable, Iterator
+import math
+from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from eventlet.event import Event
 
+from poplarspar.coordination import waiting
+
 
 @dataclass(frozen=True)
 class Demand:
@@ -35,10 +38,10 @@
 
 
 @dataclass(eq=False)
-class Waiter:
+class Waiter(waiting.Waiter):
     """A waiting request; `granted` delivers its slot."""
 
-    demand: Demand
+    demand: Demand | None = None
     granted: Event = field(default_factory=Event)
 
 
@@ -50,29 +53,38 @@
     """
 
     def __init__(self) -> None:
-        self._waiters_by_workspace: dict[str, deque[Waiter]] = {}
         self._running_by_workspace: Counter[str] = Counter()
+        self._waiting = waiting.WaitingQueue(self._running_by_workspace.__getitem__)
 
     def is_full(self, demand: Demand) -> bool:
         """Return whether the workspace has reached its queue limit."""
-        waiting = self._waiters_by_workspace.get(demand.workspace, ())
-        return len(waiting) >= demand.queue_limit
+        count = sum(
+            waiter.demand.workspace == demand.workspace
+            for waiter in self._waiting.in_order()
+        )
+        return count >= demand.queue_limit
 
     def has_waiters(self) -> bool:
         """Return whether any request waits."""
-        return any(self._waiters_by_workspace.values())
+        return bool(self._waiting)
 
     def join(self, demand: Demand) -> Waiter:
         """Add a request to the queue."""
-        waiter = Waiter(demand)
-        self._waiters_by_workspace.setdefault(demand.workspace, deque()).append(waiter)
+        claim = waiting.ByUrgency(
+            rank=0,
+            standing=waiting.Standing.FIRST_ATTEMPT,
+            workspace=demand.workspace,
+            useful_until=math.inf,
+            weight=demand.weight,
+        )
+        waiter = Waiter(claim, demand=demand)
+        self._waiting.number(waiter)
+        self._waiting.join(waiter)
         return waiter
 
     def leave(self, waiter: Waiter) -> None:
         """Remove a request if it is still in the queue."""
-        waiters = self._waiters_by_workspace.get(waiter.demand.workspace, deque())
-        if waiter in waiters:
-            waiters.remove(waiter)
+        self._waiting.leave(waiter)
 
     def start(self, workspace: str) -> None:
         """Add one running request to the count of the workspace."""
@@ -93,10 +105,8 @@
         self.leave(waiter)
         return True
 
-    def _first_waiters(self) -> Iterator[Waiter]:
-        heads = [w[0] for w in self._waiters_by_workspace.values() if w]
-        yield from sorted(heads, key=self._weighted_load)
-
-    def _weighted_load(self, waiter: Waiter) -> float:
-        running = self._running_by_workspace[waiter.demand.workspace]
-        return running / waiter.demand.weight
+    def _first_waiters(self) -> list[Waiter]:
+        first_by_workspace: dict[str, Waiter] = {}
+        for waiter in self._waiting.in_order():
+            first_by_workspace.setdefault(waiter.demand.workspace, waiter)
+        return list(first_by_workspace.values())
--- a/poplarspar/coordination/forwarding/choice.py
+++ b/poplarspar/coordination/forwarding/choice.py
@@ -3,7 +3,9 @@
 import math
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
+from poplarspar.coordination.forwarding.first_events import first_event_s
 from poplarspar.coordination.forwarding.notices import ServerNotices
 from poplarspar.coordination.forwarding.rate_limits import RateLimits
 from poplarspar.coordination.forwarding.routing import RoutedRequest
@@ -37,6 +39,27 @@
 SLOWDOWN_DELAY_S = 0.1
 
 
+@dataclass(frozen=True)
+class AnyRoom:
+    """Room at any target that counts as free."""
+
+
+@dataclass(frozen=True)
+class TimelyRoom:
+    """Room from which a stream's first event can be in time.
+
+    Attributes
+    ----------
+    kept_share : float
+        Share of a replica group's slots that are left to more urgent requests.
+    """
+
+    kept_share: float
+
+
+Room = AnyRoom | TimelyRoom
+
+
 class TargetChoice:
     """Chooses among targets that could run a request.
 
@@ -63,7 +86,11 @@
         self._rate_limits = rate_limits
 
     def choose(
-        self, routed: RoutedRequest, usable: Iterable[Target], now: float
+        self,
+        routed: RoutedRequest,
+        usable: Iterable[Target],
+        now: float,
+        room: Room,
     ) -> Target | None:
         """Return a target with a low expected delay, None if all are full.
 
@@ -71,8 +98,15 @@
         ----------
         now : float
             Monotonic time.
+        room : Room
+            What else a target must have, besides not being full.
         """
-        candidates = [t for t in usable if not self._is_full(routed, t, now)]
+        candidates = [
+            target
+            for target in usable
+            if not self._is_full(routed, target, now)
+            and self._has_room(routed, target, now, room)
+        ]
         compared = [
             (self._delay_s(routed.service, target, now), target)
             for target in self._sample(candidates)
@@ -111,6 +145,33 @@
             return False
         return not self._is_below_cold_limit(routed.service, target, now)
 
+    def _has_room(
+        self, routed: RoutedRequest, target: Target, now: float, room: Room
+    ) -> bool:
+        """Return whether a target that isn't full has the room that is asked for."""
+        engine = routed.service.engine
+        match room:
+            case TimelyRoom(kept_share) if engine is not None:
+                expected = target.expected_in_flight(now)
+                if kept_share and expected >= int(target.slots * (1.0 - kept_share)):
+                    return False
+                if expected < target.slots and not target.pending_prefill_tokens:
+                    # Nothing would begin sooner there after a wait.
+                    return True
+                due_at = routed.request.arrived_at + routed.route.target_latency_s
+                if now >= due_at:
+                    return expected < target.slots
+                begins_s = first_event_s(
+                    engine,
+                    target,
+                    routed.request.prompt_tokens,
+                    engine.mean_answer_tokens or routed.request.max_answer_tokens,
+                    now,
+                )
+                return now + begins_s <= due_at
+            case _:
+                return True
+
     def _is_paused(self, target: Target, now: float) -> bool:
         admitted = self._notices.admitted_in_flight(target.backend, target.slots, now)
         return admitted is not None and target.in_flight >= admitted
--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections.abc import Callable
-from contextlib import closing
+from contextlib import ExitStack, closing
 
 import eventlet
 
@@ -15,12 +15,13 @@
     Sender,
 )
 from poplarspar.coordination.forwarding.demand import DemandMeter
+from poplarspar.coordination.forwarding.queues import ModelQueue, WaitingRequest
 from poplarspar.coordination.forwarding.resuming import (
     RETRY_AFTER_S,
     FindTarget,
     ResumableAnswer,
 )
-from poplarspar.coordination.forwarding.retry_budget import RetryBudget
+from poplarspar.coordination.forwarding.retry_budget import RetryBudget, kept_share
 from poplarspar.coordination.forwarding.routing import RoutedRequest, route_request
 from poplarspar.coordination.forwarding.target import Target
 from poplarspar.coordination.forwarding.targets import Targets
@@ -30,6 +31,7 @@
     Quarantine,
     Quarantined,
 )
+from poplarspar.coordination.waiting import ByUrgency, Standing
 from poplarspar.events import Event
 from poplarspar.exceptions import BackendFailed
 from poplarspar.logs import log_event
@@ -104,6 +106,7 @@
             case Admitted(observation):
                 pass
         self._demand.record_request(routed)
+        self._targets.waiting.record_asked(routed)
         if not self._targets.admits(routed):
             with closing(observation):
                 retry_after_s = RETRY_AFTER_S + random.uniform(0.0, OVERLOAD_SPREAD_S)
@@ -141,22 +144,54 @@
         return Error(refusal)
 
     def find_target(
-        self, routed: RoutedRequest, tried: set[Target], wait_s: float
+        self,
+        routed: RoutedRequest,
+        tried: set[Target],
+        wait_s: float,
+        standing: Standing = Standing.FIRST_ATTEMPT,
     ) -> Result[Target, Refusal]:
         """Return a target for a request; waits up to `wait_s` while all are full."""
         wait_until = time.monotonic() + wait_s
-        while True:
-            target = self._targets.choose(routed, tried)
-            if target is not None:
-                return Ok(target)
-            remaining_s = wait_until - time.monotonic()
-            if self._targets.are_all_leaving(routed):
-                return Error(self._refuse_without_target(routed, tried, RETRY_AFTER_S))
-            blocked_s = self._targets.blocked_s(routed, tried)
-            if remaining_s <= max(0.0, blocked_s):
+        queue = self._targets.waiting.queue_of(routed)
+        waiter = queue.enter(routed, tried, wait_s, standing)
+        with ExitStack() as stack:
+            stack.callback(queue.leave, waiter)
+            while True:
+                target = queue.try_take(waiter)
+                if target is not None:
+                    return Ok(target)
+                remaining_s = wait_until - time.monotonic()
+                if self._targets.are_all_leaving(routed):
+                    return Error(
+                        self._refuse_without_target(routed, tried, RETRY_AFTER_S)
+                    )
+                blocked_s = self._targets.blocked_s(routed, tried)
+                if waiter.displaced or remaining_s <= max(0.0, blocked_s):
+                    return Error(self._refuse_waiter(waiter, queue, blocked_s))
+                queue.wait(waiter, min(remaining_s, blocked_s or remaining_s))
+
+    def _refuse_waiter(
+        self, waiter: WaitingRequest, queue: ModelQueue, blocked_s: float
+    ) -> Refusal:
+        routed = waiter.routed
+        match waiter.claim:
+            case ByUrgency(rank=rank, standing=standing):
+                retry_after_s = max(queue.retry_after_s(waiter), blocked_s)
+                log_event(
+                    Event.WAITED_IN_VAIN,
+                    id=routed.request.id,
+                    model=routed.request.model,
+                    workspace=routed.workspace,
+                    priority=routed.priority,
+                    rank=rank,
+                    standing=standing.name.lower(),
+                    ahead=queue.ahead_count(waiter),
+                    displaced=waiter.displaced,
+                    retry_after_s=round(retry_after_s, 3),
+                )
+            case _:
                 retry_after_s = max(RETRY_AFTER_S, blocked_s)
-                return Error(self._refuse_without_target(routed, tried, retry_after_s))
-            self._targets.wait_for_change(min(remaining_s, blocked_s or remaining_s))
+        return self._refuse_without_target(routed, waiter.tried, retry_after_s)
 
     def _refuse_without_target(
         self, routed: RoutedRequest, tried: set[Target], retry_after_s: float
@@ -237,7 +272,7 @@
                 Refusal(Reason.NO_BACKEND, message, retry_after_s=RETRY_AFTER_S)
             )
         wait_s = routed.route.target_latency_s * WAIT_FRACTION
-        return self._find_target(routed, self._tried, wait_s)
+        return self._find_target(routed, self._tried, wait_s, self._standing())
 
     def _may_send(self) -> bool:
         """Return whether an attempt is allowed; a retry consumes retry budget."""
@@ -249,7 +284,12 @@
             return False
         if self._sent_attempts >= self._routed.route.max_attempts:
             return False
-        return self._budget.try_consume(self._routed.service.name)
+        return self._budget.try_consume(
+            self._routed.service.name, kept_share(self._routed, self._standing())
+        )
+
+    def _standing(self) -> Standing:
+        return Standing.RESEND if self._tried else Standing.FIRST_ATTEMPT
 
     def _send(self, target: Target):
         routed = self._routed
--- a/poplarspar/coordination/forwarding/resuming.py
+++ b/poplarspar/coordination/forwarding/resuming.py
@@ -12,11 +12,12 @@
     Sender,
 )
 from poplarspar.coordination.forwarding.ports import StreamEvent
-from poplarspar.coordination.forwarding.retry_budget import RetryBudget
+from poplarspar.coordination.forwarding.retry_budget import RetryBudget, kept_share
 from poplarspar.coordination.forwarding.routing import RoutedRequest
 from poplarspar.coordination.forwarding.target import Target
 from poplarspar.coordination.forwarding.targets import Targets
 from poplarspar.coordination.quarantine import Observation
+from poplarspar.coordination.waiting import Standing
 from poplarspar.events import Event
 from poplarspar.exceptions import BackendFailed
 from poplarspar.logs import log_event
@@ -38,7 +39,9 @@
 MIN_CONSECUTIVE_EVENTS = 2
 # A target frees a slot about this often; see `Refusal.retry_after_s`.
 RETRY_AFTER_S = 0.1
-FindTarget = Callable[[RoutedRequest, set[Target], float], Result[Target, Refusal]]
+FindTarget = Callable[
+    [RoutedRequest, set[Target], float, Standing], Result[Target, Refusal]
+]
 
 
 class _Numbering:
@@ -173,7 +176,8 @@
             return False
         if not self._observation.may_retry():
             return False
-        if self._budget.remaining(self._routed.service.name) <= 0:
+        kept = kept_share(self._routed, self._standing())
+        if not self._budget.may_consume(self._routed.service.name, kept):
             return False
         if self._targets.choose(self._routed, self._tried) is None:
             # The group may only be slow, so its stream is better than none.
@@ -243,12 +247,19 @@
         if remaining_s <= 0:
             ran = Ran.UNKNOWN if self._sent_attempts else Ran.NO
             return Error(Refusal(Reason.TIMEOUT, "no answer in time", ran))
-        match self._find_target(self._routed, self._tried, min(wait_s, remaining_s)):
+        wait_s = min(wait_s, remaining_s)
+        standing = self._standing()
+        match self._find_target(self._routed, self._tried, wait_s, standing):
             case Error(refusal) if self._sent_attempts:
                 return Error(Refusal(Reason.BACKEND, refusal.message, Ran.UNKNOWN))
             case found:
                 return found
 
+    def _standing(self) -> Standing:
+        if self._last_event is not None:
+            return Standing.DELIVERED_IN_PART
+        return Standing.RESEND if self._tried else Standing.FIRST_ATTEMPT
+
     def _may_retry(self) -> bool:
         route = self._routed.route
         if self._sent_attempts and (
@@ -259,7 +270,9 @@
             return False
         if self._declined_attempts >= MAX_DECLINED_ATTEMPTS:
             return False
-        return self._budget.try_consume(self._routed.service.name)
+        return self._budget.try_consume(
+            self._routed.service.name, kept_share(self._routed, self._standing())
+        )
 
     def _send(self, target: Target):
         remaining_s = self._routed.deadline - time.monotonic()
--- a/poplarspar/coordination/forwarding/retry_budget.py
+++ b/poplarspar/coordination/forwarding/retry_budget.py
@@ -3,9 +3,15 @@
 import time
 from collections import deque
 
+from poplarspar.coordination.forwarding.routing import RoutedRequest
+from poplarspar.coordination.waiting import Standing
+
 # Share of the budget that a node uses. Windows slide, and other processes count the
 # requests near the edge of a window at slightly different times.
 USABLE_FRACTION = 0.8
+# Share of the budget that less urgent requests leave to the most urgent ones and to
+# streams that have been delivered in part.
+KEPT_SHARE = 0.25
 
 
 class RetryBudget:
@@ -51,6 +57,10 @@
 
     def remaining(self, service: str) -> int:
         """Return how many retries the window still allows."""
+        allowed, retries = self._allowed_and_used(service)
+        return allowed - retries
+
+    def _allowed_and_used(self, service: str) -> tuple[int, int]:
         since = time.monotonic() - self._window_s
         requests = _count_recent(
             self._request_times_by_service.setdefault(service, deque()), since
@@ -59,7 +69,7 @@
             self._retry_times_by_service.setdefault(service, deque()), since
         )
         allowed = self._retry_ratio * requests + self._fixed_retries / self._node_count
-        return int(allowed * USABLE_FRACTION) - retries
+        return int(allowed * USABLE_FRACTION), retries
 
     def gauges(self) -> dict[str, float]:
         """Return the retries left, for the metrics page."""
@@ -68,14 +78,32 @@
             for name in self._request_times_by_service
         }
 
-    def try_consume(self, service: str) -> bool:
-        """Use one retry of the budget and return whether one was available."""
-        if self.remaining(service) <= 0:
+    def may_consume(self, service: str, kept_share: float = 0.0) -> bool:
+        """Return whether a retry is available that leaves a share of the budget."""
+        allowed, retries = self._allowed_and_used(service)
+        return allowed - retries > int(allowed * kept_share)
+
+    def try_consume(self, service: str, kept_share: float = 0.0) -> bool:
+        """Use one retry of the budget and return whether one was available.
+
+        Parameters
+        ----------
+        kept_share : float
+            Share of the budget that stays for other requests.
+        """
+        if not self.may_consume(service, kept_share):
             return False
         self._retry_times_by_service[service].append(time.monotonic())
         return True
 
 
+def kept_share(routed: RoutedRequest, standing: Standing) -> float:
+    """Return the share of the budget that a request's retry leaves to others."""
+    if not routed.prioritized or routed.priority == 0:
+        return 0.0
+    return 0.0 if standing is Standing.DELIVERED_IN_PART else KEPT_SHARE
+
+
 def _count_recent(times: deque[float], since: float) -> int:
     while times and times[0] < since:
         times.popleft()
--- a/poplarspar/coordination/forwarding/routing.py
+++ b/poplarspar/coordination/forwarding/routing.py
@@ -26,6 +26,8 @@
         the highest.
     deadline : float
         Monotonic time by which the caller needs the answer.
+    prioritized : bool
+        Whether requests for the service differ in priority.
     """
 
     request: CallerRequest
@@ -34,6 +36,7 @@
     workspace: str
     priority: int
     deadline: float
+    prioritized: bool = False
 
     def quarantine_parts(self) -> tuple[str, ...]:
         """Return what may crash backend servers: prompt parts and the request itself.
@@ -77,6 +80,7 @@
             workspace=holder.workspace if holder else "",
             priority=priority,
             deadline=request.arrived_at + limit_s,
+            prioritized=service.name in configuration.prioritized_services,
         )
     )
 
--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -3,12 +3,10 @@
 import time
 from collections.abc import Callable, Iterator
 
-import eventlet
-from eventlet.event import Event as Signal
-
-from poplarspar.coordination.forwarding.choice import TargetChoice
+from poplarspar.coordination.forwarding.choice import AnyRoom, Room, TargetChoice
 from poplarspar.coordination.forwarding.notices import ServerNotices
 from poplarspar.coordination.forwarding.overload import Overload
+from poplarspar.coordination.forwarding.queues import WaitingQueues
 from poplarspar.coordination.forwarding.rate_limits import RateLimits
 from poplarspar.coordination.forwarding.routing import RoutedRequest
 from poplarspar.coordination.forwarding.target import (
@@ -20,6 +18,7 @@
 from poplarspar.state.serving import Engine, Fleet, ServiceSpec
 
 MAX_FAILURE_RATE = 0.7
+ANY_ROOM = AnyRoom()
 
 
 class Targets:
@@ -57,7 +56,7 @@
         self.by_key: dict[object, Target] = {}
         # Removed targets whose replica groups still end their streams.
         self._closing: list[Target] = []
-        self._changed = Signal()
+        self.waiting = WaitingQueues(self.choose)
 
     def update(self, fleet: Fleet, open_groups: dict[str, tuple]) -> None:
         """Replace the targets by those of a changed fleet.
@@ -130,10 +129,13 @@
         self._closing = [target for target in self._closing if target.streams]
         return [t for t in self.by_key.values() if t.streams] + self._closing
 
-    def choose(self, routed: RoutedRequest, tried: set[Target]) -> Target | None:
+    def choose(
+        self, routed: RoutedRequest, tried: set[Target], room: Room = ANY_ROOM
+    ) -> Target | None:
         """Return a target with a low expected delay, None if all are full."""
         now = time.monotonic()
-        return self._choice.choose(routed, self._usable(routed, tried, now), now)
+        usable = self._usable(routed, tried, now)
+        return self._choice.choose(routed, usable, now, room)
 
     def has_usable(self, routed: RoutedRequest, tried: set[Target]) -> bool:
         """Return whether any target, full or not, could run the request."""
@@ -274,11 +276,5 @@
         )
 
     def notify_waiters(self) -> None:
-        """Wake waiting requests, which then try to choose a target again."""
-        changed, self._changed = self._changed, Signal()
-        changed.send()
-
-    def wait_for_change(self, timeout_s: float) -> None:
-        """Wait until a target may have a free slot, at most `timeout_s`."""
-        with eventlet.Timeout(timeout_s, False):
-            self._changed.wait()
+        """Offer room that targets may have to the first waiting requests."""
+        self.waiting.offer_room()
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -420,6 +420,12 @@
         "The eligible backend servers had `expected` requests for `slots` slots.",
         "If it persists, add backend servers; see event 215 for the groups.",
     )
+    WAITED_IN_VAIN = (
+        419,
+        "no room for a request in the time that is of use to it",
+        "`ahead` requests go before it; with `displaced`, they take longer than it.",
+        "See docs/OPERATIONS.md, which callers wait, and why these.",
+    )
     REQUEST_FAILED = (
         500,
         "request failed inside the daemon",
--- a/poplarspar/state/serving.py
+++ b/poplarspar/state/serving.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 from poplarspar.state.backends import BackendServer
 
@@ -201,6 +202,24 @@
     keys_required: bool
     limits: CallerLimits
 
+    @cached_property
+    def prioritized_services(self) -> frozenset[str]:
+        """Services whose requests have more than one priority."""
+        holder_priorities = {holder.priority for holder in self.holder_by_key.values()}
+        own_priorities = holder_priorities - {None}
+        priorities_by_service: dict[str, set[int]] = {}
+        for routes in self.routes_by_host.values():
+            for route in routes:
+                for weighted in route.services:
+                    priorities_by_service.setdefault(
+                        weighted.service, set(own_priorities)
+                    ).add(route.priority)
+        return frozenset(
+            service
+            for service, priorities in priorities_by_service.items()
+            if len(priorities) > 1
+        )
+
     def find_route(self, host: str, path: str) -> ServiceRoute | None:
         """Return the route with the longest prefix of `path`."""
         for route in self.routes_by_host.get(host, ()):
