--- a/poplarspar/coordination/forwarding/queues.py
+++ b/poplarspar/coordination/forwarding/queues.py
@@ -25,7 +25,7 @@
 
 # Of those that wait, as many at the front are asked whether they can use room. Those
 # behind them would start late.
-ASKED_IN_ORDER = 4
+ASKED_IN_ORDER = 8
 # Share of a group's requests that ends, and is replaced, until the next plan. Of this,
 # a request leaves room to more urgent ones.
 REPLACED_SHARE = 0.25
