Measure what engines add to their figures before a first event

Engines publish their times for steps and prompts, but a first event takes longer by a constant that isn't published, so slots counted as free from which no answer could be in time. Nodes measure it for each model of a service whose requests differ in priority.

--- a/poplarspar/coordination/forwarding/attempts.py
+++ b/poplarspar/coordination/forwarding/attempts.py
@@ -92,12 +92,16 @@
             last_event=request.last_event if last_event is None else last_event,
             priority=routed.priority if routed.service.engine else None,
         )
+        first_events = self._targets.first_events
+        record_first_event = first_events.measure(routed, target, time.monotonic())
         self._targets.record_sent(target, request.prompt_tokens)
         answer_began = False
         try:
             result = self._classify(target, attempt)
             answer_began = isinstance(result, Began)
-            if not answer_began:
+            if answer_began:
+                record_first_event(time.monotonic())
+            else:
                 _log_failure(attempt, result)
             return result
         finally:
--- a/poplarspar/coordination/forwarding/choice.py
+++ b/poplarspar/coordination/forwarding/choice.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from poplarspar.coordination.forwarding.first_events import first_event_s
+from poplarspar.coordination.forwarding.first_events import FirstEvents
 from poplarspar.coordination.forwarding.notices import ServerNotices
 from poplarspar.coordination.forwarding.rate_limits import RateLimits
 from poplarspar.coordination.forwarding.routing import RoutedRequest
@@ -78,12 +78,14 @@
         node_count: Callable[[], int],
         notices: ServerNotices,
         rate_limits: RateLimits,
+        first_events: FirstEvents,
     ) -> None:
         self._zone = zone
         self._cold_limit = cold_limit
         self._node_count = node_count
         self._notices = notices
         self._rate_limits = rate_limits
+        self._first_events = first_events
 
     def choose(
         self,
@@ -161,13 +163,7 @@
                 due_at = routed.request.arrived_at + routed.route.target_latency_s
                 if now >= due_at:
                     return expected < target.slots
-                begins_s = first_event_s(
-                    engine,
-                    target,
-                    routed.request.prompt_tokens,
-                    engine.mean_answer_tokens or routed.request.max_answer_tokens,
-                    now,
-                )
+                begins_s = self._first_events.expected_s(routed, target, now)
                 return now + begins_s <= due_at
             case _:
                 return True
--- a/poplarspar/coordination/forwarding/first_events.py
+++ b/poplarspar/coordination/forwarding/first_events.py
@@ -1,10 +1,68 @@
 """Expected time until the first event of a stream."""
 
+from collections.abc import Callable
+
+from poplarspar.coordination.forwarding.routing import RoutedRequest
 from poplarspar.coordination.forwarding.target import Target
 from poplarspar.state.serving import Engine
 
 # A request arrives halfway through a pass on average, and its own pass follows.
 PASSES = 1.5
+# The measured part follows about the last ten first events of a model. Each moves it by
+# a tenth at most, since an answer may be late for reasons that end with it.
+MEASURED_WEIGHT = 0.1
+MAX_STEP_S = 0.05
+
+
+class FirstEvents:
+    """Expected times until first events, with what engines add to their figures.
+
+    Engines don't publish all that precedes a first event. Nodes measure the rest for
+    each model, and so admit less while groups are slower than they are known to be.
+    """
+
+    def __init__(self) -> None:
+        self._added_s_by_model: dict[tuple[str, str], float] = {}
+
+    def idle_s(self, routed: RoutedRequest) -> float:
+        """Return the time to a request's first event at a group without other work."""
+        engine, request = routed.service.engine, routed.request
+        own_s = idle_first_event_s(engine, request.model, request.prompt_tokens)
+        return own_s + self._added_s(routed)
+
+    def expected_s(self, routed: RoutedRequest, target: Target, now: float) -> float:
+        """Return the time to a request's first event at a group with its load."""
+        return self._estimated_s(routed, target, now) + self._added_s(routed)
+
+    def measure(
+        self, routed: RoutedRequest, target: Target, now: float
+    ) -> Callable[[float], None]:
+        """Return what records the time at which the first event of a send arrives."""
+        if not routed.prioritized or routed.service.engine is None:
+            return _ignore
+        estimated_s = self._estimated_s(routed, target, now)
+
+        def record(arrived_at: float) -> None:
+            added_s = self._added_s(routed)
+            error_s = arrived_at - now - estimated_s - added_s
+            step_s = max(-MAX_STEP_S, min(MAX_STEP_S, error_s)) * MEASURED_WEIGHT
+            key = (routed.service.name, target.model)
+            self._added_s_by_model[key] = max(0.0, added_s + step_s)
+
+        return record
+
+    def _added_s(self, routed: RoutedRequest) -> float:
+        key = (routed.service.name, routed.request.model)
+        return self._added_s_by_model.get(key, 0.0)
+
+    def _estimated_s(self, routed: RoutedRequest, target: Target, now: float) -> float:
+        engine, request = routed.service.engine, routed.request
+        answer_tokens = engine.mean_answer_tokens or request.max_answer_tokens
+        return first_event_s(engine, target, request.prompt_tokens, answer_tokens, now)
+
+
+def _ignore(arrived_at: float) -> None:
+    """Record nothing."""
 
 
 def idle_first_event_s(engine: Engine, model: str, prompt_tokens: int) -> float:
--- a/poplarspar/coordination/forwarding/queues.py
+++ b/poplarspar/coordination/forwarding/queues.py
@@ -9,7 +9,7 @@
 
 from poplarspar.coordination.forwarding.ageing import Kind, ServedShares
 from poplarspar.coordination.forwarding.choice import AnyRoom, Room, TimelyRoom
-from poplarspar.coordination.forwarding.first_events import idle_first_event_s
+from poplarspar.coordination.forwarding.first_events import FirstEvents
 from poplarspar.coordination.forwarding.routing import RoutedRequest
 from poplarspar.coordination.forwarding.target import Target
 from poplarspar.coordination.waiting import (
@@ -65,8 +65,9 @@
 class ModelQueue:
     """The requests of a node that wait for targets of one service and model."""
 
-    def __init__(self, choose: Choose) -> None:
+    def __init__(self, choose: Choose, first_events: FirstEvents) -> None:
         self._choose = choose
+        self._first_events = first_events
         self.shares = ServedShares()
         self._waiting = WaitingQueue(self._recent_starts)
         self._room_rate = RoomRate()
@@ -108,10 +109,22 @@
             rank = 0
         elif standing is not Standing.DELIVERED_IN_PART:
             more_urgent_share = self.shares.more_urgent_share(routed.priority, now)
-        useful_until = min(wait_until, _last_useful_start(routed, now))
+        useful_until = min(wait_until, self._last_useful_start(routed, now))
         claim = ByUrgency(rank, standing, routed.workspace, useful_until)
         return claim, TimelyRoom(more_urgent_share * REPLACED_SHARE)
 
+    def _last_useful_start(self, routed: RoutedRequest, now: float) -> float:
+        """Return until when a start lets the first event be in time.
+
+        A request that can't be in time any more needs a start before its deadline.
+        """
+        engine = routed.service.engine
+        if engine is None or routed.request.model not in engine.models_by_name:
+            return routed.deadline
+        due_at = routed.request.arrived_at + routed.route.target_latency_s
+        last_start = due_at - self._first_events.idle_s(routed)
+        return last_start if last_start > now else routed.deadline
+
     def try_take(self, waiter: WaitingRequest) -> Target | None:
         """Return a target for a request, unless one that goes before it can use it."""
         waiter.called = False
@@ -204,8 +217,9 @@
         Returns a target with room for a request, None if there is none.
     """
 
-    def __init__(self, choose: Choose) -> None:
+    def __init__(self, choose: Choose, first_events: FirstEvents) -> None:
         self._choose = choose
+        self._first_events = first_events
         self._queue_by_model: dict[tuple[str, str], ModelQueue] = {}
 
     def queue_of(self, routed: RoutedRequest) -> ModelQueue:
@@ -215,7 +229,9 @@
         key = (routed.service.name, model if known else "")
         queue = self._queue_by_model.get(key)
         if queue is None:
-            queue = self._queue_by_model[key] = ModelQueue(self._choose)
+            queue = self._queue_by_model[key] = ModelQueue(
+                self._choose, self._first_events
+            )
         return queue
 
     def record_asked(self, routed: RoutedRequest) -> None:
@@ -255,16 +271,3 @@
         Kind("workspace", routed.workspace),
         Kind("size", routed.request.prompt_tokens.bit_length()),
     )
-
-
-def _last_useful_start(routed: RoutedRequest, now: float) -> float:
-    """Return until when a start lets the first event be in time.
-
-    A request that can't be in time any more needs a start before its deadline.
-    """
-    engine, request = routed.service.engine, routed.request
-    if engine is None or request.model not in engine.models_by_name:
-        return routed.deadline
-    own_s = idle_first_event_s(engine, request.model, request.prompt_tokens)
-    last_start = request.arrived_at + routed.route.target_latency_s - own_s
-    return last_start if last_start > now else routed.deadline
--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 
 from poplarspar.coordination.forwarding.choice import AnyRoom, Room, TargetChoice
+from poplarspar.coordination.forwarding.first_events import FirstEvents
 from poplarspar.coordination.forwarding.notices import ServerNotices
 from poplarspar.coordination.forwarding.overload import Overload
 from poplarspar.coordination.forwarding.queues import WaitingQueues
@@ -48,15 +49,21 @@
         self._fleet = Fleet()
         self.rate_limits = RateLimits(share)
         self.notices = ServerNotices()
+        self.first_events = FirstEvents()
         self._choice = TargetChoice(
-            zone, cold_limit, node_count, self.notices, self.rate_limits
+            zone,
+            cold_limit,
+            node_count,
+            self.notices,
+            self.rate_limits,
+            self.first_events,
         )
         self._overload = Overload()
         self._by_service: dict[str, list[Target]] = {}
         self.by_key: dict[object, Target] = {}
         # Removed targets whose replica groups still end their streams.
         self._closing: list[Target] = []
-        self.waiting = WaitingQueues(self.choose)
+        self.waiting = WaitingQueues(self.choose, self.first_events)
 
     def update(self, fleet: Fleet, open_groups: dict[str, tuple]) -> None:
         """Replace the targets by those of a changed fleet.
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -9,7 +9,7 @@
 
 from poplarspar.coordination.forwarding import RetryBudget, Targets
 from poplarspar.coordination.forwarding.choice import AnyRoom, TimelyRoom
-from poplarspar.coordination.forwarding.first_events import first_event_s
+from poplarspar.coordination.forwarding.first_events import FirstEvents
 from poplarspar.coordination.forwarding.queues import ModelQueue, kinds_of
 from poplarspar.coordination.forwarding.retry_budget import KEPT_SHARE, kept_share
 from poplarspar.coordination.forwarding.routing import RoutedRequest
@@ -32,7 +32,9 @@
         patch = mock.patch("time.monotonic", lambda: self.now)
         patch.start()
         self.addCleanup(patch.stop)
-        self.queue = ModelQueue(lambda *parts: TARGET if self.free > 0 else None)
+        self.queue = ModelQueue(
+            lambda *parts: TARGET if self.free > 0 else None, FirstEvents()
+        )
 
     def routed(self, priority=0, workspace="w", service=LLM, tokens=500, **changes):
         received = request(
@@ -211,7 +213,8 @@
         return sent
 
     def first_event_s(self, tokens):
-        return first_event_s(ENGINE_24, self.target, tokens, 150, self.now)
+        routed = self.routed(tokens=tokens)
+        return self.targets.first_events.expected_s(routed, self.target, self.now)
 
     def test_burst_of_the_most_urgent_is_admitted_as_far_as_it_is_in_time(self):
         # Load: a burst of the most urgent kind beyond what can be in time.
@@ -222,6 +225,17 @@
         self.assertLessEqual(self.first_event_s(674), 0.25)
         self.assertGreater(sent, 4)
 
+    def test_room_counts_what_engines_add_to_their_figures(self):
+        self.target.in_flight = 12
+        self.target.prefill_tokens = 5000
+        self.assertEqual(1, self.send_all(1, TimelyRoom(0.0), 674))
+        for _ in range(40):
+            routed = self.routed(tokens=674)
+            record = self.targets.first_events.measure(routed, self.target, self.now)
+            record(self.now + 0.4)
+        self.assertAlmostEqual(0.4, self.first_event_s(674), delta=0.1)
+        self.assertEqual(0, self.send_all(1, TimelyRoom(0.0), 674))
+
     def test_slots_beyond_the_group_s_count_only_if_they_free_up_in_time(self):
         slow = replace(self.target, slowdown=4.0)
         self.targets.by_key.update(dict.fromkeys(self.targets.by_key, slow))
