--- a/poplarspar/coordination/forwarding/queues.py
+++ b/poplarspar/coordination/forwarding/queues.py
@@ -13,12 +13,12 @@
 from poplarspar.coordination.forwarding.routing import RoutedRequest
 from poplarspar.coordination.forwarding.target import Target
 from poplarspar.coordination.waiting import (
-    ByArrival,
     ByUrgency,
     Claim,
     ReturningCallers,
     RoomRate,
     Standing,
+    Unordered,
     Waiter,
     WaitingQueue,
 )
@@ -103,7 +103,7 @@
         standing: Standing,
     ) -> tuple[Claim, Room]:
         if not routed.prioritized:
-            return ByArrival(), AnyRoom()
+            return Unordered(), AnyRoom()
         rank, more_urgent_share = routed.priority, 0.0
         if self.shares.is_starved(kinds, now):
             rank = 0
@@ -128,7 +128,11 @@
     def try_take(self, waiter: WaitingRequest) -> Target | None:
         """Return a target for a request, unless one that goes before it can use it."""
         waiter.called = False
-        ahead = self._waiting.ahead_of(waiter) if self._waiting else ()
+        match waiter.claim:
+            case ByUrgency() if self._waiting:
+                ahead = self._waiting.ahead_of(waiter)
+            case _:
+                ahead = []
         if any(self._find(other) is not None for other in ahead[:ASKED_IN_ORDER]):
             return None
         target = self._find(waiter)
@@ -165,15 +169,26 @@
     def leave(self, waiter: WaitingRequest) -> None:
         """Remove a request and offer the room that it leaves to the next."""
         self._waiting.leave(waiter)
-        if waiter.joined:
-            self._room_rate.update(time.monotonic(), is_waiting=bool(self._waiting))
-            self.offer_room()
+        match waiter.claim:
+            case ByUrgency() if waiter.joined:
+                is_waiting = bool(self._waiting)
+                self._room_rate.update(time.monotonic(), is_waiting)
+                self.offer_room()
 
     def offer_room(self) -> None:
-        """Wake the first of the waiting requests that can use room now."""
+        """Wake the first of the waiting requests that can use room now.
+
+        Those that are in no order are all woken.
+        """
         if not self._waiting:
             return
-        waiters = self._waiting.in_order()
+        waiters = []
+        for waiter in self._waiting.in_order():
+            match waiter.claim:
+                case Unordered():
+                    waiter.wake()
+                case ByUrgency():
+                    waiters.append(waiter)
         if any(waiter.called for waiter in waiters):
             # It takes the room or leaves, and the next one is asked then.
             return
--- a/poplarspar/coordination/waiting.py
+++ b/poplarspar/coordination/waiting.py
@@ -22,8 +22,8 @@
 
 
 @dataclass(frozen=True)
-class ByArrival:
-    """A claim to room in the order of arrival."""
+class Unordered:
+    """A claim to room that whoever asks first gets."""
 
 
 @dataclass(frozen=True)
@@ -47,7 +47,7 @@
     weight: float = 1.0
 
 
-Claim = ByArrival | ByUrgency
+Claim = Unordered | ByUrgency
 
 
 @dataclass(eq=False)
@@ -182,7 +182,7 @@
 
     def _key(self, waiter: Waiter) -> tuple:
         match waiter.claim:
-            case ByArrival():
+            case Unordered():
                 return (0, 0, 0, 0.0, waiter.sequence)
             case ByUrgency() as claim:
                 load = self._workspace_load(claim.workspace) / claim.weight
