--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -504,6 +504,12 @@
         "The zones would need `needed` with the losses of the last seconds.",
         "Raise the range of the service if `needed` stays above it.",
     )
+    WAITED_IN_VAIN = (
+        419,
+        "no room for a request in the time that is of use to it",
+        "`ahead` requests go before it; with `displaced`, they take longer than it.",
+        "See docs/OPERATIONS.md, which callers wait, and why these.",
+    )
     REQUEST_FAILED = (
         500,
         "request failed inside the daemon",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -381,4 +381,5 @@
             **process_gauges(),
             **self._retry_budget.gauges(),
             **(self._duties.gauges() if self._duties else {}),
+            **self._targets.waiting.gauges(),
         }
