Admit by priority and workspace what the groups of a model complete

Where many nodes are, each one thinned out the requests for a short model at random, whatever their priority or workspace, by a demand that lags a burst by some 6 s. Nodes now report demand by priority and workspace over one second, for services whose requests have several priorities, and the planner returns the share of each: the most urgent first, workspaces by max-min fairness, nobody below a third of the mean. Services with one priority keep their uniform share.

--- a/poplarspar/coordination/forwarding/forwarder.py
+++ b/poplarspar/coordination/forwarding/forwarder.py
@@ -1,6 +1,5 @@
 """Forwarding of requests, with retries, until a backend server answers."""
 
-import random
 import time
 from collections.abc import Callable
 from contextlib import closing
@@ -50,9 +49,6 @@
 # Share of the route's target latency that a request may wait for a free target.
 WAIT_FRACTION = 0.5
 SERVER_ERROR = 500
-# Refused callers of an overloaded model return over the time in which about one
-# generation of running requests ends, not all at once.
-OVERLOAD_SPREAD_S = 1.0
 
 Answer = CompleteAnswer | StreamedAnswer
 
@@ -106,7 +102,7 @@
         self._demand.record_request(routed)
         if not self._targets.admits(routed):
             with closing(observation):
-                retry_after_s = RETRY_AFTER_S + random.uniform(0.0, OVERLOAD_SPREAD_S)
+                retry_after_s = RETRY_AFTER_S + self._targets.admission.pause_s(routed)
                 return Error(self._refuse_without_target(routed, set(), retry_after_s))
         if routed.route.kind is RouteKind.STREAM:
             return self._open_stream(routed, observation)
--- a/poplarspar/coordination/forwarding/routing.py
+++ b/poplarspar/coordination/forwarding/routing.py
@@ -26,6 +26,8 @@
         the highest.
     deadline : float
         Monotonic time by which the caller needs the answer.
+    ranked : bool
+        Whether requests to the service have more than one priority.
     """
 
     request: CallerRequest
@@ -34,6 +36,7 @@
     workspace: str
     priority: int
     deadline: float
+    ranked: bool = False
 
     def quarantine_parts(self) -> tuple[str, ...]:
         """Return what may crash backend servers: prompt parts and the request itself.
@@ -77,6 +80,7 @@
             workspace=holder.workspace if holder else "",
             priority=priority,
             deadline=request.arrived_at + limit_s,
+            ranked=service.name in configuration.ranked_services,
         )
     )
 
--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -8,9 +8,9 @@
 
 from poplarspar.coordination.forwarding.choice import TargetChoice
 from poplarspar.coordination.forwarding.notices import ServerNotices
-from poplarspar.coordination.forwarding.overload import Overload
 from poplarspar.coordination.forwarding.rate_limits import RateLimits
 from poplarspar.coordination.forwarding.routing import RoutedRequest
+from poplarspar.coordination.forwarding.shared_admission import SharedAdmission
 from poplarspar.coordination.forwarding.target import (
     FAILURE_WEIGHT,
     PROGRESS_INTERVAL_S,
@@ -52,7 +52,7 @@
         self._choice = TargetChoice(
             zone, cold_limit, node_count, self.notices, self.rate_limits
         )
-        self._overload = Overload()
+        self.admission = SharedAdmission()
         self._by_service: dict[str, list[Target]] = {}
         self.by_key: dict[object, Target] = {}
         # Removed targets whose replica groups still end their streams.
@@ -196,7 +196,11 @@
 
     def admits(self, routed: RoutedRequest) -> bool:
         """Return whether a new request may look for a target at all."""
-        return self._overload.admits(routed.service.name, routed.request.model)
+        return self.admission.admits(routed)
+
+    def _ranked_services(self) -> frozenset[str]:
+        configuration = self._fleet.configuration
+        return configuration.ranked_services if configuration else frozenset()
 
     def engine_of(self, target: Target) -> Engine | None:
         """Return the engine of a target's service, None for a service without one."""
@@ -252,9 +256,11 @@
                 target.others_prefill_tokens = group.reading_tokens
                 target.stalled_for_others = group.stalled
                 target.slowdown = group.slowdown
-        demands = () if self._choice.knows_all_load() else plan.demands
-        groups = (t for t in self.by_key.values() if t.group is not None)
-        self._overload.update(demands, groups)
+        if self._choice.knows_all_load():
+            self.admission.clear()
+        else:
+            groups = [t for t in self.by_key.values() if t.group is not None]
+            self.admission.apply(plan, groups, self._ranked_services())
         self.rate_limits.merge(plan.rate_limits)
         self.notify_waiters()
 
--- a/poplarspar/coordination/pools/plan_exchange.py
+++ b/poplarspar/coordination/pools/plan_exchange.py
@@ -8,6 +8,10 @@
 import eventlet
 from eventlet.event import Event as Signal
 
+from poplarspar.coordination.pools.admission_shares import (
+    AdmissionShares,
+    ModelSupply,
+)
 from poplarspar.coordination.pools.plan_updates import LoadTotals, PlanHistory
 from poplarspar.state.plan import (
     ModelDemand,
@@ -60,6 +64,7 @@
         self._store_revisions = store_revisions
         self._history = PlanHistory()
         self._totals = LoadTotals()
+        self.admission_shares = AdmissionShares()
         self._changed = Signal()
         self._notified_at = float("-inf")
         self._is_notice_due = False
@@ -68,12 +73,16 @@
         self._update_by_base: dict[int, tuple[float, PlanUpdate]] = {}
 
     def publish(
-        self, groups: tuple[PlannedGroup, ...], spares: tuple[Spare, ...]
+        self,
+        groups: tuple[PlannedGroup, ...],
+        spares: tuple[Spare, ...],
+        supplies: tuple[ModelSupply, ...] = (),
     ) -> None:
-        """Set the replica groups that serve and the spares of the plan.
+        """Set the replica groups that serve, also by model, and the plan's spares.
 
         The planner calls this several times a second, also without a change.
         """
+        self.admission_shares.set_supplies(supplies)
         previous = self._history.groups_by_key
         self._history.publish(groups, spares)
         # Spares alone are no reason to answer before the end of the poll.
@@ -94,6 +103,7 @@
         """Discard the plan and the loads when another node becomes the planner."""
         self._history.withdraw()
         self._totals = LoadTotals()
+        self.admission_shares.clear()
         self._load_by_node.clear()
         self._update_by_base.clear()
 
@@ -101,6 +111,7 @@
         """Store a node's load; return the update on a change or after a time limit."""
         self._load_by_node[node] = (time.monotonic(), load)
         self._totals.set(node, load, STALLED_MS)
+        self.admission_shares.record(node, load.class_demands)
         for group in load.groups:
             if group.stalled_ms > STALLED_MS:
                 self._on_stall(group.head)
@@ -171,6 +182,7 @@
             revisions=self._store_revisions(),
             rate_limits=self._recent_limits(),
             demands=self._demands(),
+            admitted_shares=self.admission_shares.shares(self._totals.totals),
         )
         self._update_by_base[base_serial] = (now, update)
         return update
--- a/poplarspar/coordination/pools/plan_updates.py
+++ b/poplarspar/coordination/pools/plan_updates.py
@@ -191,6 +191,7 @@
         tuple(spares_by_key.values()),
         update.rate_limits,
         update.demands,
+        update.admitted_shares,
     )
 
 
--- a/poplarspar/coordination/pools/planner.py
+++ b/poplarspar/coordination/pools/planner.py
@@ -151,6 +151,11 @@
                 for planning_pass in passes
                 for spare in planning_pass.planned_spares()
             ),
+            tuple(
+                supply
+                for planning_pass in passes
+                for supply in planning_pass.supplies()
+            ),
         )
 
     def _update_monitored_backends(
--- a/poplarspar/coordination/pools/planning_pass.py
+++ b/poplarspar/coordination/pools/planning_pass.py
@@ -3,6 +3,7 @@
 import time
 from collections import Counter
 
+from poplarspar.coordination.pools.admission_shares import ModelSupply
 from poplarspar.coordination.pools.demand import Demand
 from poplarspar.coordination.pools.dispatch import OrderDispatcher
 from poplarspar.coordination.pools.far_groups import FarGroups, replaced_groups
@@ -112,6 +113,16 @@
             for group in self._open_groups()
         ]
 
+    def supplies(self) -> list[ModelSupply]:
+        """Return the groups that may receive requests, by model."""
+        by_model: dict[str, list[PlannedGroup]] = {}
+        for group in self.planned_groups():
+            by_model.setdefault(group.model, []).append(group)
+        return [
+            ModelSupply(self._service.name, model, self._engine, tuple(groups))
+            for model, groups in by_model.items()
+        ]
+
     def _slowdown(self, group: Group) -> float:
         return group.slowdown * (self._engine.far_factor if group.is_far else 1.0)
 
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -114,6 +114,12 @@
         "It has another base than the plan that this node has.",
         "Nothing; the node asks for the whole plan.",
     )
+    ADMISSION_SHORT = (
+        217,
+        "requests for a model are admitted by priority and workspace",
+        "Callers ask for more than the `room` of the model's replica groups.",
+        "If it persists, add backend servers; see docs/OPERATIONS.md for who waits.",
+    )
     CONFIGURATION_IN_FORCE = (
         220,
         "configuration in effect at this node",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -397,6 +397,7 @@
             "memory_peak_bytes": usage.ru_maxrss * 1024,
             "processor_seconds": usage.ru_utime + usage.ru_stime,
             **self._retry_budget.gauges(),
+            **self._targets.admission.gauges(),
         }
 
     def _handle_ready(self, request: Request) -> Response:
--- a/poplarspar/planning.py
+++ b/poplarspar/planning.py
@@ -165,6 +165,7 @@
             self._targets.loads(),
             self._demand_meter.demands(),
             self._targets.rate_limits.reports(),
+            self._demand_meter.class_demands(),
         )
 
     def apply(self, load: NodeLoad, update: PlanUpdate) -> None:
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -86,6 +86,24 @@
   groups @2 :Float64;
 }
 
+# Demand for a model by callers of one priority in one workspace, or in all workspaces
+# that are not named.
+struct ClassDemand {
+  service @0 :Text;
+  model @1 :Text;
+  priority @2 :Int32;
+  workspace @3 :Text;
+  groups @4 :Float64;
+}
+
+struct AdmittedShare {
+  service @0 :Text;
+  model @1 :Text;
+  priority @2 :Int32;
+  workspace @3 :Text;
+  share @4 :Float64;
+}
+
 # A limit on requests that a backend server named `ageMs` ago; `limited` is false if
 # its last answer named none.
 struct RateLimit {
@@ -102,6 +120,8 @@
   groups @1 :List(GroupLoad);
   demands @2 :List(ModelDemand);
   rateLimits @3 :List(RateLimit);
+  reserved4 @4 :Void;
+  classDemands @5 :List(ClassDemand);
 }
 
 struct PlannedGroup {
@@ -154,6 +174,7 @@
   backendRevision @12 :UInt64;
   nodesRevision @13 :UInt64;
   operatorDigest @14 :UInt64;
+  admittedShares @15 :List(AdmittedShare);
 }
 
 struct Message {
--- a/poplarspar/protocol/plans.py
+++ b/poplarspar/protocol/plans.py
@@ -3,6 +3,8 @@
 import time
 
 from poplarspar.state.plan import (
+    AdmittedShare,
+    ClassDemand,
     GroupLoad,
     GroupTotal,
     ModelDemand,
@@ -40,6 +42,7 @@
         )
     _set_demands(builder, load.demands)
     _set_rate_limits(builder, load.rate_limits)
+    _set_class_demands(builder, load.class_demands)
 
 
 def read_node_load(fields) -> NodeLoad:
@@ -52,6 +55,10 @@
         ),
         _read_demands(fields),
         _read_rate_limits(fields),
+        tuple(
+            ClassDemand(d.service, d.model, d.priority, d.workspace, d.groups)
+            for d in fields.classDemands
+        ),
     )
 
 
@@ -70,6 +77,7 @@
     )
     _set_rate_limits(builder, update.rate_limits)
     _set_demands(builder, update.demands)
+    _set_admitted_shares(builder, update.admitted_shares)
     groups = builder.init("groups", len(update.groups))
     for item, group in zip(groups, update.groups, strict=True):
         set_fields(
@@ -138,6 +146,10 @@
         ),
         rate_limits=_read_rate_limits(fields),
         demands=_read_demands(fields),
+        admitted_shares=tuple(
+            AdmittedShare(s.service, s.model, s.priority, s.workspace, s.share)
+            for s in fields.admittedShares
+        ),
     )
 
 
@@ -149,6 +161,32 @@
         )
 
 
+def _set_class_demands(builder, demands: tuple[ClassDemand, ...]) -> None:
+    items = builder.init("classDemands", len(demands))
+    for item, demand in zip(items, demands, strict=True):
+        set_fields(
+            item,
+            service=demand.service,
+            model=demand.model,
+            priority=demand.priority,
+            workspace=demand.workspace,
+            groups=demand.groups,
+        )
+
+
+def _set_admitted_shares(builder, shares: tuple[AdmittedShare, ...]) -> None:
+    items = builder.init("admittedShares", len(shares))
+    for item, share in zip(items, shares, strict=True):
+        set_fields(
+            item,
+            service=share.service,
+            model=share.model,
+            priority=share.priority,
+            workspace=share.workspace,
+            share=share.share,
+        )
+
+
 def _read_demands(fields) -> tuple[ModelDemand, ...]:
     return tuple(ModelDemand(d.service, d.model, d.groups) for d in fields.demands)
 
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -58,6 +58,46 @@
     groups: float
 
 
+@dataclass(frozen=True)
+class ClassDemand:
+    """Demand for a model by the callers of one priority in one workspace.
+
+    Attributes
+    ----------
+    priority : int
+        0 is the most urgent.
+    workspace : str
+        Empty for all workspaces together that are not named by themselves.
+    groups : float
+        Replica groups that these callers would keep busy.
+    """
+
+    service: str
+    model: str
+    priority: int
+    workspace: str
+    groups: float
+
+
+@dataclass(frozen=True)
+class AdmittedShare:
+    """Share of the requests of a priority and workspace that nodes admit.
+
+    Attributes
+    ----------
+    workspace : str
+        Empty for all workspaces that have no share of their own.
+    share : float
+        From 0 to 1.
+    """
+
+    service: str
+    model: str
+    priority: int
+    workspace: str
+    share: float
+
+
 @dataclass(frozen=True)
 class NodeLoad:
     """A node's load report to the planner.
@@ -68,12 +108,15 @@
         Serial of the plan that the node uses.
     rate_limits : tuple of RateLimit
         Limits that the node has observed recently.
+    class_demands : tuple of ClassDemand
+        Demand for the services whose requests have several priorities.
     """
 
     plan_serial: int
     groups: tuple[GroupLoad, ...] = ()
     demands: tuple[ModelDemand, ...] = ()
     rate_limits: tuple[RateLimit, ...] = ()
+    class_demands: tuple[ClassDemand, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -142,6 +185,9 @@
         Limits that any node has observed.
     demands : tuple of ModelDemand
         Demand of all nodes' callers.
+    admitted_shares : tuple of AdmittedShare
+        Shares for the models that are short of groups, of services whose requests
+        have several priorities.
     """
 
     serial: int = 0
@@ -150,6 +196,7 @@
     spares: tuple[Spare, ...] = ()
     rate_limits: tuple[RateLimit, ...] = ()
     demands: tuple[ModelDemand, ...] = ()
+    admitted_shares: tuple[AdmittedShare, ...] = ()
 
     def open_groups_by_head(self) -> dict[str, tuple[tuple[str, int], str]]:
         """Return the key and model of each open replica group, by its head."""
@@ -212,3 +259,4 @@
     revisions: StoreRevisions = StoreRevisions()
     rate_limits: tuple[RateLimit, ...] = ()
     demands: tuple[ModelDemand, ...] = ()
+    admitted_shares: tuple[AdmittedShare, ...] = ()
--- a/poplarspar/state/serving.py
+++ b/poplarspar/state/serving.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 from poplarspar.state.backends import BackendServer
 
@@ -201,6 +202,32 @@
     keys_required: bool
     limits: CallerLimits
 
+    @cached_property
+    def ranked_services(self) -> frozenset[str]:
+        """Names of model services whose requests have more than one priority.
+
+        A workspace may override the priority of any route.
+        """
+        overrides = {
+            holder.priority
+            for holder in self.holder_by_key.values()
+            if holder.priority is not None
+        }
+        priorities_by_service: dict[str, set[int]] = {}
+        for routes in self.routes_by_host.values():
+            for route in routes:
+                for weighted in route.services:
+                    priorities = priorities_by_service.setdefault(
+                        weighted.service, set(overrides)
+                    )
+                    priorities.add(route.priority)
+        return frozenset(
+            name
+            for name, service in self.services_by_name.items()
+            if service.engine is not None
+            and len(priorities_by_service.get(name, ())) > 1
+        )
+
     def find_route(self, host: str, path: str) -> ServiceRoute | None:
         """Return the route with the longest prefix of `path`."""
         for route in self.routes_by_host.get(host, ()):
