Rank requests by their route too, and follow bursts within half a second

Workspaces with a priority of their own override that of every route, so all requests of a workspace had one priority and a burst of summaries refused chats on the same model. The rank is now the priority, then the route's. Only routes with several priorities switch shared admission on, since workspaces have priorities in deployments that don't ask for it.

--- a/poplarspar/coordination/forwarding/demand.py
+++ b/poplarspar/coordination/forwarding/demand.py
@@ -7,14 +7,14 @@
 
 from poplarspar.coordination.forwarding.routing import RoutedRequest
 from poplarspar.state.callers import CallerRequest
-from poplarspar.state.plan import ClassDemand, ModelDemand
+from poplarspar.state.plan import ClassDemand, ModelDemand, Rank
 from poplarspar.state.serving import Engine
 
 # Smooths single requests, yet follows a change in the mix of requests.
 TIME_CONSTANT_S = 6.0
 # Admission follows bursts of a few seconds; the sum over all nodes smooths it.
-CLASS_TIME_CONSTANT_S = 1.0
-# Workspaces with a demand of their own in a report, for each model and priority.
+CLASS_TIME_CONSTANT_S = 0.5
+# Workspaces with a demand of their own in a report, for each model and rank.
 MAX_REPORTED_WORKSPACES = 8
 # Demand of a class without a request for about ten time constants.
 MIN_CLASS_GROUPS = 1e-6
@@ -50,8 +50,8 @@
 
     def __init__(self) -> None:
         self._rate_by_model: dict[tuple[str, str], DecayingRate] = {}
-        # Keyed by service, model, priority and workspace.
-        self._rate_by_class: dict[tuple[str, str, int, str], DecayingRate] = {}
+        # Keyed by service, model, rank and workspace.
+        self._rate_by_class: dict[tuple[str, str, Rank, str], DecayingRate] = {}
         self._classes_since: float | None = None
 
     def record_request(self, routed: RoutedRequest) -> None:
@@ -70,10 +70,10 @@
         now = time.monotonic()
         self._rate_by_model.setdefault(key, DecayingRate(now)).add(work_s, now)
         if routed.ranked:
-            self._record_class((*key, routed.priority, routed.workspace), work_s, now)
+            self._record_class((*key, routed.rank, routed.workspace), work_s, now)
 
     def _record_class(
-        self, key: tuple[str, str, int, str], work_s: float, now: float
+        self, key: tuple[str, str, Rank, str], work_s: float, now: float
     ) -> None:
         if self._classes_since is None:
             self._classes_since = now
@@ -92,24 +92,24 @@
         )
 
     def class_demands(self) -> tuple[ClassDemand, ...]:
-        """Return demand by priority and workspace, of services with several priorities.
+        """Return demand by rank and workspace, of services with several priorities.
 
-        Workspaces beyond the `MAX_REPORTED_WORKSPACES` largest of a model and priority
+        Workspaces beyond the `MAX_REPORTED_WORKSPACES` largest of a model and rank
         are added up without a name.
         """
         now = time.monotonic()
-        named: Counter[tuple[str, str, int]] = Counter()
-        groups_by_class: dict[tuple[str, str, int, str], float] = {}
+        named: Counter[tuple[str, str, Rank]] = Counter()
+        groups_by_class: dict[tuple[str, str, Rank, str], float] = {}
         read = {key: rate.read(now) for key, rate in self._rate_by_class.items()}
         for key, groups in sorted(read.items(), key=lambda item: -item[1]):
             if groups < MIN_CLASS_GROUPS:
                 del self._rate_by_class[key]
                 continue
-            *ranked, workspace = key
-            if workspace and named[tuple(ranked)] >= MAX_REPORTED_WORKSPACES:
+            service, model, rank, workspace = key
+            if workspace and named[key[:3]] >= MAX_REPORTED_WORKSPACES:
                 workspace = ""
-            named[tuple(ranked)] += 1
-            reported = (*ranked, workspace)
+            named[key[:3]] += 1
+            reported = (service, model, rank, workspace)
             groups_by_class[reported] = groups_by_class.get(reported, 0.0) + groups
         return tuple(ClassDemand(*key, g) for key, g in groups_by_class.items())
 
--- a/poplarspar/coordination/forwarding/routing.py
+++ b/poplarspar/coordination/forwarding/routing.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from poplarspar.state.callers import CallerRequest
+from poplarspar.state.plan import Rank
 from poplarspar.state.quarantine import request_part
 from poplarspar.state.refusals import Reason, Refusal
 from poplarspar.state.results import Error, Ok, Result
@@ -27,7 +28,7 @@
     deadline : float
         Monotonic time by which the caller needs the answer.
     ranked : bool
-        Whether requests to the service have more than one priority.
+        Whether the service's routes have more than one priority.
     """
 
     request: CallerRequest
@@ -38,6 +39,11 @@
     deadline: float
     ranked: bool = False
 
+    @property
+    def rank(self) -> Rank:
+        """Rank among the service's requests, the most urgent first."""
+        return self.priority, self.route.priority
+
     def quarantine_parts(self) -> tuple[str, ...]:
         """Return what may crash backend servers: prompt parts and the request itself.
 
--- a/poplarspar/coordination/forwarding/shared_admission.py
+++ b/poplarspar/coordination/forwarding/shared_admission.py
@@ -9,7 +9,7 @@
 from poplarspar.coordination.forwarding.demand import DecayingRate
 from poplarspar.coordination.forwarding.routing import RoutedRequest
 from poplarspar.coordination.forwarding.target import Target
-from poplarspar.state.plan import FleetPlan, ModelDemand
+from poplarspar.state.plan import FleetPlan, ModelDemand, Rank
 
 # Refused callers of an overloaded model return over the time in which about one
 # generation of running requests ends, not all at once.
@@ -37,9 +37,9 @@
 
 @dataclass(frozen=True)
 class RankedShares:
-    """Shares by priority and workspace; a workspace without one has that of ``""``."""
+    """Shares by rank and workspace; a workspace without one has that of ``""``."""
 
-    share_by_class: dict[tuple[int, str], float]
+    share_by_class: dict[tuple[Rank, str], float]
 
 
 def uniform_shares(
@@ -107,7 +107,7 @@
         targets : list of Target
             The open replica groups, with the load that the plan shows.
         ranked_services : frozenset of str
-            Services whose shares the plan names by priority and workspace.
+            Services whose shares the plan names by rank and workspace.
         """
         shares: dict[ModelKey, UniformShare | RankedShares] = dict(
             uniform_shares(
@@ -119,7 +119,7 @@
             ranked = shares.setdefault(key, RankedShares({}))
             if isinstance(ranked, RankedShares):
                 by_class = ranked.share_by_class
-                by_class[(admitted.priority, admitted.workspace)] = admitted.share
+                by_class[(admitted.rank, admitted.workspace)] = admitted.share
         self._shares_by_model = shares
         self._credit_by_class = {
             key: credit
@@ -147,7 +147,7 @@
             return True
         key = model
         if isinstance(self._shares_by_model[model], RankedShares):
-            key = (*model, routed.priority, routed.workspace)
+            key = (*model, routed.rank, routed.workspace)
         # Credits begin at random, so that nodes with few requests aren't in step.
         credit = self._credit_by_class.get(key, random.random()) + share
         admitted = credit >= 1.0
@@ -199,23 +199,21 @@
             case UniformShare(share):
                 return self._aged(share, model, now)
             case RankedShares(share_by_class):
-                unnamed = share_by_class.get((routed.priority, ""))
+                unnamed = share_by_class.get((routed.rank, ""))
                 if unnamed is None:
                     # No request of this kind had arrived anywhere.
-                    unnamed = self._share_of_priority(share_by_class, routed.priority)
-                key = (routed.priority, routed.workspace)
+                    unnamed = self._share_of_rank(share_by_class, routed.rank)
+                key = (routed.rank, routed.workspace)
                 return self._aged(share_by_class.get(key, unnamed), model, now)
 
     @staticmethod
-    def _share_of_priority(
-        share_by_class: dict[tuple[int, str], float], priority: int
+    def _share_of_rank(
+        share_by_class: dict[tuple[Rank, str], float], rank: Rank
     ) -> float:
-        """Return the highest share of a priority, or of the next less urgent one."""
-        known = sorted({p for p, _ in share_by_class})
-        if not known:
-            return 1.0
-        nearest = next((p for p in known if p >= priority), known[-1])
-        return max(s for (p, _), s in share_by_class.items() if p == nearest)
+        """Return the highest share of a rank, or of the next less urgent one."""
+        known = sorted({known for known, _ in share_by_class})
+        nearest = next((other for other in known if other >= rank), known[-1])
+        return max(s for (other, _), s in share_by_class.items() if other == nearest)
 
     def _aged(self, share: float, model: ModelKey, now: float) -> float:
         """Return a share of a plan that may be late.
--- a/poplarspar/coordination/pools/admission_shares.py
+++ b/poplarspar/coordination/pools/admission_shares.py
@@ -13,17 +13,18 @@
     GroupKey,
     GroupTotal,
     PlannedGroup,
+    Rank,
 )
 from poplarspar.state.serving import Engine
 
-# Each priority and workspace is admitted at least this share as often as all requests
+# Each rank and workspace is admitted at least this share as often as all requests
 # for the model. A quarter is the bound; the difference covers errors of measurement.
 FLOOR = 1 / 3
 # Room that is left however much waits at the groups, since some of it ends at any time.
 MIN_ROOM_SHARE = 0.25
 # Waiting prompts take room out of the next second, over which demand is measured.
 BACKLOG_HORIZON_S = 1.0
-# Workspaces with shares of their own, for each model and priority.
+# Workspaces with shares of their own, for each model and rank.
 MAX_NAMED_WORKSPACES = 16
 # A node that polls no longer has lost its callers to other nodes, which report them.
 REPORT_TTL_S = 1.5
@@ -31,8 +32,8 @@
 REFRESH_S = 0.1
 LOG_PERIOD_S = 1.0
 
-# Priority and workspace.
-CallerClass = tuple[int, str]
+# Rank and workspace.
+CallerClass = tuple[Rank, str]
 
 
 @dataclass(frozen=True)
@@ -74,40 +75,40 @@
 ) -> dict[CallerClass, float]:
     """Return the share of each class that is admitted, empty if there is enough room.
 
-    The most urgent priority gets room first, and workspaces of one priority share its
-    room by max-min fairness. No class gets less than `FLOOR` times the mean share.
+    The most urgent rank gets room first, and workspaces of one rank share its room by
+    max-min fairness. No class gets less than `FLOOR` times the mean share.
 
     Parameters
     ----------
-    demand_by_class : mapping of (int, str) to float
-        Demand in replica groups, by priority and workspace.
+    demand_by_class : mapping of (Rank, str) to float
+        Demand in replica groups, by rank and workspace.
     room : float
         Demand that can be admitted.
     """
-    by_priority: dict[int, dict[str, float]] = defaultdict(dict)
-    for (priority, workspace), groups in demand_by_class.items():
+    by_rank: dict[Rank, dict[str, float]] = defaultdict(dict)
+    for (rank, workspace), groups in demand_by_class.items():
         if groups > 0.0:
-            by_priority[priority][workspace] = groups
-    total = sum(sum(demands.values()) for demands in by_priority.values())
+            by_rank[rank][workspace] = groups
+    total = sum(sum(demands.values()) for demands in by_rank.values())
     if total <= room:
         return {}
     floor = FLOOR * room / total
     left = room - floor * total
     shares = {}
-    for priority, demands in sorted(by_priority.items()):
+    for rank, demands in sorted(by_rank.items()):
         asked = sum(demands.values())
         extra = min(left, (1.0 - floor) * asked)
         left -= extra
         room_here = extra + floor * asked
         for workspace, share in _workspace_shares(demands, room_here, floor):
-            shares[(priority, workspace)] = share
+            shares[(rank, workspace)] = share
     return shares
 
 
 def _workspace_shares(
     demands: dict[str, float], room: float, min_share: float
 ) -> Iterable[tuple[str, float]]:
-    """Yield each workspace's share of a priority's room, by max-min fairness."""
+    """Yield each workspace's share of a rank's room, by max-min fairness."""
     asked = sum(demands.values())
     if asked <= room:
         yield from ((workspace, 1.0) for workspace in demands)
@@ -209,7 +210,7 @@
                 continue
             for demand in demands:
                 by_class = sums.setdefault((demand.service, demand.model), {})
-                key = (demand.priority, demand.workspace)
+                key = (demand.rank, demand.workspace)
                 by_class[key] = by_class.get(key, 0.0) + demand.groups
         return {model: name_largest(by_class) for model, by_class in sums.items()}
 
@@ -224,38 +225,46 @@
         if self._computed_at < self._logged_at.get(key, float("-inf")) + LOG_PERIOD_S:
             return
         self._logged_at[key] = self._computed_at
-        asked: dict[int, float] = defaultdict(float)
-        admitted: dict[int, float] = defaultdict(float)
-        for (priority, workspace), groups in demands.items():
-            asked[priority] += groups
-            admitted[priority] += groups * share_by_class[(priority, workspace)]
+        asked: dict[Rank, float] = defaultdict(float)
+        admitted: dict[Rank, float] = defaultdict(float)
+        for (rank, workspace), groups in demands.items():
+            asked[rank] += groups
+            admitted[rank] += groups * share_by_class[(rank, workspace)]
         log_event(
             Event.ADMISSION_SHORT,
             service=supply.service,
             model=supply.model,
             room=round(room, 2),
-            asked_by_priority={p: round(g, 2) for p, g in sorted(asked.items())},
-            admitted_by_priority={p: round(g, 2) for p, g in sorted(admitted.items())},
+            asked_by_rank=_log_field(asked),
+            admitted_by_rank=_log_field(admitted),
             lowest_share=round(min(share_by_class.values()), 2),
         )
 
 
+def _log_field(groups_by_rank: dict[Rank, float]) -> dict[str, float]:
+    """Return groups with ranks as text: priority, then that of the route."""
+    return {
+        f"{priority}.{route_priority}": round(groups, 2)
+        for (priority, route_priority), groups in sorted(groups_by_rank.items())
+    }
+
+
 def name_largest(
     by_class: Mapping[CallerClass, float], limit: int = MAX_NAMED_WORKSPACES
 ) -> dict[CallerClass, float]:
-    """Return demands with at most `limit` workspaces of each priority by name.
+    """Return demands with at most `limit` workspaces of each rank by name.
 
     The others are added up without a name.
     """
-    named_by_priority: dict[int, int] = defaultdict(int)
+    named_by_rank: dict[Rank, int] = defaultdict(int)
     result: dict[CallerClass, float] = {}
-    for (priority, workspace), groups in sorted(
+    for (rank, workspace), groups in sorted(
         by_class.items(), key=lambda item: -item[1]
     ):
-        if workspace and named_by_priority[priority] < limit:
-            named_by_priority[priority] += 1
-            result[(priority, workspace)] = groups
+        if workspace and named_by_rank[rank] < limit:
+            named_by_rank[rank] += 1
+            result[(rank, workspace)] = groups
         else:
-            rest = (priority, "")
+            rest = (rank, "")
             result[rest] = result.get(rest, 0.0) + groups
     return result
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -86,22 +86,24 @@
   groups @2 :Float64;
 }
 
-# Demand for a model by callers of one priority in one workspace, or in all workspaces
-# that are not named.
+# Demand for a model by callers of one rank in one workspace, or in all workspaces that
+# are not named.
 struct ClassDemand {
   service @0 :Text;
   model @1 :Text;
   priority @2 :Int32;
-  workspace @3 :Text;
-  groups @4 :Float64;
+  routePriority @3 :Int32;
+  workspace @4 :Text;
+  groups @5 :Float64;
 }
 
 struct AdmittedShare {
   service @0 :Text;
   model @1 :Text;
   priority @2 :Int32;
-  workspace @3 :Text;
-  share @4 :Float64;
+  routePriority @3 :Int32;
+  workspace @4 :Text;
+  share @5 :Float64;
 }
 
 # A limit on requests that a backend server named `ageMs` ago; `limited` is false if
--- a/poplarspar/protocol/plans.py
+++ b/poplarspar/protocol/plans.py
@@ -56,7 +56,13 @@
         _read_demands(fields),
         _read_rate_limits(fields),
         tuple(
-            ClassDemand(d.service, d.model, d.priority, d.workspace, d.groups)
+            ClassDemand(
+                d.service,
+                d.model,
+                (d.priority, d.routePriority),
+                d.workspace,
+                d.groups,
+            )
             for d in fields.classDemands
         ),
     )
@@ -147,7 +153,13 @@
         rate_limits=_read_rate_limits(fields),
         demands=_read_demands(fields),
         admitted_shares=tuple(
-            AdmittedShare(s.service, s.model, s.priority, s.workspace, s.share)
+            AdmittedShare(
+                s.service,
+                s.model,
+                (s.priority, s.routePriority),
+                s.workspace,
+                s.share,
+            )
             for s in fields.admittedShares
         ),
     )
@@ -168,7 +180,8 @@
             item,
             service=demand.service,
             model=demand.model,
-            priority=demand.priority,
+            priority=demand.rank[0],
+            routePriority=demand.rank[1],
             workspace=demand.workspace,
             groups=demand.groups,
         )
@@ -181,7 +194,8 @@
             item,
             service=share.service,
             model=share.model,
-            priority=share.priority,
+            priority=share.rank[0],
+            routePriority=share.rank[1],
             workspace=share.workspace,
             share=share.share,
         )
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -8,6 +8,9 @@
 GroupKey = tuple[str, int]
 # Identifier and start time, Unix milliseconds, of a spare.
 SpareKey = tuple[str, int]
+# Priority of a request, and that of its route, which decides among equals: workspaces
+# can override the first. 0 is the most urgent.
+Rank = tuple[int, int]
 
 
 @dataclass(frozen=True)
@@ -60,12 +63,10 @@
 
 @dataclass(frozen=True)
 class ClassDemand:
-    """Demand for a model by the callers of one priority in one workspace.
+    """Demand for a model by the callers of one rank in one workspace.
 
     Attributes
     ----------
-    priority : int
-        0 is the most urgent.
     workspace : str
         Empty for all workspaces together that are not named by themselves.
     groups : float
@@ -74,14 +75,14 @@
 
     service: str
     model: str
-    priority: int
+    rank: Rank
     workspace: str
     groups: float
 
 
 @dataclass(frozen=True)
 class AdmittedShare:
-    """Share of the requests of a priority and workspace that nodes admit.
+    """Share of the requests of a rank and workspace that nodes admit.
 
     Attributes
     ----------
@@ -93,7 +94,7 @@
 
     service: str
     model: str
-    priority: int
+    rank: Rank
     workspace: str
     share: float
 
@@ -109,7 +110,7 @@
     rate_limits : tuple of RateLimit
         Limits that the node has observed recently.
     class_demands : tuple of ClassDemand
-        Demand for the services whose requests have several priorities.
+        Demand for the services whose routes have several priorities.
     """
 
     plan_serial: int
@@ -186,7 +187,7 @@
     demands : tuple of ModelDemand
         Demand of all nodes' callers.
     admitted_shares : tuple of AdmittedShare
-        Shares for the models that are short of groups, of services whose requests
+        Shares for the models that are short of groups, of services whose routes
         have several priorities.
     """
 
--- a/poplarspar/state/serving.py
+++ b/poplarspar/state/serving.py
@@ -204,21 +204,13 @@
 
     @cached_property
     def ranked_services(self) -> frozenset[str]:
-        """Names of model services whose requests have more than one priority.
-
-        A workspace may override the priority of any route.
-        """
-        overrides = {
-            holder.priority
-            for holder in self.holder_by_key.values()
-            if holder.priority is not None
-        }
+        """Names of model services whose routes have more than one priority."""
         priorities_by_service: dict[str, set[int]] = {}
         for routes in self.routes_by_host.values():
             for route in routes:
                 for weighted in route.services:
                     priorities = priorities_by_service.setdefault(
-                        weighted.service, set(overrides)
+                        weighted.service, set()
                     )
                     priorities.add(route.priority)
         return frozenset(
