Weigh the split between models by the urgency of their callers

When groups were lost, the planner replaced them by demand alone, also those that only the least urgent callers use. The weight of a model in the utility now follows the rank of what is asked of it, smoothed over 6 s, where a service's routes have several priorities; so formation, conversion and staging follow it.

--- a/poplarspar/coordination/pools/admission_shares.py
+++ b/poplarspar/coordination/pools/admission_shares.py
@@ -164,9 +164,13 @@
         self._supplies = ()
         self._shares = ()
 
-    def demand_by_class(self, service: str, model: str) -> dict[CallerClass, float]:
-        """Return the demand of all nodes' callers for a model, in replica groups."""
-        return self._sums().get((service, model), {})
+    def demands_by_model(self, service: str) -> dict[str, dict[CallerClass, float]]:
+        """Return the demand of all nodes' callers for a service's models, in groups."""
+        return {
+            model: by_class
+            for (name, model), by_class in self._sums().items()
+            if name == service
+        }
 
     def shares(
         self, totals: Callable[[list[GroupKey]], tuple[GroupTotal, ...]]
--- a/poplarspar/coordination/pools/demand.py
+++ b/poplarspar/coordination/pools/demand.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
 from poplarspar.state.serving import Engine
 
@@ -20,9 +20,16 @@
 
 @dataclass(frozen=True)
 class Demand:
-    """Number of replica groups that the callers of each model can keep busy."""
+    """Number of replica groups that the callers of each model can keep busy.
+
+    Attributes
+    ----------
+    weight_by_model : dict of str to float
+        Urgency of each model's callers, 1 on average; 1 for a model without.
+    """
 
     groups_by_model: dict[str, float]
+    weight_by_model: dict[str, float] = field(default_factory=dict)
 
     def utility(self, count_by_model: Counter[str]) -> float:
         """Return the share of callers served in time, as a weighted sum over models.
@@ -33,7 +40,8 @@
         total = sum(self.groups_by_model.values())
         models = len(self.groups_by_model)
         return sum(
-            (0.5 + 0.5 * models * groups / total)
+            self.weight_by_model.get(model, 1.0)
+            * (0.5 + 0.5 * models * groups / total)
             * (1.0 - math.exp(-SATURATION_RATE * count_by_model[model] / groups))
             for model, groups in self.groups_by_model.items()
         )
@@ -44,6 +52,10 @@
         after.update(change)
         return self.utility(after) - self.utility(count_by_model)
 
+    def weighted(self, weight_by_model: dict[str, float]) -> "Demand":
+        """Return the same demand with the urgency of each model's callers."""
+        return replace(self, weight_by_model=weight_by_model)
+
     @classmethod
     def measured(cls, groups_by_model: dict[str, float]) -> "Demand":
         """Return measured demand with a minimum for each model."""
--- a/poplarspar/coordination/pools/plan_exchange.py
+++ b/poplarspar/coordination/pools/plan_exchange.py
@@ -13,6 +13,7 @@
     ModelSupply,
 )
 from poplarspar.coordination.pools.plan_updates import LoadTotals, PlanHistory
+from poplarspar.coordination.pools.urgency import UrgencyMeter
 from poplarspar.state.plan import (
     ModelDemand,
     NodeLoad,
@@ -64,7 +65,8 @@
         self._store_revisions = store_revisions
         self._history = PlanHistory()
         self._totals = LoadTotals()
-        self.admission_shares = AdmissionShares()
+        self._admission_shares = AdmissionShares()
+        self._urgency_by_service: dict[str, UrgencyMeter] = defaultdict(UrgencyMeter)
         self._changed = Signal()
         self._notified_at = float("-inf")
         self._is_notice_due = False
@@ -82,7 +84,7 @@
 
         The planner calls this several times a second, also without a change.
         """
-        self.admission_shares.set_supplies(supplies)
+        self._admission_shares.set_supplies(supplies)
         previous = self._history.groups_by_key
         self._history.publish(groups, spares)
         # Spares alone are no reason to answer before the end of the poll.
@@ -103,7 +105,8 @@
         """Discard the plan and the loads when another node becomes the planner."""
         self._history.withdraw()
         self._totals = LoadTotals()
-        self.admission_shares.clear()
+        self._admission_shares.clear()
+        self._urgency_by_service.clear()
         self._load_by_node.clear()
         self._update_by_base.clear()
 
@@ -111,7 +114,7 @@
         """Store a node's load; return the update on a change or after a time limit."""
         self._load_by_node[node] = (time.monotonic(), load)
         self._totals.set(node, load, STALLED_MS)
-        self.admission_shares.record(node, load.class_demands)
+        self._admission_shares.record(node, load.class_demands)
         for group in load.groups:
             if group.stalled_ms > STALLED_MS:
                 self._on_stall(group.head)
@@ -128,6 +131,15 @@
             if demand.service == service
         }
 
+    def urgency_by_model(self, service: str) -> dict[str, float]:
+        """Return the weight of each model's callers, empty without priorities."""
+        demands = self._admission_shares.demands_by_model(service)
+        if not demands:
+            return {}
+        meter = self._urgency_by_service[service]
+        meter.update(demands, time.monotonic())
+        return meter.weights()
+
     def _demands(self) -> tuple[ModelDemand, ...]:
         total: dict[tuple[str, str], float] = defaultdict(float)
         for load in self._recent_loads().values():
@@ -182,7 +194,7 @@
             revisions=self._store_revisions(),
             rate_limits=self._recent_limits(),
             demands=self._demands(),
-            admitted_shares=self.admission_shares.shares(self._totals.totals),
+            admitted_shares=self._admission_shares.shares(self._totals.totals),
         )
         self._update_by_base[base_serial] = (now, update)
         return update
--- a/poplarspar/coordination/pools/planning_pass.py
+++ b/poplarspar/coordination/pools/planning_pass.py
@@ -71,7 +71,9 @@
         demand = plan_exchange.demand_by_model(service.name)
         if sum(demand.values()) > 0.0:
             term.before_traffic = False
-        self._demand = Demand.estimated(self._engine, demand, len(self._workers))
+        self._demand = Demand.estimated(
+            self._engine, demand, len(self._workers)
+        ).weighted(plan_exchange.urgency_by_model(service.name))
         self._fleet_size = FleetSize.of(self._workers)
         self._groups = build_groups(self._workers)
         self._lifecycle = GroupLifecycle(
