--- a/poplarspar/coordination/forwarding/routing.py
+++ b/poplarspar/coordination/forwarding/routing.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from poplarspar.state.callers import CallerRequest
+from poplarspar.state.plan import Rank
 from poplarspar.state.quarantine import request_part
 from poplarspar.state.refusals import Reason, Refusal
 from poplarspar.state.results import Error, Ok, Result
@@ -28,6 +29,8 @@
         Monotonic time by which the caller needs the answer.
     prioritized : bool
         Whether requests for the service differ in priority.
+    ranked : bool
+        Whether the service's routes have more than one priority.
     """
 
     request: CallerRequest
@@ -37,6 +40,12 @@
     priority: int
     deadline: float
     prioritized: bool = False
+    ranked: bool = False
+
+    @property
+    def rank(self) -> Rank:
+        """Rank among the service's requests, the most urgent first."""
+        return self.priority, self.route.priority
 
     def quarantine_parts(self) -> tuple[str, ...]:
         """Return what may crash backend servers: prompt parts and the request itself.
@@ -81,6 +90,7 @@
             priority=priority,
             deadline=request.arrived_at + limit_s,
             prioritized=service.name in configuration.prioritized_services,
+            ranked=service.name in configuration.ranked_services,
         )
     )
 
--- a/poplarspar/coordination/forwarding/targets.py
+++ b/poplarspar/coordination/forwarding/targets.py
@@ -12,10 +12,10 @@
     beginnings_of,
 )
 from poplarspar.coordination.forwarding.notices import ServerNotices
-from poplarspar.coordination.forwarding.overload import Overload
 from poplarspar.coordination.forwarding.queues import WaitingQueues
 from poplarspar.coordination.forwarding.rate_limits import RateLimits
 from poplarspar.coordination.forwarding.routing import RoutedRequest
+from poplarspar.coordination.forwarding.shared_admission import SharedAdmission
 from poplarspar.coordination.forwarding.target import (
     FAILURE_WEIGHT,
     PROGRESS_INTERVAL_S,
@@ -69,7 +69,7 @@
             self.rate_limits,
             self.first_events,
         )
-        self._overload = Overload()
+        self.admission = SharedAdmission()
         self._by_service: dict[str, list[Target]] = {}
         self.by_key: dict[object, Target] = {}
         # Removed targets whose replica groups still end their streams.
@@ -221,7 +221,11 @@
 
     def admits(self, routed: RoutedRequest) -> bool:
         """Return whether a new request may look for a target at all."""
-        return self._overload.admits(routed.service.name, routed.request.model)
+        return self.admission.admits(routed)
+
+    def _ranked_services(self) -> frozenset[str]:
+        configuration = self._fleet.configuration
+        return configuration.ranked_services if configuration else frozenset()
 
     def engine_of(self, target: Target) -> Engine | None:
         """Return the engine of a target's service, None for a service without one."""
@@ -292,9 +296,11 @@
                 target.others_prefill_tokens = group.reading_tokens
                 target.stalled_for_others = group.stalled
                 target.slowdown = group.slowdown
-        demands = () if self._choice.knows_all_load() else plan.demands
-        groups = (t for t in self.by_key.values() if t.group is not None)
-        self._overload.update(demands, groups)
+        if self._choice.knows_all_load():
+            self.admission.clear()
+        else:
+            groups = [t for t in self.by_key.values() if t.group is not None]
+            self.admission.apply(plan, groups, self._ranked_services())
         self.rate_limits.merge(plan.rate_limits)
         self.notify_waiters()
 
--- a/poplarspar/coordination/pools/plan_exchange.py
+++ b/poplarspar/coordination/pools/plan_exchange.py
@@ -8,7 +8,12 @@
 import eventlet
 from eventlet.event import Event as Signal
 
+from poplarspar.coordination.pools.admission_shares import (
+    AdmissionShares,
+    ModelSupply,
+)
 from poplarspar.coordination.pools.plan_updates import LoadTotals, PlanHistory
+from poplarspar.coordination.pools.urgency import UrgencyMeter
 from poplarspar.state.plan import (
     ModelDemand,
     NodeLoad,
@@ -64,6 +69,8 @@
         self._reported_window = reported_window
         self._history = PlanHistory()
         self._totals = LoadTotals()
+        self._admission_shares = AdmissionShares()
+        self._urgency_by_service: dict[str, UrgencyMeter] = defaultdict(UrgencyMeter)
         self._changed = Signal()
         self._notified_at = float("-inf")
         self._is_notice_due = False
@@ -72,12 +79,16 @@
         self._update_by_base: dict[int, tuple[float, PlanUpdate]] = {}
 
     def publish(
-        self, groups: tuple[PlannedGroup, ...], spares: tuple[Spare, ...]
+        self,
+        groups: tuple[PlannedGroup, ...],
+        spares: tuple[Spare, ...],
+        supplies: tuple[ModelSupply, ...] = (),
     ) -> None:
-        """Set the replica groups that serve and the spares of the plan.
+        """Set the replica groups that serve, also by model, and the plan's spares.
 
         The planner calls this several times a second, also without a change.
         """
+        self._admission_shares.set_supplies(supplies)
         previous = self._history.groups_by_key
         self._history.publish(groups, spares)
         # Spares alone are no reason to answer before the end of the poll.
@@ -98,6 +109,8 @@
         """Discard the plan and the loads when another node becomes the planner."""
         self._history.withdraw()
         self._totals = LoadTotals()
+        self._admission_shares.clear()
+        self._urgency_by_service.clear()
         self._load_by_node.clear()
         self._update_by_base.clear()
 
@@ -105,6 +118,7 @@
         """Store a node's load; return the update on a change or after a time limit."""
         self._load_by_node[node] = (time.monotonic(), load)
         self._totals.set(node, load, STALLED_MS)
+        self._admission_shares.record(node, load.class_demands)
         for group in load.groups:
             if group.stalled_ms > STALLED_MS:
                 self._on_stall(group.head)
@@ -121,6 +135,15 @@
             if demand.service == service
         }
 
+    def urgency_by_model(self, service: str) -> dict[str, float]:
+        """Return the weight of each model's callers, empty without priorities."""
+        demands = self._admission_shares.demands_by_model(service)
+        if not demands:
+            return {}
+        meter = self._urgency_by_service[service]
+        meter.update(demands, time.monotonic())
+        return meter.weights()
+
     def _demands(self) -> tuple[ModelDemand, ...]:
         total: dict[tuple[str, str], float] = defaultdict(float)
         for load in self._recent_loads().values():
@@ -176,6 +199,7 @@
             rate_limits=self._recent_limits(),
             demands=self._demands(),
             reported_window=self._reported_window(),
+            admitted_shares=self._admission_shares.shares(self._totals.totals),
         )
         self._update_by_base[base_serial] = (now, update)
         return update
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -382,4 +382,5 @@
             **self._retry_budget.gauges(),
             **(self._duties.gauges() if self._duties else {}),
             **self._targets.waiting.gauges(),
+            **self._targets.admission.gauges(),
         }
--- a/poplarspar/planning.py
+++ b/poplarspar/planning.py
@@ -189,6 +189,7 @@
             self._demand_meter.demands(),
             self._targets.rate_limits.reports(),
             self._usage.meter.load(),
+            self._demand_meter.class_demands(),
         )
 
     def apply(self, load: NodeLoad, update: PlanUpdate) -> None:
--- a/poplarspar/protocol/cluster.capnp
+++ b/poplarspar/protocol/cluster.capnp
@@ -86,6 +86,26 @@
   groups @2 :Float64;
 }
 
+# Demand for a model by callers of one rank in one workspace, or in all workspaces that
+# are not named.
+struct ClassDemand {
+  service @0 :Text;
+  model @1 :Text;
+  priority @2 :Int32;
+  routePriority @3 :Int32;
+  workspace @4 :Text;
+  groups @5 :Float64;
+}
+
+struct AdmittedShare {
+  service @0 :Text;
+  model @1 :Text;
+  priority @2 :Int32;
+  routePriority @3 :Int32;
+  workspace @4 :Text;
+  share @5 :Float64;
+}
+
 # A limit on requests that a backend server named `ageMs` ago; `limited` is false if
 # its last answer named none.
 struct RateLimit {
@@ -116,6 +136,7 @@
   demands @2 :List(ModelDemand);
   rateLimits @3 :List(RateLimit);
   usage @4 :NodeUsage;
+  classDemands @5 :List(ClassDemand);
 }
 
 struct PlannedGroup {
@@ -168,7 +189,7 @@
   backendRevision @12 :UInt64;
   nodesRevision @13 :UInt64;
   operatorDigest @14 :UInt64;
-  unused @15 :Void;
+  admittedShares @15 :List(AdmittedShare);
   reportedWindow @16 :UInt64;
   backendsAgeMs @17 :UInt32;
 }
--- a/poplarspar/state/plan.py
+++ b/poplarspar/state/plan.py
@@ -9,6 +9,9 @@
 GroupKey = tuple[str, int]
 # Identifier and start time, Unix milliseconds, of a spare.
 SpareKey = tuple[str, int]
+# Priority of a request, and that of its route, which decides among equals: workspaces
+# can override the first. 0 is the most urgent.
+Rank = tuple[int, int]
 
 
 @dataclass(frozen=True)
@@ -59,6 +62,44 @@
     groups: float
 
 
+@dataclass(frozen=True)
+class ClassDemand:
+    """Demand for a model by the callers of one rank in one workspace.
+
+    Attributes
+    ----------
+    workspace : str
+        Empty for all workspaces together that are not named by themselves.
+    groups : float
+        Replica groups that these callers would keep busy.
+    """
+
+    service: str
+    model: str
+    rank: Rank
+    workspace: str
+    groups: float
+
+
+@dataclass(frozen=True)
+class AdmittedShare:
+    """Share of the requests of a rank and workspace that nodes admit.
+
+    Attributes
+    ----------
+    workspace : str
+        Empty for all workspaces that have no share of their own.
+    share : float
+        From 0 to 1.
+    """
+
+    service: str
+    model: str
+    rank: Rank
+    workspace: str
+    share: float
+
+
 @dataclass(frozen=True)
 class NodeLoad:
     """A node's load report to the planner.
@@ -71,6 +112,8 @@
         Limits that the node has observed recently.
     usage : NodeUsage
         Requests that began to run at this node.
+    class_demands : tuple of ClassDemand
+        Demand for the services whose routes have several priorities.
     """
 
     plan_serial: int
@@ -78,6 +121,7 @@
     demands: tuple[ModelDemand, ...] = ()
     rate_limits: tuple[RateLimit, ...] = ()
     usage: NodeUsage = NodeUsage()
+    class_demands: tuple[ClassDemand, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -146,6 +190,9 @@
         Limits that any node has observed.
     demands : tuple of ModelDemand
         Demand of all nodes' callers.
+    admitted_shares : tuple of AdmittedShare
+        Shares for the models that are short of groups, of services whose routes
+        have several priorities.
     """
 
     serial: int = 0
@@ -154,6 +201,7 @@
     spares: tuple[Spare, ...] = ()
     rate_limits: tuple[RateLimit, ...] = ()
     demands: tuple[ModelDemand, ...] = ()
+    admitted_shares: tuple[AdmittedShare, ...] = ()
 
     def open_groups_by_head(self) -> dict[str, tuple[tuple[str, int], str]]:
         """Return the key and model of each open replica group, by its head."""
@@ -222,3 +270,4 @@
     rate_limits: tuple[RateLimit, ...] = ()
     demands: tuple[ModelDemand, ...] = ()
     reported_window: int = 0
+    admitted_shares: tuple[AdmittedShare, ...] = ()
--- a/poplarspar/state/serving.py
+++ b/poplarspar/state/serving.py
@@ -226,22 +226,40 @@
 
     @cached_property
     def prioritized_services(self) -> frozenset[str]:
-        """Services whose requests have more than one priority."""
+        """Services whose requests have more than one priority.
+
+        The priorities are those of routes, and those that workspaces have of their own.
+        """
         holder_priorities = {holder.priority for holder in self.holder_by_key.values()}
         own_priorities = holder_priorities - {None}
-        priorities_by_service: dict[str, set[int]] = {}
-        for routes in self.routes_by_host.values():
-            for route in routes:
-                for weighted in route.services:
-                    priorities_by_service.setdefault(
-                        weighted.service, set(own_priorities)
-                    ).add(route.priority)
         return frozenset(
             service
-            for service, priorities in priorities_by_service.items()
+            for service, priorities in self._route_priorities_by_service().items()
+            if len(priorities | own_priorities) > 1
+        )
+
+    @cached_property
+    def ranked_services(self) -> frozenset[str]:
+        """Names of model services whose routes have more than one priority."""
+        return frozenset(
+            service
+            for service, priorities in self._route_priorities_by_service().items()
             if len(priorities) > 1
+            and service in self.services_by_name
+            and self.services_by_name[service].engine is not None
         )
 
+    def _route_priorities_by_service(self) -> dict[str, set[int]]:
+        priorities_by_service: dict[str, set[int]] = {}
+        for routes in self.routes_by_host.values():
+            for route in routes:
+                for weighted in route.services:
+                    priorities = priorities_by_service.setdefault(
+                        weighted.service, set()
+                    )
+                    priorities.add(route.priority)
+        return priorities_by_service
+
     def find_route(self, host: str, path: str) -> ServiceRoute | None:
         """Return the route with the longest prefix of `path`."""
         for route in self.routes_by_host.get(host, ()):
