Stop the clock of the room rate when the last waiter leaves

Where a service has one priority, the gauge of room per second went on counting time in which none waited; no decision reads it there.

--- a/poplarspar/coordination/forwarding/queues.py
+++ b/poplarspar/coordination/forwarding/queues.py
@@ -168,12 +168,16 @@
 
     def leave(self, waiter: WaitingRequest) -> None:
         """Remove a request and offer the room that it leaves to the next."""
+        if not waiter.joined:
+            return
         self._waiting.leave(waiter)
+        self._room_rate.update(time.monotonic(), is_waiting=bool(self._waiting))
         match waiter.claim:
-            case ByUrgency() if waiter.joined:
-                is_waiting = bool(self._waiting)
-                self._room_rate.update(time.monotonic(), is_waiting)
+            case ByUrgency():
                 self.offer_room()
+            case Unordered():
+                # The others have been woken with it.
+                pass
 
     def offer_room(self) -> None:
         """Wake the first of the waiting requests that can use room now.
