--- a/poplarspar/coordination/forwarding/ageing.py
+++ b/poplarspar/coordination/forwarding/ageing.py
@@ -27,9 +27,9 @@
     value: float = 0.0
     counted_at: float = 0.0
 
-    def add(self, now: float) -> None:
-        """Count one more."""
-        self.value = self.read(now) + 1.0
+    def add(self, now: float, amount: float = 1.0) -> None:
+        """Add to the count, which never falls below 0."""
+        self.value = max(0.0, self.read(now) + amount)
         self.counted_at = now
 
     def read(self, now: float) -> float:
@@ -58,6 +58,13 @@
         for kind in kinds:
             self._started_by_kind.setdefault(kind, RecentCount()).add(now)
 
+    def record_declined(self, kinds: Iterable[Kind], now: float) -> None:
+        """Count a request as not started, since its target has not run it."""
+        self._started.add(now, -1.0)
+        for kind in kinds:
+            if kind in self._started_by_kind:
+                self._started_by_kind[kind].add(now, -1.0)
+
     def started(self, kind: Kind, now: float) -> float:
         """Return how many requests of a kind were started lately."""
         count = self._started_by_kind.get(kind)
--- a/poplarspar/coordination/forwarding/attempts.py
+++ b/poplarspar/coordination/forwarding/attempts.py
@@ -104,6 +104,8 @@
         try:
             result = self._classify(target, attempt)
             answer_began = isinstance(result, Began)
+            if isinstance(result, (NotReached, Rejected)):
+                self._targets.waiting.queue_of(routed).record_declined(routed)
             if answer_began:
                 record_first_event(time.monotonic())
             else:
--- a/poplarspar/coordination/forwarding/queues.py
+++ b/poplarspar/coordination/forwarding/queues.py
@@ -142,6 +142,10 @@
                 self._room_rate.record_granted()
         return target
 
+    def record_declined(self, routed: RoutedRequest) -> None:
+        """Count a request as not started, since its target has not run it."""
+        self.shares.record_declined(kinds_of(routed), time.monotonic())
+
     def _find(self, waiter: WaitingRequest) -> Target | None:
         return self._choose(waiter.routed, waiter.tried, waiter.room)
 
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -185,6 +185,20 @@
         self.assertEqual(2, rank)
         self.assertGreater(kept, 0.0)
 
+    # Guards against a kind that counts as served though its targets declined it.
+    def test_request_that_its_target_declined_counts_as_not_started(self):
+        kinds = kinds_of(self.routed(2))
+        shares = self.queue.shares
+        for _ in range(8):
+            shares.record_asked(kinds_of(self.routed(0)), self.now)
+            shares.record_started(kinds_of(self.routed(0)), self.now)
+            shares.record_asked(kinds, self.now)
+            shares.record_started(kinds, self.now)
+        self.assertFalse(shares.is_starved(kinds, self.now))
+        for _ in range(8):
+            self.queue.record_declined(self.routed(2))
+        self.assertTrue(shares.is_starved(kinds, self.now))
+
     def test_starved_workspace_and_size_go_first_too(self):
         self.ask(20, 1, "a", started=True, tokens=100)
         self.ask(5, 1, "b", tokens=3000)
