Let the soak's nodes report usage, and check the reports

One window must have one report, one token one holder, and without unplanned faults each report agrees with what backend servers began, in time.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,13 @@
 
 from soak.callers import Callers
 from soak.checks import Observations, find_breaches, summary
+from soak.duties import (
+    SETTINGS,
+    DutyPlatform,
+    report_problems,
+    usage_problems,
+    windows_between,
+)
 from soak.environment import Environment
 from soak.faults import (
     Fault,
@@ -62,7 +69,8 @@
     versions : bool
         Whether the planner and connections fail while versions follow each other.
     pressure : bool
-        Whether callers of different priorities compete for too little room.
+        Whether callers of different priorities compete for too little room, and nodes
+        report usage.
     faults_per_s : float
         Number of other faults a second.
     """
@@ -163,10 +171,17 @@
     with ExitStack() as stack:
         environment = Environment(PRIORITY_BY_ROUTE if options.pressure else {})
         stack.callback(environment.close)
+        platform = DutyPlatform(seed)
+        stack.callback(platform.close)
+        settings = SETTINGS.format(address=platform.address) if options.pressure else ""
         nodes = []
         for index in range(options.nodes):
             node = Node(
-                index, f"{host}.{index + 1}", folder, environment.open_store_path()
+                index,
+                f"{host}.{index + 1}",
+                folder,
+                environment.open_store_path(),
+                settings,
             )
             stack.callback(node.close)
             nodes.append(node)
@@ -176,6 +191,7 @@
         wait_for(
             lambda: len(environment.pool.serving()) >= 4, "groups", READY_TIMEOUT_S
         )
+        began_at = time.time()
         faults = draw_faults(
             seed, options.seconds, int(options.seconds * options.faults_per_s)
         )
@@ -190,6 +206,13 @@
         lines = find_breaches(observations)
         if options.pressure:
             lines += pressure_problems(observations.undisturbed_requests())
+            lines += report_problems(platform.accepted)
+            if not observations.disturbances and not observations.stops:
+                offset_s = time.time() - time.monotonic()
+                windows = windows_between(began_at, time.time())
+                lines += usage_problems(
+                    platform.accepted, environment.runs, windows, offset_s
+                )
         print(f"seed {seed}: {summary(observations)}")
     return lines
 
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -36,7 +36,14 @@
         Unexpected exits of the process and stops that took too long.
     """
 
-    def __init__(self, index: int, host: str, folder: Path, store_address: str) -> None:
+    def __init__(
+        self,
+        index: int,
+        host: str,
+        folder: Path,
+        store_address: str,
+        more_settings: str = "",
+    ) -> None:
         self.name = f"front-{index}"
         self.store_address = store_address
         self.disturbed_at = time.monotonic()
@@ -52,7 +59,8 @@
         self.ready_address = f"{host}:{ports[1]}"
         self._log = folder / f"{self.name}.log"
         self._settings = folder / f"{self.name}.toml"
-        self._settings.write_text(settings_text(store_address, ports, self.name, host))
+        text = settings_text(store_address, ports, self.name, host)
+        self._settings.write_text(text + more_settings)
         self._process: subprocess.Popen | None = None
         self.start()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 
 from soak.callers import EVENTS_PER_STREAM, SentRequest
 from soak.checks import Observations, find_breaches
+from soak.duties import ReportCall, report_problems, usage_problems
 from soak.environment import Change, Harm, NamedLimit
 from soak.faults import Disturbance, PlannedStop, draw_faults, draw_version_faults
 from soak.nodes import Node
@@ -85,6 +86,36 @@
         self.assertIn("b was served 0.05", found[0])
 
 
+class DutyCheckTest(unittest.TestCase):
+    def call(self, window, counts, holder="front-0", token=7, at=0.0):
+        return ReportCall(at, holder, token, window, counts)
+
+    def test_one_window_has_one_report_and_one_token_one_holder(self):
+        calls = [self.call(1, {"a": 5}), self.call(1, {"a": 5})]
+        self.assertEqual([], list(report_problems(calls)))
+        changed = [*calls, self.call(1, {"a": 6}, token=8)]
+        self.assertIn("window 1", next(report_problems(changed)))
+        other = [*calls, self.call(2, {"a": 5}, holder="front-1")]
+        self.assertIn("token 7", next(report_problems(other)))
+
+    def test_reports_agree_with_what_began(self):
+        runs = [
+            Run("w", f"r{n}", "GET", "/", b"", "a", False, 2.0 + n / 100)
+            for n in range(100)
+        ]
+        runs.append(runs[0])
+
+        def problems(counts, at=4.0):
+            calls = [self.call(1, counts, at=at)]
+            return list(usage_problems(calls, runs, [1], 0.0))
+
+        self.assertEqual([], problems({"a": 96}))
+        self.assertEqual(1, len(problems({"a": 90})))
+        self.assertEqual(1, len(problems({})))
+        self.assertIn("late", problems({"a": 100}, at=15.0)[0])
+        self.assertEqual(1, len(list(usage_problems([], runs, [1], 0.0))))
+
+
 class StopDuringKillTest(unittest.TestCase):
     # Guards against reporting a kill by the soak, seed 15, as the process's own exit.
     def test_stop_of_a_node_that_is_killed_meanwhile_is_no_problem(self):
