--- a/soak/duties.py
+++ b/soak/duties.py
@@ -25,7 +25,7 @@
 duty_per_s = 20
 """
 # Shares of calls that are refused, whose answer is lost, and that come late.
-REFUSED, LOST, LATE = 0.1, 0.1, 0.1
+REFUSED, LOST, LATE = 0.1, 0.2, 0.1
 LATE_S = 2.0
 # Requests at the edges of a window, and those that callers leave, may be counted
 # in the next one or not at all.
