--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,12 +1,9 @@
-"""All clients come to the one machine that is left, each with a kept connection."""
+"""Requests whose paths begin with two slashes reach backend servers with one."""
 
-import json
-import subprocess
 import sys
 from pathlib import Path
 
-import eventlet
-from eventlet.green import subprocess as green_subprocess
+from eventlet.green import socket
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "shared-2"))
@@ -15,29 +12,7 @@
 
 from standins.platform import PlainWorker, Store  # noqa: E402
 
-# Of the 4,100 descriptors of a machine, 200 are reserved for files.
-SOCKETS = 4_100 - 200
-FILES = 30
-# The sheet's requests a second, which so many machines get.
-REQUESTS_PER_S = 280.0
-MACHINES = 84
-SECONDS = 20.0
-# Each has fewer connections than processes usually may have.
-CLIENT_PROCESSES = 8
-RECOVER_S = 15.0
-STABLE_WINDOW_S = 4.0
-CLIENTS_AFTERWARDS = 30
-ROUTE = {
-    "name": "look",
-    "host": "a.example",
-    "path_prefix": "/look/",
-    "kind": "idempotent",
-    "timeout_ms": 1000,
-    "target_latency_ms": 147,
-    "priority": 1,
-    "service": "ledger",
-    "max_attempts": 2,
-}
+REQUESTS = 10
 LIMITS = {
     "max_header_bytes": 16384,
     "max_body_bytes": 4_194_304,
@@ -46,59 +21,70 @@
 }
 
 
-def play(node, rate: float, seconds: float, processes: int, name: str) -> dict:
-    """Let clients send requests, and return the sums of their counts."""
-    host, port = node.address
-    started = [
-        green_subprocess.Popen(
-            [
-                sys.executable,
-                str(FOLDER / "clients.py"),
-                host,
-                str(port),
-                str(rate / processes),
-                str(seconds),
-                f"{name}{number}",
-            ],
-            stdout=subprocess.PIPE,
-        )
-        for number in range(processes)
-    ]
-    total: dict[str, int] = {}
-    for process in started:
-        output, _ = process.communicate()
-        for key, count in json.loads(output).items():
-            total[key] = total.get(key, 0) + count
-    return total
+def route(name: str, path_prefix: str, service: str) -> dict:
+    """Return a route for requests that run once at most."""
+    return {
+        "name": name,
+        "host": "a.example",
+        "path_prefix": path_prefix,
+        "kind": "non_idempotent",
+        "timeout_ms": 1000,
+        "target_latency_ms": 125,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+    }
+
+
+ROUTES = [route("other", "/", "other"), route("file", "/file/", "ledger")]
+
+
+def service(name: str) -> dict:
+    """Return a plain service."""
+    return {
+        "name": name,
+        "health_check": "/healthz",
+        "max_connections": 110,
+        "cold_start_s": 0.0,
+        "cold_per_s": 0.0,
+    }
 
 
 def run(record, stack) -> bool:
-    """Return whether the machine serves nobody after the disruption has ended."""
+    """Return whether a backend server ran a request with another path."""
     store = Store()
-    workers = [(PlainWorker(f"w{number}"), {"slots": 6}) for number in range(4)]
-    harness.publish(store, workers, routes=[ROUTE], limits=LIMITS)
-    node = harness.Node(record, stack, store.address, max_sockets=SOCKETS + FILES)
-    node.wait_ready()
-    share = REQUESTS_PER_S / MACHINES
-    before = play(node, share, 5.0, 1, "before")
-    record.say(f"before: {before}")
-    if harness.has_trouble():
-        rate, processes = REQUESTS_PER_S, CLIENT_PROCESSES
-    else:
-        rate, processes = share, 1
-    during = play(node, rate, SECONDS, processes, "during")
-    record.say(f"during: {during}; descriptors {node.peak_descriptors} at most")
-    eventlet.sleep(RECOVER_S + 1.0)
-    rate = CLIENTS_AFTERWARDS / (STABLE_WINDOW_S + 1.0)
-    after = play(node, rate, STABLE_WINDOW_S + 1.0, 1, "after")
-    record.say(
-        f"{RECOVER_S + 1.0:.0f} s after it: {after}; the process runs={node.runs}, "
-        f"says that it is ready={node.in_rotation}, descriptors {node.descriptors()}"
+    ledger, other = PlainWorker("w0"), PlainWorker("w1")
+    harness.publish(
+        store,
+        [(ledger, {"slots": 6})],
+        routes=ROUTES,
+        services=[service("ledger"), service("other")],
+        limits=LIMITS,
     )
-    for line in node.log_lines("OSError")[:1]:
-        record.say(f"log of the node: {line.strip()}")
-    served_before = before["served"] >= before["opened"] / 4
-    return served_before and after["served"] < CLIENTS_AFTERWARDS / 4
+    store.put("servers/w1", other.entry("other", slots=6))
+    node = harness.Node(record, stack, store.address)
+    node.wait_ready()
+    target_by_id = {}
+    for number in range(REQUESTS):
+        slashes = "//" if harness.has_trouble() else "/"
+        id, target = f"c{number}", f"{slashes}file/{number}?case={number}"
+        target_by_id[id] = target
+        head = harness.request_head("POST", target, id, 0, {"Deadline-Ms": "1000"})
+        with socket.create_connection(node.address) as sock:
+            sock.sendall(head)
+            answer = harness.read_answer(sock)
+        record.write(f"client {id}: POST {target}: status {answer.status}")
+    changed = 0
+    for name, worker in (("ledger", ledger), ("other", other)):
+        for ran in worker.runs:
+            is_changed = ran.target != target_by_id[ran.attempt_id]
+            changed += is_changed
+            record.write(
+                f"worker of {name}: ran {ran.attempt_id}: {ran.method} {ran.target}, "
+                f"changed={is_changed}"
+            )
+    record.say(f"{REQUESTS} requests: {changed} ran with another path than was sent")
+    return changed > 0
 
 
 if __name__ == "__main__":
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,6 @@
-"""Callers' bodies within the configured limit while backend servers read slowly."""
+"""Evidence against a common prompt part counts again after all nodes restart."""
 
+import signal
 import sys
 import time
 from pathlib import Path
@@ -11,111 +12,165 @@
 sys.path.insert(0, str(FOLDER.parent / "shared-2"))
 
 import harness  # noqa: E402
-from slow_reader import SlowReader  # noqa: E402
-
-from standins.platform import PlainWorker, Store  # noqa: E402
-
-MEMORY_MB = 300
-MAX_BODY_BYTES = 4_194_304
-BODY_BYTES = 3_900_000
-# A ninth of the sheet's 83.7 requests a second, which one of nine machines gets.
-REQUESTS_PER_S = 9.3
-SENDING_S = 14.0
-TIMEOUT_S = 8.0
-WORKERS = 9
-SLOTS = 13
-READ_BYTES_PER_S = 250_000
+from stream_worker import StreamWorker  # noqa: E402
+
+from standins.platform import Store  # noqa: E402
+
+NODES = 3
+WORKERS = 3
+SLOTS = 26
+# Short answers, as of some requests on the sheet.
+EVENTS = 10
+EVENT_PERIOD_S = 0.06
+BEGIN_S = 0.15
+REQUESTS_PER_S = 75.0
+DEADLINE_S = 8.0
+FIRST_START_MS = 1_700_000_000_000
+# The part that all prompts begin with.
+COMMON_PART = "5c1e07a2"
+CRASHES_AT_S = (4.0, 14.0, 24.0)
+CRASH_S = 4.5
+KILLED_AFTER_S = 0.5
+DOWN_S = 1.0
+RECOVER_S = 12.0
+JUDGED_S = 10.0
 ROUTE = {
-    "name": "look",
+    "name": "tell",
     "host": "a.example",
-    "path_prefix": "/look/",
-    "kind": "idempotent",
+    "path_prefix": "/tell/",
+    "kind": "stream",
     "timeout_ms": 8000,
     "target_latency_ms": 300,
+    "gap_aim_ms": 300,
     "priority": 1,
     "service": "ledger",
-    "max_attempts": 1,
-}
-LIMITS = {
-    "max_header_bytes": 16384,
-    "max_body_bytes": MAX_BODY_BYTES,
-    "header_timeout_ms": 3000,
-    "idle_timeout_ms": 15_000,
+    "max_attempts": 2,
+    "resumable": True,
 }
 
 
 class Client:
-    """Sends a small request, then a large one on the same connection."""
+    """Sends one request; no two are alike but for the part that they begin with."""
 
-    def __init__(self, record, node, number: int, size: int) -> None:
+    def __init__(self, record, nodes: list, number: int) -> None:
         self._record = record
-        self._node = node
         self.id = f"c{number}"
-        self._size = size
+        self.sent_at = time.monotonic()
         self.answer = harness.Answer()
-        self.sent = False
+        up = [node for node in nodes if node.in_rotation] or nodes
+        self._address = up[number % len(up)].address
         self.task = eventlet.spawn(self._run)
 
     def _run(self) -> None:
-        deadline = {"Deadline-Ms": "8000"}
-        first = harness.request_head("POST", "/look/0", f"{self.id}.0", 0, deadline)
-        head = harness.request_head("POST", "/look/1", self.id, self._size, deadline)
-        sock = None
-        with eventlet.Timeout(TIMEOUT_S + 2.0, False):
+        head = harness.request_head(
+            "POST",
+            "/tell/1",
+            self.id,
+            len(self.id),
+            {
+                "Deadline-Ms": str(int(DEADLINE_S * 1000)),
+                "Token-Count": "740,175",
+                "Prompt-Prefix": f"{COMMON_PART}:40,{self.id}f:700",
+            },
+        )
+        with eventlet.Timeout(DEADLINE_S + 1.0, False):
             try:
-                sock = socket.create_connection(self._node.address)
-                sock.sendall(first)
-                harness.read_answer(sock)
-                sock.sendall(head + bytes(self._size))
-                self.sent = True
+                sock = socket.create_connection(self._address, 1.0)
+                sock.settimeout(None)
+                sock.sendall(head + self.id.encode())
                 self.answer = harness.read_answer(sock)
+                sock.close()
             except OSError as error:
-                self.answer.cause = f"{type(error).__name__}: {error}"
-        if sock is not None:
-            sock.close()
+                self.answer.cause = str(error)
         self._record.write(
-            f"client {self.id}: sent {self._size} bytes whole={self.sent} "
-            f"status={self.answer.status} {self.answer.cause}"
+            f"client {self.id}: status {self.answer.status} "
+            f"complete={self.answer.complete} {self.answer.cause}"
         )
 
+    @property
+    def served(self) -> bool:
+        """Whether the whole answer arrived."""
+        return self.answer.status == 200 and self.answer.complete
+
+
+def share_served(clients: list[Client], begin: float, end: float) -> tuple[int, int]:
+    """Return how many requests sent in a time were served, and how many were sent."""
+    sent = [client for client in clients if begin <= client.sent_at < end]
+    return sum(client.served for client in sent), len(sent)
+
 
 def run(record, stack) -> bool:
-    """Return whether the node was lost with the requests that it had read."""
+    """Return whether under a quarter is served after the recovery."""
     trouble = harness.has_trouble()
     store = Store()
-    workers = []
-    passed_on: set[str] = set()
-    for number in range(WORKERS):
-        worker = PlainWorker(f"w{number}")
-        rate = READ_BYTES_PER_S if trouble else 0
-        reader = SlowReader(worker.address, rate, passed_on)
-        workers.append((worker, {"slots": SLOTS, "address": reader.address}))
-    harness.publish(store, workers, routes=[ROUTE], limits=LIMITS)
-    node = harness.Node(record, stack, store.address, memory_mb=MEMORY_MB)
-    node.wait_ready()
-    clients = []
+    workers = [
+        StreamWorker(f"w{number}", EVENTS, EVENT_PERIOD_S, BEGIN_S)
+        for number in range(WORKERS)
+    ]
+    entries = [(worker, {"slots": SLOTS}) for worker in workers]
+    harness.publish(store, entries, routes=[ROUTE])
+
+    def start_nodes() -> list:
+        return [
+            harness.Node(record, stack, store.address, f"front-{number}")
+            for number in range(NODES)
+        ]
+
+    nodes = start_nodes()
+    for node in nodes:
+        node.wait_ready()
     begin = time.monotonic()
-    while time.monotonic() < begin + SENDING_S and node.runs:
-        clients.append(Client(record, node, len(clients), BODY_BYTES))
-        eventlet.sleep(1.0 / REQUESTS_PER_S)
+    clients: list[Client] = []
+    generations = [nodes]
+
+    def send() -> None:
+        while True:
+            clients.append(Client(record, generations[-1], len(clients)))
+            eventlet.sleep(1.0 / REQUESTS_PER_S)
+
+    sender = eventlet.spawn(send)
+    for number, at_s in enumerate(CRASHES_AT_S, 1):
+        eventlet.sleep(max(0.0, begin + at_s - time.monotonic()))
+        if not trouble:
+            continue
+        record.write("all backend servers crash")
+        for worker in workers:
+            worker.crash()
+        crashed_at = time.monotonic()
+        if at_s == CRASHES_AT_S[-1]:
+            eventlet.sleep(KILLED_AFTER_S)
+            record.write("all nodes are killed")
+            for key in store.items:
+                if key.startswith("poplarspar-quarantine/"):
+                    record.write(f"store: {key} = {store.text(key)}")
+            for node in generations[-1]:
+                node.signal(signal.SIGKILL)
+            eventlet.sleep(DOWN_S)
+            generations.append(start_nodes())
+            record.write("all nodes are started")
+        eventlet.sleep(crashed_at + CRASH_S - time.monotonic())
+        for worker in workers:
+            worker.come_back()
+            fields = {"slots": SLOTS, "born": FIRST_START_MS + number}
+            store.put(f"servers/{worker.id}", worker.entry("ledger", **fields))
+        record.write("all backend servers run again")
+    back_at = time.monotonic()
+    eventlet.sleep(RECOVER_S + JUDGED_S)
+    sender.kill()
+    judged_end = time.monotonic()
     for client in clients:
         client.task.wait()
-    for worker, _ in workers:
-        for ran in worker.runs:
-            record.write(f"worker {ran.worker}: ran {ran.attempt_id}")
-    cut = [
-        client
-        for client in clients
-        if client.sent and client.id in passed_on and not client.answer.status
-    ]
-    answered = sum(1 for c in clients if c.answer.status)
+    steady = share_served(clients, begin + 10.0, begin + 13.0)
+    after = share_served(clients, back_at + RECOVER_S, judged_end)
     record.say(
-        f"{len(clients)} requests of {BODY_BYTES} bytes at {REQUESTS_PER_S} a second: "
-        f"{answered} answered, {len(cut)} read from a kept connection, passed on and "
-        f"cut without an answer; the node took {node.peak_mb:.0f} MB at its peak, of "
-        f"{MEMORY_MB}"
+        f"served between the first two crashes {steady[0]} of {steady[1]}; "
+        f"of those sent later than {RECOVER_S:.0f} s after all was back {after[0]} of "
+        f"{after[1]}"
     )
-    return node.killed_for_memory and len(cut) > 3
+    for node in generations[-1]:
+        for line in node.log_lines('"event": 260')[:1]:
+            record.say(f"log of a node: {line.strip()[:300]}")
+    return steady[0] > steady[1] / 4 and after[0] < after[1] / 4
 
 
 if __name__ == "__main__":
