--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,104 +1,176 @@
-"""All clients come to the one machine that is left, each with a kept connection."""
+"""Evidence against a common prompt part counts again after all nodes restart."""
 
-import json
-import subprocess
+import signal
 import sys
+import time
 from pathlib import Path
 
 import eventlet
-from eventlet.green import subprocess as green_subprocess
+from eventlet.green import socket
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "shared-2"))
 
 import harness  # noqa: E402
+from stream_worker import StreamWorker  # noqa: E402
 
-from standins.platform import PlainWorker, Store  # noqa: E402
-
-# Of the 4,100 descriptors of a machine, 200 are reserved for files.
-SOCKETS = 4_100 - 200
-FILES = 30
-# The sheet's requests a second, which so many machines get.
-REQUESTS_PER_S = 280.0
-MACHINES = 84
-SECONDS = 20.0
-# Each has fewer connections than processes usually may have.
-CLIENT_PROCESSES = 8
-RECOVER_S = 15.0
-STABLE_WINDOW_S = 4.0
-CLIENTS_AFTERWARDS = 30
+from standins.platform import Store  # noqa: E402
+
+NODES = 2
+WORKERS = 2
+SLOTS = 26
+# Short answers, as of some requests on the sheet.
+EVENTS = 2
+EVENT_PERIOD_S = 0.02
+BEGIN_S = 0.28
+REQUESTS_PER_S = 80.0
+DEADLINE_S = 8.0
+FIRST_START_MS = 1_700_000_000_000
+# The part that all prompts begin with.
+COMMON_PART = "5c1e07a2"
+CRASHES_AT_S = (4.0, 14.0, 24.0)
+CRASH_S = 4.5
+KILLED_AFTER_S = 0.5
+DOWN_S = 1.0
+RECOVER_S = 12.0
+JUDGED_S = 10.0
 ROUTE = {
-    "name": "look",
+    "name": "tell",
     "host": "a.example",
-    "path_prefix": "/look/",
-    "kind": "idempotent",
-    "timeout_ms": 1000,
-    "target_latency_ms": 147,
+    "path_prefix": "/tell/",
+    "kind": "stream",
+    "timeout_ms": 8000,
+    "target_latency_ms": 300,
+    "gap_aim_ms": 300,
     "priority": 1,
     "service": "ledger",
     "max_attempts": 2,
+    "resumable": True,
 }
-LIMITS = {
-    "max_header_bytes": 16384,
-    "max_body_bytes": 4_194_304,
-    "header_timeout_ms": 3000,
-    "idle_timeout_ms": 15_000,
-}
 
 
-def play(node, rate: float, seconds: float, processes: int, name: str) -> dict:
-    """Let clients send requests, and return the sums of their counts."""
-    host, port = node.address
-    started = [
-        green_subprocess.Popen(
-            [
-                sys.executable,
-                str(FOLDER / "clients.py"),
-                host,
-                str(port),
-                str(rate / processes),
-                str(seconds),
-                f"{name}{number}",
-            ],
-            stdout=subprocess.PIPE,
+class Client:
+    """Sends one request; no two are alike but for the part that they begin with."""
+
+    def __init__(self, record, nodes: list, number: int) -> None:
+        self._record = record
+        self.id = f"c{number}"
+        self.sent_at = time.monotonic()
+        self.answer = harness.Answer()
+        up = [node for node in nodes if node.in_rotation] or nodes
+        self._address = up[number % len(up)].address
+        self.task = eventlet.spawn(self._run)
+
+    def _run(self) -> None:
+        head = harness.request_head(
+            "POST",
+            "/tell/1",
+            self.id,
+            len(self.id),
+            {
+                "Deadline-Ms": str(int(DEADLINE_S * 1000)),
+                "Token-Count": "740,175",
+                "Prompt-Prefix": f"{COMMON_PART}:40,{self.id}f:700",
+            },
         )
-        for number in range(processes)
-    ]
-    total: dict[str, int] = {}
-    for process in started:
-        output, _ = process.communicate()
-        for key, count in json.loads(output).items():
-            total[key] = total.get(key, 0) + count
-    return total
+        with eventlet.Timeout(DEADLINE_S + 1.0, False):
+            try:
+                sock = socket.create_connection(self._address, 1.0)
+                sock.settimeout(None)
+                sock.sendall(head + self.id.encode())
+                self.answer = harness.read_answer(sock)
+                sock.close()
+            except OSError as error:
+                self.answer.cause = str(error)
+        self._record.write(
+            f"client {self.id}: status {self.answer.status} "
+            f"complete={self.answer.complete} {self.answer.cause}"
+        )
+
+    @property
+    def served(self) -> bool:
+        """Whether the whole answer arrived."""
+        return self.answer.status == 200 and self.answer.complete
+
+
+def share_served(clients: list[Client], begin: float, end: float) -> tuple[int, int]:
+    """Return how many requests sent in a time were served, and how many were sent."""
+    sent = [client for client in clients if begin <= client.sent_at < end]
+    return sum(client.served for client in sent), len(sent)
 
 
 def run(record, stack) -> bool:
-    """Return whether the machine serves nobody after the disruption has ended."""
+    """Return whether under a quarter is served after the recovery."""
+    trouble = harness.has_trouble()
     store = Store()
-    workers = [(PlainWorker(f"w{number}"), {"slots": 6}) for number in range(4)]
-    harness.publish(store, workers, routes=[ROUTE], limits=LIMITS)
-    node = harness.Node(record, stack, store.address, max_sockets=SOCKETS + FILES)
-    node.wait_ready()
-    share = REQUESTS_PER_S / MACHINES
-    before = play(node, share, 5.0, 1, "before")
-    record.say(f"before: {before}")
-    if harness.has_trouble():
-        rate, processes = REQUESTS_PER_S, CLIENT_PROCESSES
-    else:
-        rate, processes = share, 1
-    during = play(node, rate, SECONDS, processes, "during")
-    record.say(f"during: {during}; descriptors {node.peak_descriptors} at most")
-    eventlet.sleep(RECOVER_S + 1.0)
-    rate = CLIENTS_AFTERWARDS / (STABLE_WINDOW_S + 1.0)
-    after = play(node, rate, STABLE_WINDOW_S + 1.0, 1, "after")
+    workers = [
+        StreamWorker(f"w{number}", EVENTS, EVENT_PERIOD_S, BEGIN_S)
+        for number in range(WORKERS)
+    ]
+    entries = [(worker, {"slots": SLOTS}) for worker in workers]
+    harness.publish(store, entries, routes=[ROUTE])
+
+    def start_nodes() -> list:
+        return [
+            harness.Node(record, stack, store.address, f"front-{number}")
+            for number in range(NODES)
+        ]
+
+    nodes = start_nodes()
+    for node in nodes:
+        node.wait_ready()
+    begin = time.monotonic()
+    clients: list[Client] = []
+    generations = [nodes]
+
+    def send() -> None:
+        while True:
+            clients.append(Client(record, generations[-1], len(clients)))
+            eventlet.sleep(1.0 / REQUESTS_PER_S)
+
+    sender = eventlet.spawn(send)
+    for number, at_s in enumerate(CRASHES_AT_S, 1):
+        eventlet.sleep(max(0.0, begin + at_s - time.monotonic()))
+        if not trouble:
+            continue
+        record.write("all backend servers crash")
+        for worker in workers:
+            worker.crash()
+        crashed_at = time.monotonic()
+        if at_s == CRASHES_AT_S[-1]:
+            eventlet.sleep(KILLED_AFTER_S)
+            record.write("all nodes are killed")
+            for key in store.items:
+                if key.startswith("poplarspar-quarantine/"):
+                    record.write(f"store: {key} = {store.text(key)}")
+            for node in generations[-1]:
+                node.signal(signal.SIGKILL)
+            eventlet.sleep(DOWN_S)
+            generations.append(start_nodes())
+            record.write("all nodes are started")
+        eventlet.sleep(crashed_at + CRASH_S - time.monotonic())
+        for worker in workers:
+            worker.come_back()
+            fields = {"slots": SLOTS, "born": FIRST_START_MS + number}
+            store.put(f"servers/{worker.id}", worker.entry("ledger", **fields))
+        record.write("all backend servers run again")
+    back_at = time.monotonic()
+    eventlet.sleep(RECOVER_S + JUDGED_S)
+    sender.kill()
+    judged_end = time.monotonic()
+    for client in clients:
+        client.task.wait()
+    steady = share_served(clients, begin + 10.0, begin + 13.0)
+    after = share_served(clients, back_at + RECOVER_S, judged_end)
     record.say(
-        f"{RECOVER_S + 1.0:.0f} s after it: {after}; the process runs={node.runs}, "
-        f"says that it is ready={node.in_rotation}, descriptors {node.descriptors()}"
+        f"served between the first two crashes {steady[0]} of {steady[1]}; "
+        f"of those sent later than {RECOVER_S:.0f} s after all was back {after[0]} of "
+        f"{after[1]}"
     )
-    for line in node.log_lines("OSError")[:1]:
-        record.say(f"log of the node: {line.strip()}")
-    served_before = before["served"] >= before["opened"] / 4
-    return served_before and after["served"] < CLIENTS_AFTERWARDS / 4
+    for node in generations[-1]:
+        for line in node.log_lines('"event": 260')[:1]:
+            record.say(f"log of a node: {line.strip()[:300]}")
+    return steady[0] > steady[1] / 4 and after[0] < after[1] / 4
 
 
 if __name__ == "__main__":
