--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # which need what the build of the deploy file has put under target/deps.
 cd "$(dirname "$0")/.." || exit 2
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:.:review/shared-2 \
-    python3 -W ignore -c "import harness, silent_gate, slow_reader"
+    python3 -W ignore -c "import harness, silent_gate, slow_reader, standins.engines, stream_worker"
