Read the heads of answers by the grammar of HTTP/1.1

Callers got answers of backend servers whose head was malformed: with a length that is no number ("Content-Length: 4x", which then counted as absent), with a line that is no field, or with a blank or a control byte in a name. They came as complete answers, with that line passed on, without the headers after it, or with bytes for a body that the backend server had not sent as one. A refusal with such a head was passed on as "not run".

Cause: the parser of the standard library repairs what it can't decode. It ends the headers at a line that is no field and takes the rest of the head for something else, ignores a length or a transfer coding that it doesn't know, and accepts "0200" and "+200" as a status. An answer that does not follow the grammar has no certain end or headers.

Now one parser (protocol/http_answers) decodes status line, fields, length and transfer coding, and one class (transport/strict_answers) reads all answers with it: those to callers' requests, reports, orders, duties, the store with its watches, the list of VMs, readiness and the operator client, on both interfaces. All of them go through transport/http. Anything else is a malformed answer: the request was sent and may have run, the connection is closed, the backend server counts as failed, and event 312 names it and the reason. For the store it counts like a connection that was closed, not like silence.

Unusual answers that the grammar allows are served as before: blanks around values, bytes over 127, empty values and reasons, equal lengths, no length, bare line feeds. A connection that ends before the empty line after the trailers is a cut answer now.

--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -345,6 +345,12 @@
         "The peer, or a device on the way, wrote an answer twice on one connection.",
         "Nothing; the node has closed the connection. Check the peer if it recurs.",
     )
+    ANSWER_MALFORMED = (
+        312,
+        "answer does not follow HTTP/1.1",
+        "The peer sent bytes that are no answer, as `cause` says; none of it is used.",
+        "Check the peer, and any device on the way to it.",
+    )
     STORE_LOST = (
         300,
         "store does not answer",
--- a/poplarspar/exceptions.py
+++ b/poplarspar/exceptions.py
@@ -32,7 +32,7 @@
 
 
 class CallInterrupted(StoreUnavailable):
-    """The store closed a connection or limited the rate of calls.
+    """The store closed a connection, sent no readable answer, or limited the rate.
 
     Unlike silence, one such call does not show that the store is unavailable.
     """
@@ -82,6 +82,10 @@
     """An answer ended inside one of its events."""
 
 
+class MalformedAnswer(ProtocolError):
+    """Bytes that arrived as an answer do not follow the grammar of HTTP/1.1."""
+
+
 class InvalidSettings(ProtocolError):
     """A settings file failed validation."""
 
@@ -124,6 +128,10 @@
     """The peer closed or reset a connection before its answer was complete."""
 
 
+class UnreadableAnswer(ConnectionLost):
+    """The peer sent bytes that are no answer; the connection is closed."""
+
+
 class RequestRefused(TransportError):
     """A steward answered an operator's request with an error."""
 
--- a/poplarspar/platform/store.py
+++ b/poplarspar/platform/store.py
@@ -24,6 +24,7 @@
     RevisionConflict,
     StoreUnavailable,
     TransportError,
+    UnreadableAnswer,
 )
 from poplarspar.logs import log_event
 from poplarspar.platform.headers import (
@@ -334,7 +335,7 @@
                 read_timeout_s=ANSWER_TIMEOUT_S + wait_s,
                 headers=JSON_HEADERS if data else None,
             )
-        except PeerDisconnected as error:
+        except (PeerDisconnected, UnreadableAnswer) as error:
             raise CallInterrupted(f"store: {error}") from error
         except ConnectionLost as error:
             self._record_silence(client, str(error))
--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator, Mapping
 from contextlib import ExitStack
 from dataclasses import dataclass
-from http.client import HTTPException, IncompleteRead
+from http.client import HTTPException
 from typing import Any
 
 import eventlet
@@ -19,12 +19,16 @@
     ReadTimeoutError,
 )
 
+from poplarspar.events import Event
 from poplarspar.exceptions import (
     ConnectFailed,
     ConnectionLost,
+    MalformedAnswer,
     PeerDisconnected,
     TransportError,
+    UnreadableAnswer,
 )
+from poplarspar.logs import log_event
 from poplarspar.transport.addresses import split_address
 from poplarspar.transport.bodies import COLLECTOR, MAX_ANSWER_BYTES
 from poplarspar.transport.strict_sockets import (
@@ -37,6 +41,8 @@
 RECEIVE_BUFFER_BYTES = 16_384
 CHUNK_BYTES = 65_536
 MAX_IDLE_CONNECTIONS = 8
+# What the libraries and `StrictResponse` raise when an exchange breaks.
+EXCHANGE_ERRORS = (HTTPError, HTTPException, OSError, ValueError, MalformedAnswer)
 # Time for the rest of a large answer after its first part. A peer that sends a byte now
 # and then would otherwise never end it.
 MAX_ANSWER_S = 5.0
@@ -74,11 +80,13 @@
 
     def __init__(
         self,
+        address: str,
         connection: HTTPConnection,
         sock: StrictSocket,
         answer: urllib3.HTTPResponse,
         read_timeout_s: float,
     ) -> None:
+        self._address = address
         self._connection = connection
         self._sock = sock
         self._answer = answer
@@ -104,10 +112,10 @@
             )
             try:
                 data = self._answer.read1(CHUNK_BYTES)
-            except (HTTPError, HTTPException, OSError) as error:
+            except EXCHANGE_ERRORS as error:
                 self._check_aborted()
                 message = f"connection lost while reading the answer: {error}"
-                raise _connection_error(message, error) from error
+                raise _connection_error(self._address, message, error) from error
             self._check_aborted()
             if not data:
                 return
@@ -178,11 +186,12 @@
         # A port beyond the valid range raises `OverflowError`.
         raise ConnectFailed(f"no connection to {address}") from error
     try:
-        return _exchange(connection, method, path, body, headers, read_timeout_s)
-    except (HTTPError, HTTPException, OSError, ValueError) as error:
+        return _exchange(
+            address, connection, method, path, body, headers, read_timeout_s
+        )
+    except EXCHANGE_ERRORS as error:
         connection.close()
-        message = f"no answer from {address}: {type(error).__name__}"
-        raise _connection_error(message, error) from error
+        raise _no_answer(address, error) from error
     except BaseException:
         # The task was killed while it waited. Closing the connection cancels the
         # request at the peer.
@@ -190,22 +199,29 @@
         raise
 
 
-def _connection_error(message: str, error: Exception) -> ConnectionLost:
-    """Return the error of a broken exchange, which tells disconnections apart."""
-    if isinstance(error, (ReadTimeoutError, TimeoutError)) or _is_malformed(error):
-        return ConnectionLost(message)
-    return PeerDisconnected(message)
+def _no_answer(address: str, error: Exception) -> ConnectionLost:
+    """Return the error of an exchange without a complete answer."""
+    message = f"no answer from {address}: {type(error).__name__}"
+    return _connection_error(address, message, error)
 
 
-def _is_malformed(error: Exception) -> bool:
-    """Return whether a peer has sent bytes that are no answer."""
-    # A disconnection in the head is an `OSError` too. The library reports a malformed
-    # chunk like one that is cut off.
-    disconnected = isinstance(error, (OSError, IncompleteRead))
-    return isinstance(error, (HTTPException, ValueError)) and not disconnected
+def _connection_error(address: str, message: str, error: Exception) -> ConnectionLost:
+    """Return the error of a broken exchange, which tells disconnections apart."""
+    match error:
+        case MalformedAnswer():
+            log_event(Event.ANSWER_MALFORMED, peer=address, cause=str(error))
+            return UnreadableAnswer(f"malformed answer from {address}: {error}")
+        case ReadTimeoutError() | TimeoutError():
+            return ConnectionLost(message)
+        case OSError() | HTTPError():
+            return PeerDisconnected(message)
+        case _:
+            # The library could not send the request.
+            return ConnectionLost(message)
 
 
 def _exchange(
+    address: str,
     connection: HTTPConnection,
     method: str,
     path: str,
@@ -225,7 +241,8 @@
         decode_content=False,
     )
     connection.timeout = read_timeout_s
-    return HttpStream(connection, sock, connection.getresponse(), read_timeout_s)
+    answer = connection.getresponse()
+    return HttpStream(address, connection, sock, answer, read_timeout_s)
 
 
 def read_body(stream: HttpStream, limit_bytes: int = MAX_ANSWER_BYTES) -> bytes:
@@ -353,9 +370,8 @@
             answer.release_conn()
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise ConnectFailed(f"no connection to {pool.host}:{pool.port}") from error
-        except (HTTPError, HTTPException, OSError, ValueError) as error:
-            message = f"no answer from {pool.host}:{pool.port}: {type(error).__name__}"
-            raise _connection_error(message, error) from error
+        except EXCHANGE_ERRORS as error:
+            raise _no_answer(f"{pool.host}:{pool.port}", error) from error
         return HttpAnswer(answer.status, data, answer.headers)
 
     def close(self) -> None:
--- a/poplarspar/transport/strict_sockets.py
+++ b/poplarspar/transport/strict_sockets.py
@@ -1,18 +1,17 @@
-"""Connections that detect resets and truncated heads, and that bound a whole answer."""
+"""Connections with strictly read answers, which detect resets and have a deadline."""
 
 import socket
 import time
-from http.client import HTTPException, HTTPResponse, RemoteDisconnected
 
 from eventlet.greenio import GreenSocket
 from urllib3.connection import HTTPConnection
 
+from poplarspar.transport.strict_answers import StrictResponse
+
 # A time-out that is handled later than this shows that the process was paused. It then
 # gets this much longer to read what has arrived.
 MAX_DELAY_S = 0.1
 PAUSE_EXTENSION_S = 0.3
-# The library bounds each line and their number, which allows 6.5 MB for each answer.
-MAX_HEAD_BYTES = 131_072
 
 
 class StrictSocket(GreenSocket):
@@ -58,44 +57,6 @@
             self.deadline = max(self.deadline, time.monotonic() + PAUSE_EXTENSION_S)
 
 
-class _HeadLines:
-    """Reads the lines of an answer's head, all of which must be complete."""
-
-    def __init__(self, file) -> None:
-        self._file = file
-        self._size = 0
-
-    def readline(self, limit: int) -> bytes:
-        line = self._file.readline(limit)
-        self._size += len(line)
-        if self._size > MAX_HEAD_BYTES:
-            raise HTTPException(f"the answer's head exceeds {MAX_HEAD_BYTES} bytes")
-        if not line.endswith(b"\n") and len(line) < limit:
-            raise RemoteDisconnected("the connection ended in the answer's head")
-        return line
-
-    def close(self) -> None:
-        self._file.close()
-
-
-class StrictResponse(HTTPResponse):
-    """An answer whose head must end with an empty line.
-
-    The standard library takes the end of the connection for the end of the head, so an
-    answer that is cut there would have an empty body.
-    """
-
-    def begin(self) -> None:
-        """Read the status and the headers; raises `RemoteDisconnected`."""
-        file = self.fp
-        self.fp = _HeadLines(file)
-        try:
-            super().begin()
-        finally:
-            if self.fp is not None:
-                self.fp = file
-
-
 class StrictHeadConnection(HTTPConnection):
     """A connection whose answers are `StrictResponse` objects."""
 
--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -59,8 +59,8 @@
     ).encode()
 
 
-class RepeatedRefusalTest(NodeTestCase):
-    """A backend server runs a request, but writes an earlier refusal once more."""
+class RawServerTestCase(NodeTestCase):
+    """A real node whose backend servers all have the address of one `RawServer`."""
 
     def use_server(self, answers):
         server = RawServer(answers)
@@ -77,6 +77,10 @@
                 eventlet.sleep(0.05)
         return server
 
+
+class RepeatedRefusalTest(RawServerTestCase):
+    """A backend server runs a request, but writes an earlier refusal once more."""
+
     def test_refusal_of_another_request_promises_nothing(self):
         cases = {
             "full": refusal("earlier"),
