Read chunks and trailers of answers by the grammar too

Callers got bodies put together from chunks whose sizes are none ("0x4", "+4", " 4", "0_4", "4;a b"), or with trailers that are no fields, as complete answers and streams. What tells the length of a chunk tells that of the body, so such a body has no certain end either.

Cause: the size was decoded by int(), as in the standard library, which accepts signs, prefixes, underscores and blanks; what stands after ";" and the trailers were not looked at, nor were the two bytes after a chunk, so one that is longer than its size was found only by luck.

Now parse_chunk_size takes a size of digits with extensions as the grammar has them and a line end, the two bytes after a chunk must be a line end, and trailers are decoded as headers are. Everything else is a malformed answer, unlike one that is cut off, which may be a crash and counts as evidence against a prompt. Streams pass on the events before it and are resumed where their route allows.

Extensions with blanks and quoted strings, leading zeros and trailers are served as before.

--- a/poplarspar/protocol/http_answers.py
+++ b/poplarspar/protocol/http_answers.py
@@ -1,4 +1,4 @@
-"""Grammar of HTTP/1.1 answers (RFC 9112): heads and lengths.
+"""Grammar of HTTP/1.1 answers (RFC 9112): heads, lengths, chunks and trailers.
 
 An answer that does not follow it has no certain end or headers, so nothing is repaired.
 """
@@ -19,10 +19,17 @@
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
 _TEXT = rb"[\t \x21-\x7e\x80-\xff]*+"
+_QUOTED = rb'"(?:[\t \x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t \x21-\x7e\x80-\xff])*+"'
 # RFC 9112, section 4: a recipient may ignore that the space before an absent reason is
 # missing.
 _STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([1-9][0-9]{2})(?: (" + _TEXT + rb"))?")
 _FIELD_LINE = re.compile(rb"(" + _TOKEN + rb"):(" + _TEXT + rb")")
+_EXTENSION = rb"[\t ]*+;[\t ]*+%b(?:[\t ]*+=[\t ]*+(?:%b|%b))?+" % (
+    _TOKEN,
+    _TOKEN,
+    _QUOTED,
+)
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]++)(?:" + _EXTENSION + rb")*+\r\n")
 _LENGTH = re.compile(r"[0-9]+")
 
 
@@ -118,7 +125,7 @@
 
 
 def parse_fields(lines: list[bytes]) -> tuple[tuple[str, str], ...]:
-    """Decode the lines of headers; raises `MalformedAnswer`."""
+    """Decode the lines of headers or trailers; raises `MalformedAnswer`."""
     if len(lines) > MAX_FIELDS:
         raise MalformedAnswer(f"the answer has more than {MAX_FIELDS} headers")
     fields = []
@@ -131,6 +138,14 @@
     return tuple(fields)
 
 
+def parse_chunk_size(line: bytes) -> int:
+    """Decode the line before a chunk, with its end; raises `MalformedAnswer`."""
+    match = _CHUNK_LINE.fullmatch(line)
+    if match is None:
+        raise MalformedAnswer("the size of a chunk is malformed")
+    return int(match[1], 16)
+
+
 def _parse_length(lengths: list[str]) -> int:
     """Decode a length, which may be repeated if all copies are equal."""
     for text in lengths:
--- a/poplarspar/transport/strict_answers.py
+++ b/poplarspar/transport/strict_answers.py
@@ -11,6 +11,8 @@
     Framing,
     Sized,
     UntilClose,
+    parse_chunk_size,
+    parse_fields,
     parse_head,
 )
 
@@ -124,20 +126,22 @@
     def _begin_chunk(self) -> None:
         """Read what is between two chunks, or all that follows the last one."""
         if self._in_chunk:
-            self._file.read(len(LINE_END))
-        size, _, _ = _read_line(self._file).partition(b";")
-        try:
-            self._remaining_bytes = int(size, 16)
-        except ValueError as error:
-            raise MalformedAnswer("the size of a chunk is malformed") from error
-        if self._remaining_bytes < 0:
-            raise MalformedAnswer("the size of a chunk is malformed")
+            self._read_chunk_end()
+        self._remaining_bytes = parse_chunk_size(_read_line(self._file))
         self._in_chunk = True
         if not self._remaining_bytes:
-            # Trailers aren't passed on.
-            _read_lines(self._file, MAX_HEAD_BYTES)
+            # Trailers aren't passed on, but must be complete.
+            parse_fields(_read_lines(self._file, MAX_HEAD_BYTES))
             self._ended = True
 
+    def _read_chunk_end(self) -> None:
+        data = self._file.read(len(LINE_END))
+        if data == LINE_END:
+            return
+        if LINE_END.startswith(data):
+            raise RemoteDisconnected("the connection ended in a chunk")
+        raise MalformedAnswer("a chunk is longer than its size")
+
 
 def _read_head(file: io.BufferedReader) -> AnswerHead:
     """Return the head of the final answer."""
--- a/tests/test_answer_grammar.py
+++ b/tests/test_answer_grammar.py
@@ -12,8 +12,10 @@
 from poplarspar.events import Event
 from poplarspar.exceptions import (
     BackendFailed,
+    ConnectionLost,
     CoordinationError,
     MalformedAnswer,
+    PeerDisconnected,
     StoreUnavailable,
     TransportError,
     UnreadableAnswer,
@@ -26,6 +28,7 @@
     Chunked,
     Sized,
     UntilClose,
+    parse_chunk_size,
     parse_head,
 )
 from poplarspar.protocol.operators import ServingRequest
@@ -150,6 +153,31 @@
     b"http/1.1 200 OK",
     b"200 OK",
 ]
+# Each is a body with chunks that do not follow the grammar.
+MALFORMED_CHUNKS = [
+    b"x\r\npaid\r\n0\r\n\r\n",
+    b"\r\npaid\r\n0\r\n\r\n",
+    b"0x4\r\npaid\r\n0\r\n\r\n",
+    b"+4\r\npaid\r\n0\r\n\r\n",
+    b"-4\r\npaid\r\n0\r\n\r\n",
+    b"0_4\r\npaid\r\n0\r\n\r\n",
+    b" 4\r\npaid\r\n0\r\n\r\n",
+    b"4 \r\npaid\r\n0\r\n\r\n",
+    b"4\npaid\r\n0\r\n\r\n",
+    b"4;\r\npaid\r\n0\r\n\r\n",
+    b"4;a b\r\npaid\r\n0\r\n\r\n",
+    b"4;a=\x00\r\npaid\r\n0\r\n\r\n",
+    b'4;a="b\r\npaid\r\n0\r\n\r\n',
+    b"3\r\npaid\r\n0\r\n\r\n",
+    b"4\r\npaid0\r\n\r\n",
+    b"4\r\npaid\n0\r\n\r\n",
+    b"4\r\npaid\r\nx\r\n\r\n",
+    b"4\r\npaid\r\n-0\r\n\r\n",
+    b"4\r\npaid\r\n0\r\nno field\r\n\r\n",
+    b"4\r\npaid\r\n0\r\nX Own: a\r\n\r\n",
+    b"4\r\npaid\r\n0\r\nX-Own: a\x00\r\n\r\n",
+]
+
 # Each tells the length of `BODY`, or replaces the line that does.
 SOUND_LENGTHS = [
     b"Content-Length:4",
@@ -199,8 +227,13 @@
     return (OK + line + b"\r\n" + headers, OK + headers + line + b"\r\n")
 
 
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
 SOUND = OK + SIGNED + LENGTH + b"\r\n" + BODY
 SOUND_STREAM = OK + STREAM + b"\r\n" + EVENTS
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 class AnswerTestCase(RawServerTestCase):
@@ -300,6 +333,31 @@
                     self.assertEqual(1, len(self.server.heads))
 
 
+class MalformedChunkTest(AnswerTestCase):
+    def test_unary_answer_with_a_malformed_chunk(self):
+        head = OK + SIGNED + CHUNKED + b"\r\n"
+        for body in MALFORMED_CHUNKS:
+            with self.subTest(body=body):
+                answer = self.exchange("/pay/1", head + body, SOUND)
+                self.assertIn(answer.status, (502, 504))
+                self.assertEqual(1, len(self.server.heads))
+                answer = self.exchange("/look/1", head + body, SOUND)
+                self.assertEqual((200, BODY), (answer.status, answer.body))
+
+    # The events before the chunk are the backend server's own.
+    def test_stream_with_a_malformed_chunk(self):
+        first, second = EVENTS[: len(EVENTS) // 2], EVENTS[len(EVENTS) // 2 :]
+        rest = OK + STREAM + b"\r\n" + second
+        head = OK + STREAM + CHUNKED + b"\r\n" + chunk(first)
+        for body in MALFORMED_CHUNKS:
+            body = body.replace(b"paid", second).replace(b"4", b"f")
+            with self.subTest(body=body):
+                with self.assertRaises(ConnectionLost):
+                    self.exchange("/once/1", head + body)
+                answer = self.exchange("/draft/1", head + body, rest)
+                self.assertEqual((200, EVENTS), (answer.status, answer.body))
+
+
 class SoundAnswerTest(AnswerTestCase):
     """Unusual answers that the grammar allows."""
 
@@ -360,6 +418,7 @@
         b"HTTP/1.1 200 OK\r\nno field\r\nContent-Length: 2\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX Own: a\r\n",
     )
+    CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0x2\r\n{}\r\n0\r\n"
 
     def setUp(self):
         # The cases come faster than lines of one event are written.
@@ -368,7 +427,7 @@
         self.addCleanup(patcher.stop)
 
     def answers(self):
-        return [head + b"\r\n{}" for head in self.HEADS]
+        return [*(head + b"\r\n{}" for head in self.HEADS), self.CHUNKS + b"\r\n"]
 
     def serve(self, *answers):
         server = RawServer(answers)
@@ -494,12 +553,29 @@
                 self.assertEqual(2, server.connections)
 
 
-class HeadLimitsTest(unittest.TestCase):
+class EndingTest(unittest.TestCase):
+    """A malformed answer is told from one that is cut off."""
+
     def read(self, answer):
         server = RawServer([answer])
         self.addCleanup(server.close)
         return send_request(server.address, "GET", "/", read_timeout_s=5.0).body
 
+    def test_answer_that_is_cut_off_in_a_chunk_or_a_trailer(self):
+        head = OK + CHUNKED + b"\r\n"
+        body = b"4;a\r\npaid\r\n0\r\nX-Trailer: a\r\n\r\n"
+        self.assertEqual(BODY, self.read(head + body))
+        for size in range(len(body)):
+            with self.subTest(body=body[:size]):
+                with self.assertRaises(PeerDisconnected):
+                    self.read(head + body[:size])
+
+    def test_malformed_chunk_is_no_disconnection(self):
+        for body in MALFORMED_CHUNKS:
+            with self.subTest(body=body):
+                with self.assertRaises(UnreadableAnswer):
+                    self.read(OK + CHUNKED + b"\r\n" + body)
+
     def test_long_lines_and_many_fields(self):
         field = b"X-Own: " + b"a" * 60_000 + b"\r\n"
         end = LENGTH + b"\r\n" + BODY
@@ -547,6 +623,17 @@
             with self.subTest(head=head):
                 self.assertEqual(keeps, parse_head(head).keeps_connection)
 
+    def test_size_of_a_chunk(self):
+        self.assertEqual(0x1A, parse_chunk_size(b"001a;x=y\r\n"))
+        # Such a line must not take time that grows with the square of its length.
+        for line in (
+            b"1;" + b"a" * 60_000,
+            b"1;a" + b" " * 60_000,
+            b"1" + b";a" * 30_000,
+        ):
+            with self.assertRaises(MalformedAnswer):
+                parse_chunk_size(line + b"\x00\r\n")
+
 
 if __name__ == "__main__":
     unittest.main()
