Skip all interim answers, not only 100

Callers got status 102 or 103 as the answer to their request, with an empty body, and the answer itself was lost, where a backend server sends such an interim answer first, as the grammar allows.

Cause: the reader skipped status 100 only, as the standard library does; the other statuses below 200 counted as final ones (RFC 9110, section 15.2: a client must read them all).

Now all of them are skipped, within the limit for one head. 101 is none of these: it changes to another protocol, which no request asks for, so it is a malformed answer.

--- a/poplarspar/protocol/http_answers.py
+++ b/poplarspar/protocol/http_answers.py
@@ -11,7 +11,9 @@
 CONTENT_LENGTH = "content-length"
 TRANSFER_ENCODING = "transfer-encoding"
 CHUNKED = "chunked"
-CONTINUE = 100
+# Status of a connection that changes to another protocol, which no request asks for.
+SWITCHING_PROTOCOLS = 101
+FIRST_FINAL_STATUS = 200
 STATUSES_WITHOUT_BODY = (204, 304)
 MAX_FIELDS = 100
 # Far beyond any body, and short enough for quick conversion.
@@ -73,7 +75,7 @@
     @property
     def is_interim(self) -> bool:
         """Whether the answer itself follows."""
-        return self.status == CONTINUE
+        return self.status < FIRST_FINAL_STATUS
 
     def items(self, name: str) -> list[str]:
         """Return the items of a list in headers with a name, given in lower case."""
@@ -116,12 +118,15 @@
     if match is None:
         raise MalformedAnswer("the first line is no status line of HTTP/1.x")
     minor_version, status, reason = match.groups(b"")
-    return AnswerHead(
+    head = AnswerHead(
         int(minor_version),
         int(status),
         reason.decode("latin-1").strip(" \t"),
         parse_fields(field_lines),
     )
+    if head.status == SWITCHING_PROTOCOLS:
+        raise MalformedAnswer("the answer changes to another protocol")
+    return head
 
 
 def parse_fields(lines: list[bytes]) -> tuple[tuple[str, str], ...]:
--- a/tests/test_answer_grammar.py
+++ b/tests/test_answer_grammar.py
@@ -152,6 +152,7 @@
     b"HTTP/2.0 200 OK",
     b"http/1.1 200 OK",
     b"200 OK",
+    b"HTTP/1.1 101 Switching Protocols",
 ]
 # Each is a body with chunks that do not follow the grammar.
 MALFORMED_CHUNKS = [
@@ -198,6 +199,7 @@
     b"HTTP/1.0 200 OK",
     b"HTTP/1.2 200 OK",
     b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK",
+    b"HTTP/1.1 102 \r\n\r\nHTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK",
 ]
 # Values as they are written and as they are understood.
 SOUND_VALUES = [
