Test the log lines of a malformed answer, and tidy its tests

One line names the address and the reason (event 312), another one the backend server (event 414), and neither counts the answer as a disconnection. Unused parameters and names are removed.

--- a/poplarspar/transport/strict_answers.py
+++ b/poplarspar/transport/strict_answers.py
@@ -17,7 +17,7 @@
 )
 
 MAX_LINE_BYTES = 65_536
-# Of the headers with those of interim answers, and of the trailers.
+# Limit for the headers, including those of interim answers, and for the trailers.
 MAX_HEAD_BYTES = 131_072
 LINE_END = b"\r\n"
 
@@ -27,8 +27,8 @@
 
     That class takes the end of the connection for the end of the head, ends the headers
     at a line that is no field, and ignores a length or a coding that it can't decode.
-    Here such an answer raises `MalformedAnswer`, and `RemoteDisconnected` if it is cut
-    off. The connection can't be used again then.
+    This one raises `MalformedAnswer` for such an answer, and `RemoteDisconnected` for
+    one that is cut off; its connection must not be used again then.
 
     Attributes
     ----------
--- a/tests/test_answer_grammar.py
+++ b/tests/test_answer_grammar.py
@@ -233,9 +233,15 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+def allow_all_lines(test):
+    """Lift the limit on log lines, since cases come faster than it allows."""
+    patcher = mock.patch.object(EventRateLimiter, "allow", return_value=True)
+    patcher.start()
+    test.addCleanup(patcher.stop)
+
+
 SOUND = OK + SIGNED + LENGTH + b"\r\n" + BODY
 SOUND_STREAM = OK + STREAM + b"\r\n" + EVENTS
-LAST_CHUNK = b"0\r\n\r\n"
 
 
 class AnswerTestCase(RawServerTestCase):
@@ -260,11 +266,13 @@
 class MalformedHeadTest(AnswerTestCase):
     """Heads that leave unknown which headers an answer has, or where it ends."""
 
-    def check(self, heads, sound_headers, sound, body, paths):
+    def check(self, heads, body, sound, paths):
         """Check that no answer with such a head reaches a caller.
 
         Parameters
         ----------
+        body : bytes
+            What follows the heads, and the body of the sound answer.
         sound : bytes
             A sound answer, with which the requests that may be repeated are served.
         paths : tuple of str
@@ -286,10 +294,10 @@
                 self.assertNotIn("X-Own", answer.headers)
 
     def check_unary(self, heads):
-        self.check(heads, SIGNED, SOUND, BODY, ("/pay/1", "/look/1"))
+        self.check(heads, BODY, SOUND, ("/pay/1", "/look/1"))
 
     def check_streams(self, heads):
-        self.check(heads, STREAM, SOUND_STREAM, EVENTS, ("/once/1", "/draft/1"))
+        self.check(heads, EVENTS, SOUND_STREAM, ("/once/1", "/draft/1"))
 
     def test_unary_answer_with_a_malformed_length(self):
         for line in MALFORMED_LENGTHS:
@@ -334,6 +342,21 @@
                     self.assertEqual(502, answer.status)
                     self.assertEqual(1, len(self.server.heads))
 
+    def test_log_names_the_backend_server_and_the_reason(self):
+        head, _ = placements(b"Content-Length: x", SIGNED)
+        allow_all_lines(self)
+        with self.assertLogs("poplarspar", "INFO") as logged:
+            self.exchange("/pay/1", head + b"\r\n" + BODY)
+        malformed, failed = (
+            next(line for line in logged.records if line.event == event.number)
+            for event in (Event.ANSWER_MALFORMED, Event.ATTEMPT_FAILED)
+        )
+        self.assertEqual(self.server.address, malformed.peer)
+        self.assertEqual("the length of the body is no number", malformed.cause)
+        self.assertIn(failed.backend, {worker.id for worker in self.workers})
+        self.assertIn(malformed.cause, failed.cause)
+        self.assertFalse(failed.disconnected)
+
 
 class MalformedChunkTest(AnswerTestCase):
     def test_unary_answer_with_a_malformed_chunk(self):
@@ -423,10 +446,7 @@
     CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0x2\r\n{}\r\n0\r\n"
 
     def setUp(self):
-        # The cases come faster than lines of one event are written.
-        patcher = mock.patch.object(EventRateLimiter, "allow", return_value=True)
-        patcher.start()
-        self.addCleanup(patcher.stop)
+        allow_all_lines(self)
 
     def answers(self):
         return [*(head + b"\r\n{}" for head in self.HEADS), self.CHUNKS + b"\r\n"]
