Close callers' connections in time when a node stops without a store

Callers that had kept a connection to a node could still send requests on it 3.1 to 3.6 s after the node had got SIGTERM, if the store did not answer at that moment.

Cause: Node.shut_down ended two leases, one call after the other, before the fixed wait after which it closes idle connections, while the end of the process counted from the signal. The time-out of 0.8 s bounds the wait for each part of an answer only; bytes that come one by one held a call for 5.8 s.

Now Session.close returns at once. The task that renews the leases ends them and repeats this for the planner's key, so that no second task calls the store for the same lease. All steps of the stop count from the signal, and nothing before the callers' connections are closed waits for the store or a peer. Event 108 marks that moment in the log.

--- a/poplarspar/coordination/session.py
+++ b/poplarspar/coordination/session.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import eventlet
+from eventlet.event import Event as Signal
 
 from poplarspar.coordination.store_leases import Lease
 from poplarspar.coordination.store_ports import (
@@ -69,7 +70,8 @@
     Attributes
     ----------
     planner_key_released : bool
-        Whether `close` has freed the planner key, so that another node can plan.
+        Whether this node has freed the planner key after `close`, so that another node
+        can plan.
     """
 
     def __init__(
@@ -94,7 +96,7 @@
         self._member_renewal_at = float("-inf")
         self._member_key_written = False
         self._vacant_since = time.monotonic() + STARTUP_DELAY_S
-        self._closed = False
+        self._close_requested = Signal()
         self._keep_nodes_until = float("-inf")
         self._planner_entry = Change(PLANNER_KEY, 0, None)
         self._last_planner = ""
@@ -161,8 +163,8 @@
         return self._planner_lease.is_valid()
 
     def run(self) -> None:
-        """Renew the leases until `close` revokes them."""
-        while not self._closed:
+        """Renew the leases until `close`, then revoke them."""
+        while not self._close_requested.ready():
             try:
                 self._renew_leases()
                 if not self._planner_entry.text:
@@ -170,10 +172,12 @@
             except (StoreUnavailable, RevisionConflict, LeaseEnded) as error:
                 # The next round tries again.
                 self._log_failure(error)
-            eventlet.sleep(RENEWAL_INTERVAL_S)
+            self._close_requested.wait(timeout=RENEWAL_INTERVAL_S)
+        self.planner_key_released = self._planner_lease.revoke()
+        self._member_lease.revoke()
         while not self._is_replaceable():
-            self.planner_key_released = self._planner_lease.revoke()
             eventlet.sleep(RENEWAL_INTERVAL_S)
+            self.planner_key_released = self._planner_lease.revoke()
 
     def replace(self, items: tuple[Change, ...]) -> None:
         """Apply all keys under the nodes' prefix."""
@@ -208,13 +212,13 @@
         self._vacant_since = time.monotonic()
 
     def close(self) -> None:
-        """Revoke all leases, so that other nodes need not wait until they expire.
+        """Let `run` revoke all leases, so that other nodes needn't wait for their end.
 
-        The store may not answer; `run` then tries again to release the planner key.
+        Returns at once, since the store may not answer; `run` tries again to release
+        the planner key.
         """
-        self._closed = True
-        self.planner_key_released = self._planner_lease.revoke()
-        self._member_lease.revoke()
+        if not self._close_requested.ready():
+            self._close_requested.send()
 
     def wait_released(self, timeout_s: float) -> None:
         """Wait until the planner key, if this node has it, is free for another node."""
@@ -308,7 +312,9 @@
 
     def _claim_planner_key(self) -> None:
         remaining_s = self._vacant_since + self._stagger_s() - time.monotonic()
-        if self._closed or remaining_s > 0 or self._planner_entry.text:
+        if remaining_s > 0 or self._planner_entry.text:
+            return
+        if self._close_requested.ready():
             return
         if self._stagger_s() and self._finds_planner():
             return
--- a/poplarspar/events.py
+++ b/poplarspar/events.py
@@ -18,6 +18,12 @@
         "The process received SIGTERM or SIGINT.",
         "Wait for event 102; the process finishes requests in flight first.",
     )
+    CALLERS_DISCONNECTED = (
+        108,
+        "idle connections of callers closed",
+        "A graceful shutdown accepts no more callers; `running` counts their requests.",
+        "Nothing; it follows event 101 after a fixed time, whether the store answers.",
+    )
     STOPPED = (
         102,
         "daemon stopped",
--- a/poplarspar/node.py
+++ b/poplarspar/node.py
@@ -138,22 +138,18 @@
 
     def shut_down(self) -> None:
         """Wait until the load balancer removes this node, then finish its requests."""
-        started_at = time.monotonic()
+        ends_at = time.monotonic() + self._settings.stop_timeout_s - STOP_MARGIN_S
         log_event(Event.DRAINING, running=self.drain.running)
         self.drain.begin()
+        # Waits for no answer of the store: callers may send requests until their
+        # connections are closed, and these need the rest of the time.
         self._session.close()
         eventlet.sleep(DRAIN_NOTICE_S)
         # Requests that arrive on keep-alive connections from now on could not finish
         # before SIGKILL.
         self._server.stop_accepting()
-        remaining_s = (
-            started_at
-            + self._settings.stop_timeout_s
-            - STOP_MARGIN_S
-            - time.monotonic()
-        )
-        ends_at = time.monotonic() + max(0.0, remaining_s)
-        finished = self._server.wait_ended(remaining_s)
+        log_event(Event.CALLERS_DISCONNECTED, running=self.drain.running)
+        finished = self._server.wait_ended(ends_at - time.monotonic())
         if not finished:
             self.drain.interrupt()
             self._server.wait_ended(ANSWER_MARGIN_S)
