Share the answers that clear evidence, for nodes that start

Hundreds of answers with that part had begun between the crashes.

Cause: nodes shared requests without an answer, but the answers that cleared them only for parts that were suspected at that moment. A part that is answered between crashes never is. Nodes that start read the evidence, know none of the answers and convict the part 0.7 s later, before the backend servers are back, and then no answer can clear it.

Now the document with a node's evidence says when an answer with each of its parts last began, as far as the node knows, and the first answer that clears evidence which has been shared is written too. Crashes of one pool with answers in between so stay one moment each, also for those who read them later. It can't hide a part that does crash servers, since no answer with it begins. A stored entry of a part that was answered and that the evidence does not convict ends at nodes that start, too.

--- a/poplarspar/coordination/quarantine/evidence.py
+++ b/poplarspar/coordination/quarantine/evidence.py
@@ -46,7 +46,7 @@
     def add(self, request: UnansweredRequest) -> None:
         """Add a request; a request that is known already keeps its time."""
         for part in request.parts:
-            if request.ended_at > self._begun_at_by_part.get(part, float("-inf")):
+            if request.ended_at > self.begun_at(part):
                 requests = self._unanswered_by_part.setdefault(part, {})
                 if request.id not in requests:
                     requests[request.id] = request
@@ -61,7 +61,7 @@
 
     def record_begun(self, part: str, begun_at: float) -> None:
         """Drop the evidence against a part from before an answer with it began."""
-        if begun_at <= self._begun_at_by_part.get(part, float("-inf")):
+        if begun_at <= self.begun_at(part):
             return
         self._begun_at_by_part[part] = begun_at
         requests = self._unanswered_by_part.pop(part, {})
@@ -92,6 +92,10 @@
         """Return whether any evidence counts against a part."""
         return part in self._unanswered_by_part
 
+    def begun_at(self, part: str) -> float:
+        """Return when an answer with a part last began, minus infinity for never."""
+        return self._begun_at_by_part.get(part, float("-inf"))
+
     def is_served(self, part: str) -> bool:
         """Return whether any answer with a part has begun lately."""
         return part in self._begun_at_by_part
--- a/poplarspar/coordination/quarantine/quarantine.py
+++ b/poplarspar/coordination/quarantine/quarantine.py
@@ -143,6 +143,11 @@
         self._outcomes.record(pool, begun=False)
         log_event(Event.REQUEST_UNANSWERED, parts=parts, backends=backends)
         self._own_unanswered.append(request)
+        # Evidence outlives the nodes that know of answers with its parts.
+        for part in request.parts:
+            served_at = self._served_at(part)
+            if served_at > request.ended_at - EVIDENCE_TTL_S:
+                self._note_begun(part, served_at)
         self._evidence.add(request)
         self._on_change()
 
@@ -156,7 +161,7 @@
                 self._record_served(part, begun_at)
             if not self._evidence.is_accused(part):
                 continue
-            if part in self._evidence.suspected():
+            if part in self._evidence.suspected() or self._clears(part, begun_at):
                 self._report_begun(part, begun_at)
             self._evidence.record_begun(part, begun_at)
 
@@ -232,15 +237,14 @@
         """Return whether parts that another node has convicted are sound.
 
         That node may have no answers with them, and take a common part for the cause
-        of crashes of several harmful parts or requests.
+        of crashes of several harmful parts or requests. It may also have ended before
+        nodes that knew better could tell it.
         """
         if any(map(self._evidence.is_cleared, parts)):
             return True
         self.report_served()
         since = now - EVIDENCE_TTL_S
-        were_served = all(
-            self._served_at_by_part.get(part, float("-inf")) > since for part in parts
-        )
+        were_served = all(self._served_at(part) > since for part in parts)
         return were_served and not any(
             convicted <= parts for convicted in self._evidence.convicted()
         )
@@ -351,12 +355,32 @@
                 self._evidence.record_begun(part, served_at)
                 self._report_begun(part, served_at)
 
+    def _served_at(self, part: str) -> float:
+        """Return when an answer with a part last began, as far as this node knows."""
+        served_at = self._served_at_by_part.get(part, float("-inf"))
+        return max(served_at, self._evidence.begun_at(part))
+
+    def _clears(self, part: str, begun_at: float) -> bool:
+        """Return whether an answer clears evidence that this node has shared.
+
+        A node that starts reads the evidence, and knows of no other answers.
+        """
+        known_at = self._own_begun_at_by_part.get(part, float("-inf"))
+        return any(
+            known_at < request.ended_at <= begun_at and part in request.parts
+            for request in self._own_unanswered
+        )
+
     def _report_begun(self, part: str, begun_at: float) -> None:
+        self._note_begun(part, begun_at)
+        self._on_change()
+
+    def _note_begun(self, part: str, begun_at: float) -> None:
+        """Let the evidence that this node shares say that an answer has begun."""
         latest_at = max(begun_at, self._own_begun_at_by_part.pop(part, begun_at))
         self._own_begun_at_by_part[part] = latest_at
         if len(self._own_begun_at_by_part) > MAX_OWN_BEGUN:
             del self._own_begun_at_by_part[next(iter(self._own_begun_at_by_part))]
-        self._on_change()
 
     def _write_time(self) -> float:
         delay_s = 0.0 if self._is_planner() else random.uniform(0.3, MAX_WRITE_DELAY_S)
