Let tasks give way whose peers send without a pause

Cause: tasks give way only where they wait for their socket. One whose socket is never empty never waits, so neither the others nor its own time-out run. Bodies in small pieces were kept as an object for each.

Requests in chunks are read by the code that reads answers, with its bounds and its grammar, and small pieces of a body share one object. Metric turns_ended.

--- a/poplarspar/gauges.py
+++ b/poplarspar/gauges.py
@@ -10,6 +10,7 @@
 from poplarspar.coordination.store_health import StoreHealth
 from poplarspar.planning import PlanningPart
 from poplarspar.state.serving import ConfigurationBasis
+from poplarspar.transport.turns import TURNS
 
 
 def process_gauges() -> dict[str, float]:
@@ -18,6 +19,7 @@
     return {
         "memory_peak_bytes": usage.ru_maxrss * 1024,
         "processor_seconds": usage.ru_utime + usage.ru_stime,
+        "turns_ended": TURNS.ended,
     }
 
 
--- a/poplarspar/platform/upstream.py
+++ b/poplarspar/platform/upstream.py
@@ -124,7 +124,7 @@
         """Yield complete events; raises `BackendFailed` if the stream breaks off."""
         count = 0
         try:
-            for event in split_events(self._stream.chunks()):
+            for event in self._stream.items(split_events):
                 count += 1
                 yield event
         except AnswerTruncated as error:
--- a/poplarspar/protocol/http_answers.py
+++ b/poplarspar/protocol/http_answers.py
@@ -5,6 +5,7 @@
 
 import re
 from dataclasses import dataclass
+from functools import lru_cache
 
 from poplarspar.exceptions import MalformedAnswer
 
@@ -18,6 +19,7 @@
 MAX_FIELDS = 100
 # Far beyond any body, and short enough for quick conversion.
 MAX_LENGTH_DIGITS = 64
+MAX_KEPT_LINE_BYTES = 32
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
 _TEXT = rb"[\t \x21-\x7e\x80-\xff]*+"
@@ -145,12 +147,22 @@
 
 def parse_chunk_size(line: bytes) -> int:
     """Decode the line before a chunk, with its end; raises `MalformedAnswer`."""
+    if len(line) <= MAX_KEPT_LINE_BYTES:
+        return _parse_short_chunk_line(line)
+    return _parse_chunk_line(line)
+
+
+def _parse_chunk_line(line: bytes) -> int:
     match = _CHUNK_LINE.fullmatch(line)
     if match is None:
         raise MalformedAnswer("the size of a chunk is malformed")
     return int(match[1], 16)
 
 
+# The chunks of a body mostly have the same size.
+_parse_short_chunk_line = lru_cache(maxsize=256)(_parse_chunk_line)
+
+
 def _parse_length(lengths: list[str]) -> int:
     """Decode a length, which may be repeated if all copies are equal."""
     for text in lengths:
--- a/poplarspar/transport/addresses.py
+++ b/poplarspar/transport/addresses.py
@@ -4,6 +4,8 @@
 
 import eventlet
 
+from poplarspar.transport.fair_sockets import FairSocket
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and the port of an address."""
@@ -12,8 +14,11 @@
 
 
 def listen(address: str, send_buffer_bytes: int = 0) -> socket.socket:
-    """Return a listening socket; accepted connections inherit its send buffer size."""
-    listener = eventlet.listen(split_address(address), backlog=1024)
+    """Return a listening socket; accepted connections are `FairSocket` objects.
+
+    They inherit the size of its send buffer.
+    """
+    listener = FairSocket.wrap(eventlet.listen(split_address(address), backlog=1024))
     if send_buffer_bytes:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
     return listener
--- a/poplarspar/transport/backends.py
+++ b/poplarspar/transport/backends.py
@@ -45,7 +45,7 @@
         """Yield tokens; raises `BackendFailed` when the stream breaks."""
         try:
             self._limit_wait()
-            for data in read_event_data(self._stream.chunks()):
+            for data in self._stream.items(read_event_data):
                 yield parse_token_event(data)
                 self._limit_wait()
         except (TransportError, ProtocolError) as error:
@@ -147,7 +147,7 @@
             raise CoordinationError(f"reports of {vm}: {error}") from error
         try:
             stream.set_read_timeout(REPORT_TIMEOUT_S)
-            for data in read_event_data(stream.chunks()):
+            for data in stream.items(read_event_data):
                 stream.set_read_timeout(REPORT_TIMEOUT_S)
                 report = parse_member_report(data)
                 if report.vm == vm:
--- a/poplarspar/transport/bodies.py
+++ b/poplarspar/transport/bodies.py
@@ -11,6 +11,38 @@
 # Bodies up to this size are read in any case, so that endless ones only fail others
 # that are large themselves.
 SMALL_ANSWER_BYTES = 512 * 1024
+SMALL_PART_BYTES = 1024
+
+
+class BodyParts:
+    """Parts of a body, which together take little more memory than the body.
+
+    Attributes
+    ----------
+    size : int
+        Size of all parts in bytes.
+    """
+
+    def __init__(self) -> None:
+        self._parts: list[bytes | bytearray] = []
+        self.size = 0
+
+    def add(self, part: bytes) -> None:
+        """Add the next part."""
+        self.size += len(part)
+        if len(part) >= SMALL_PART_BYTES or not self._parts:
+            self._parts.append(part)
+            return
+        # An object for each small part would take many times its size.
+        last = self._parts[-1]
+        if isinstance(last, bytearray):
+            last += part
+        else:
+            self._parts.append(bytearray(part))
+
+    def join(self) -> bytes:
+        """Return the body."""
+        return b"".join(self._parts)
 
 
 class BodyCollector:
@@ -36,17 +68,15 @@
         ConnectionLost
             If the body is too large; the caller then closes the connection.
         """
-        parts = []
-        size = 0
+        body = BodyParts()
         try:
             for chunk in chunks:
-                size += len(chunk)
                 self.collected_bytes += len(chunk)
-                self._check(size, limit_bytes)
-                parts.append(chunk)
-            return b"".join(parts)
+                body.add(chunk)
+                self._check(body.size, limit_bytes)
+            return body.join()
         finally:
-            self.collected_bytes -= size
+            self.collected_bytes -= body.size
 
     def _check(self, size: int, limit_bytes: int) -> None:
         if size > limit_bytes:
--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -3,11 +3,11 @@
 import json
 import socket
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from contextlib import ExitStack
 from dataclasses import dataclass
 from http.client import HTTPException
-from typing import Any
+from typing import Any, TypeVar
 
 import eventlet
 import urllib3
@@ -36,7 +36,9 @@
     StrictHeadConnection,
     StrictSocket,
 )
+from poplarspar.transport.turns import TURNS
 
+T = TypeVar("T")
 CONNECT_TIMEOUT_S = 1.0
 RECEIVE_BUFFER_BYTES = 16_384
 CHUNK_BYTES = 65_536
@@ -121,6 +123,12 @@
                 return
             yield data
 
+    def items(self, split: Callable[[Iterable[bytes]], Iterator[T]]) -> Iterator[T]:
+        """Yield what `split` makes of the chunks, of which one may have thousands."""
+        for item in split(self.chunks()):
+            TURNS.check()
+            yield item
+
     def _check_aborted(self) -> None:
         """Raise `ConnectionLost` after `abort`, which also ends the data."""
         if self._aborted:
--- a/poplarspar/transport/links.py
+++ b/poplarspar/transport/links.py
@@ -26,6 +26,7 @@
 from poplarspar.logs import log_event
 from poplarspar.protocol.peers import Hello, Message, decode, encode
 from poplarspar.transport.addresses import split_address
+from poplarspar.transport.fair_sockets import FairSocket
 
 FRAME_HEADER = struct.Struct(">I32s")
 MAX_FRAME_BYTES = 8 * 1024 * 1024
@@ -137,7 +138,7 @@
     timeout_error = ConnectFailed(f"no connection to {address} in time")
     try:
         with eventlet.Timeout(CONNECT_TIMEOUT_S, timeout_error):
-            sock = eventlet.connect(split_address(address))
+            sock = FairSocket.wrap(eventlet.connect(split_address(address)))
     except OSError as error:
         raise ConnectFailed(f"no connection to {address}: {error}") from error
     link = Link(sock, identity.token)
--- a/poplarspar/transport/server.py
+++ b/poplarspar/transport/server.py
@@ -6,13 +6,21 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from http.client import HTTPException
 
 import eventlet
 from eventlet import wsgi
 
 from poplarspar.events import Event
-from poplarspar.exceptions import CallerGone, InvalidRequest, PoplarsparError
+from poplarspar.exceptions import (
+    CallerGone,
+    InvalidRequest,
+    MalformedAnswer,
+    PoplarsparError,
+)
 from poplarspar.logs import log_event
+from poplarspar.protocol.http_answers import CHUNKED, Chunked, Framing, Sized
+from poplarspar.transport.message_reading import read_chunks
 
 SEND_BUFFER_BYTES = 8_192
 WRITE_TIMEOUT_S = 300.0
@@ -272,26 +280,52 @@
 
     @staticmethod
     def _read_body(environ: dict, limits: ServerLimits) -> bytes:
-        limit = limits.body_bytes
-        length = environ.get("CONTENT_LENGTH") or "0"
-        if not length.isdigit():
-            raise InvalidRequest("header Content-Length: must be a whole number")
-        if int(length) > limit:
-            raise BodyTooLarge(f"body: {length} bytes; the bound is {limit}")
-        chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
-        if not chunked and int(length) == 0:
-            return b""
+        framing = _framing(environ)
+        match framing:
+            case Sized(size_bytes) if size_bytes > limits.body_bytes:
+                raise BodyTooLarge(
+                    f"body: {size_bytes} bytes; the bound is {limits.body_bytes}"
+                )
+            case Sized(0):
+                return b""
         timeout_error = InvalidRequest("body: did not arrive in time")
         with eventlet.Timeout(limits.header_timeout_s, timeout_error):
             try:
-                body = environ["wsgi.input"].read(limit + 1 if chunked else int(length))
-            except (OSError, ValueError) as error:
+                return _collect_body(environ, framing, limits.body_bytes)
+            except (OSError, HTTPException, MalformedAnswer) as error:
                 raise InvalidRequest("body: incomplete or malformed") from error
-        if len(body) > limit:
-            raise BodyTooLarge(f"body: more than the bound of {limit} bytes")
-        if not chunked and len(body) < int(length):
-            raise InvalidRequest("body: shorter than Content-Length")
-        return body
+
+
+def _framing(environ: dict) -> Framing:
+    """Return how a request's body ends; raises `InvalidRequest`."""
+    coding = environ.get("HTTP_TRANSFER_ENCODING")
+    if coding is not None and CHUNKED in coding.lower():
+        return Chunked()
+    length = environ.get("CONTENT_LENGTH") or "0"
+    if not length.isdecimal() or not length.isascii():
+        raise InvalidRequest("header Content-Length: must be a whole number")
+    return Sized(int(length))
+
+
+def _collect_body(environ: dict, framing: Framing, limit_bytes: int) -> bytes:
+    """Read a body in place of the WSGI server, which keeps lists of its chunks."""
+    source = environ["wsgi.input"]
+    if source.should_send_hundred_continue:
+        source.send_hundred_continue_response()
+        source.is_hundred_continue_response_sent = True
+    match framing:
+        case Sized(size_bytes):
+            body = source.rfile.read(size_bytes)
+            if len(body) < size_bytes:
+                raise InvalidRequest("body: shorter than Content-Length")
+        case _:
+            body = read_chunks(source.rfile, limit_bytes)
+            if body is None:
+                raise BodyTooLarge(f"body: more than the bound of {limit_bytes} bytes")
+    # The WSGI server would read what it takes for the rest of the body.
+    source.position = len(body)
+    source.chunk_length = 0
+    return body
 
 
 def _status_of(error: InvalidRequest) -> int:
--- a/poplarspar/transport/strict_answers.py
+++ b/poplarspar/transport/strict_answers.py
@@ -2,25 +2,16 @@
 
 import io
 import socket
-from http.client import HTTPMessage, RemoteDisconnected
+from http.client import HTTPMessage
 
 from poplarspar.exceptions import MalformedAnswer
-from poplarspar.protocol.http_answers import (
-    AnswerHead,
-    Chunked,
-    Framing,
-    Sized,
-    UntilClose,
-    parse_chunk_size,
-    parse_fields,
-    parse_head,
+from poplarspar.protocol.http_answers import AnswerHead, UntilClose, parse_head
+from poplarspar.transport.message_reading import (
+    MAX_HEAD_BYTES,
+    BodyReader,
+    read_lines,
 )
 
-MAX_LINE_BYTES = 65_536
-# Limit for the headers, including those of interim answers, and for the trailers.
-MAX_HEAD_BYTES = 131_072
-LINE_END = b"\r\n"
-
 
 class StrictResponse(io.BufferedIOBase):
     """An answer, in place of the class of the standard library's client.
@@ -59,7 +50,7 @@
         for name, value in head.fields:
             self.msg[name] = value
         self.will_close = isinstance(framing, UntilClose) or not head.keeps_connection
-        self._body = _Body(self._file, framing)
+        self._body = BodyReader(self._file, framing)
 
     def read1(self, limit: int = -1) -> bytes:
         """Return the next bytes of the body, at most `limit`; none at its end."""
@@ -86,95 +77,14 @@
         self._file.close()
 
 
-class _Body:
-    """Reads a body to its end."""
-
-    def __init__(self, file: io.BufferedReader, framing: Framing) -> None:
-        self._file = file
-        self._framing = framing
-        # Of the body, or of the current chunk.
-        self._remaining_bytes = 0
-        self._in_chunk = False
-        self._ended = False
-        if isinstance(framing, Sized):
-            self._remaining_bytes = framing.size_bytes
-
-    def read1(self, limit: int) -> bytes:
-        """Return the next bytes; none at the end."""
-        match self._framing:
-            case Sized():
-                return self._read_remaining(limit)
-            case Chunked():
-                return self._read_chunk(limit)
-            case UntilClose():
-                return self._file.read1(limit)
-
-    def _read_remaining(self, limit: int) -> bytes:
-        if limit < 0 or limit > self._remaining_bytes:
-            limit = self._remaining_bytes
-        data = self._file.read1(limit)
-        if limit and not data:
-            raise RemoteDisconnected("the connection ended in the answer's body")
-        self._remaining_bytes -= len(data)
-        return data
-
-    def _read_chunk(self, limit: int) -> bytes:
-        if not self._remaining_bytes and not self._ended:
-            self._begin_chunk()
-        return self._read_remaining(limit)
-
-    def _begin_chunk(self) -> None:
-        """Read what is between two chunks, or all that follows the last one."""
-        if self._in_chunk:
-            self._read_chunk_end()
-        self._remaining_bytes = parse_chunk_size(_read_line(self._file))
-        self._in_chunk = True
-        if not self._remaining_bytes:
-            # Trailers aren't passed on, but must be complete.
-            parse_fields(_read_lines(self._file, MAX_HEAD_BYTES))
-            self._ended = True
-
-    def _read_chunk_end(self) -> None:
-        data = self._file.read(len(LINE_END))
-        if data == LINE_END:
-            return
-        if LINE_END.startswith(data):
-            raise RemoteDisconnected("the connection ended in a chunk")
-        raise MalformedAnswer("a chunk is longer than its size")
-
-
 def _read_head(file: io.BufferedReader) -> AnswerHead:
     """Return the head of the final answer."""
     limit_bytes = MAX_HEAD_BYTES
     while True:
-        lines = _read_lines(file, limit_bytes)
+        lines = read_lines(file, limit_bytes)
         if not lines:
             raise MalformedAnswer("the answer begins with an empty line")
         head = parse_head(lines)
         if not head.is_interim:
             return head
         limit_bytes -= sum(map(len, lines))
-
-
-def _read_lines(file: io.BufferedReader, limit_bytes: int) -> list[bytes]:
-    """Return the lines before the next empty one, without their ends."""
-    lines = []
-    while True:
-        line = _read_line(file)
-        limit_bytes -= len(line)
-        if limit_bytes < 0:
-            raise MalformedAnswer("the headers or trailers are too long")
-        # RFC 9112, section 2.2: the carriage return may be missing.
-        line = line.removesuffix(b"\n").removesuffix(b"\r")
-        if not line:
-            return lines
-        lines.append(line)
-
-
-def _read_line(file: io.BufferedReader) -> bytes:
-    line = file.readline(MAX_LINE_BYTES + 1)
-    if line.endswith(b"\n"):
-        return line
-    if len(line) > MAX_LINE_BYTES:
-        raise MalformedAnswer(f"a line is longer than {MAX_LINE_BYTES} bytes")
-    raise RemoteDisconnected("the connection ended in a line of the answer")
--- a/poplarspar/transport/strict_sockets.py
+++ b/poplarspar/transport/strict_sockets.py
@@ -3,10 +3,11 @@
 import socket
 import time
 
-from eventlet.greenio import GreenSocket
 from urllib3.connection import HTTPConnection
 
+from poplarspar.transport.fair_sockets import FairSocket
 from poplarspar.transport.strict_answers import StrictResponse
+from poplarspar.transport.turns import TURNS
 
 # A time-out that is handled later than this shows that the process was paused. It then
 # gets this much longer to read what has arrived.
@@ -14,7 +15,7 @@
 PAUSE_EXTENSION_S = 0.3
 
 
-class StrictSocket(GreenSocket):
+class StrictSocket(FairSocket):
     """Raises when the peer resets the connection, and after a deadline.
 
     eventlet's socket reports a reset as the end of the data, so a truncated answer
@@ -30,13 +31,19 @@
     deadline = float("inf")
 
     def _recv_loop(self, receive, empty, *arguments):
+        has_waited = False
         while True:
             if time.monotonic() > self.deadline:
                 raise TimeoutError("the answer is not complete in time")
             try:
-                return receive(*arguments)
+                result = receive(*arguments)
             except BlockingIOError:
                 self._wait_readable()
+                has_waited = True
+            else:
+                if not has_waited:
+                    TURNS.check()
+                return result
 
     def _wait_readable(self) -> None:
         """Wait for data; raises `TimeoutError`.
@@ -62,14 +69,12 @@
 
     response_class = StrictResponse
 
+    def _new_conn(self) -> socket.socket:
+        return FairSocket.wrap(super()._new_conn())
+
 
 class StrictConnection(StrictHeadConnection):
     """A connection with a `StrictSocket` as well."""
 
     def _new_conn(self) -> socket.socket:
-        original = super()._new_conn()
-        wrapped = StrictSocket(original.fd)
-        # Keeps the original socket alive, which would close the descriptor when it is
-        # garbage-collected.
-        wrapped.original = original
-        return wrapped
+        return StrictSocket.wrap(super()._new_conn())
