Refuse requests in transfer codings other than chunked

A caller's request with "Transfer-Encoding: gzip, chunked" was answered as one without a body, and the bytes of its body were read as the next requests of the connection: a way to smuggle requests to backend servers.

Cause: the node's server looked for the word chunked in the header, while the WSGI library reads chunks only for exactly that value and no body for any other one.

Any coding but chunked alone is refused with 400, and the connection is closed, so nothing after the head is taken for a request.

--- a/poplarspar/transport/server.py
+++ b/poplarspar/transport/server.py
@@ -299,7 +299,11 @@
 def _framing(environ: dict) -> Framing:
     """Return how a request's body ends; raises `InvalidRequest`."""
     coding = environ.get("HTTP_TRANSFER_ENCODING")
-    if coding is not None and CHUNKED in coding.lower():
+    if coding is not None:
+        # A body in another coding would seem to have no length, and be taken for
+        # further requests.
+        if coding.strip(" \t").lower() != CHUNKED:
+            raise InvalidRequest("header Transfer-Encoding: must be chunked")
         return Chunked()
     length = environ.get("CONTENT_LENGTH") or "0"
     if not length.isdecimal() or not length.isascii():
--- a/tests/test_busy_peers.py
+++ b/tests/test_busy_peers.py
@@ -270,6 +270,15 @@
         eventlet.sleep(READ_S)
         self.assertLess(tracemalloc.get_traced_memory()[1], 4 * MAX_BODY_BYTES)
 
+    # Guards against a body in another coding that is taken for a request.
+    def test_other_transfer_codings_are_refused(self):
+        hidden = b"5\r\nGET /\r\n0\r\n\r\n"
+        for coding in (b"gzip, chunked", b"chunked, chunked", b"identity", b"x"):
+            with self.subTest(coding=coding):
+                self.assertEqual(
+                    [b"400"], self.statuses(b"Transfer-Encoding: " + coding, hidden)
+                )
+
     def test_malformed_chunks_are_refused(self):
         for body in (b"0x1\r\nx\r\n0\r\n\r\n", b"1\r\nxy\r\n0\r\n\r\n", b"-1\r\n"):
             with self.subTest(body=body):
