Reject answers with statuses from 600 to 999

A backend server's answer with a status such as 600 or 999 reached callers as an answer, although such a status has no class and RFC 9110, section 15, makes it invalid. Status 000 was rejected before, and still is.

Cause: the status line was read by the grammar of RFC 9112 alone, which only wants three digits.

Now statuses outside of 100 to 599 make an answer malformed, like 000: a failure of the backend server, whose request was sent and may have run.

Evidence: six status lines in test_answer_grammar, unary and streamed, at a real node: all 24 cases failed before (the answer was passed on), none does now.

--- a/poplarspar/protocol/http_answers.py
+++ b/poplarspar/protocol/http_answers.py
@@ -25,8 +25,8 @@
 _TEXT = rb"[\t \x21-\x7e\x80-\xff]*+"
 _QUOTED = rb'"(?:[\t \x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t \x21-\x7e\x80-\xff])*+"'
 # RFC 9112, section 4: a recipient may ignore that the space before an absent reason is
-# missing.
-_STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([1-9][0-9]{2})(?: (" + _TEXT + rb"))?")
+# missing. RFC 9110, section 15: statuses outside of 100 to 599 are invalid.
+_STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: (" + _TEXT + rb"))?")
 _FIELD_LINE = re.compile(rb"(" + _TOKEN + rb"):(" + _TEXT + rb")")
 _EXTENSION = rb"[\t ]*+;[\t ]*+%b(?:[\t ]*+=[\t ]*+(?:%b|%b))?+" % (
     _TOKEN,
--- a/tests/test_answer_grammar.py
+++ b/tests/test_answer_grammar.py
@@ -134,6 +134,13 @@
     b"HTTP/1.1 000",
     b"HTTP/1.1 000 ",
     b"HTTP/1.1 099 OK",
+    # Valid to the grammar, but without a class: RFC 9110, section 15.
+    b"HTTP/1.1 600 OK",
+    b"HTTP/1.1 699",
+    b"HTTP/1.1 700 ",
+    b"HTTP/1.1 800 OK",
+    b"HTTP/1.1 900 OK",
+    b"HTTP/1.1 999 OK",
     b"HTTP/1.1 0200 OK",
     b"HTTP/1.1 20 OK",
     b"HTTP/1.1 2000 OK",
