Bound reports of backend servers, and read them up to the first problem

One backend server could hold up the planner, and all callers of that node, with a large malformed report: 6 MB with two million wrong items kept the process for 45 s in one piece, 60 KB for 0.07 to 0.2 s, several times a second.

Cause: a report could have 8 MB like any answer, and all of its problems were listed, with their inputs, for the sake of the first one.

Now a report has at most 64 KiB, lists in reports and entries end at their first malformed item, and problems are listed without inputs. Work on a report is bounded by its size, however wrong it is.

--- a/poplarspar/platform/backends.py
+++ b/poplarspar/platform/backends.py
@@ -25,6 +25,8 @@
 
 REPORT_PATH = "/poplarspar/report"
 ORDER_PATH = "/poplarspar/order"
+# A report is decoded in one turn, several times a second for each backend server.
+MAX_REPORT_BYTES = 65_536
 OK = 200
 ORDER_STARTED = 202
 ORDER_FENCED = 412
@@ -49,6 +51,7 @@
                 REPORT_PATH,
                 read_timeout_s=timeout_s,
                 answer_timeout_s=2 * timeout_s,
+                limit_bytes=MAX_REPORT_BYTES,
                 headers={EXPECTED_BACKEND: backend.id},
             )
             if answer.status != OK:
--- a/poplarspar/platform/documents.py
+++ b/poplarspar/platform/documents.py
@@ -252,8 +252,9 @@
     born: Count
     # Orders accepted since that start, not a position in a sequence of entries.
     seq: Count = 0
-    models: list[_LoadedModel] | None = None
-    staged: list[str] = []
+    # What follows the first malformed one is not read: there may be thousands.
+    models: Annotated[list[_LoadedModel], Field(fail_fast=True)] | None = None
+    staged: Annotated[list[str], Field(fail_fast=True)] = []
     domain: str = ""
     group: _Membership | None = None
 
@@ -373,6 +374,8 @@
     except ValidationError as error:
         problems = tuple(
             f"{'.'.join(map(str, problem['loc'])) or 'document'}: {problem['msg']}"
-            for problem in error.errors()
+            for problem in error.errors(
+                include_url=False, include_context=False, include_input=False
+            )
         )
         raise MalformedDocument(problems[0], problems) from error
--- a/poplarspar/transport/http.py
+++ b/poplarspar/transport/http.py
@@ -330,6 +330,7 @@
         *,
         read_timeout_s: float,
         answer_timeout_s: float | None = None,
+        limit_bytes: int = MAX_ANSWER_BYTES,
         headers: Mapping[str, str] | None = None,
     ) -> HttpAnswer:
         """Send a request and return the complete answer.
@@ -341,13 +342,15 @@
         answer_timeout_s : float or None
             Longest time until the answer is complete, by default `MAX_ANSWER_S` more
             than the wait for its first part.
+        limit_bytes : int
+            Largest body; a larger one raises `ConnectionLost`.
         """
         pool = self._pool
         if answer_timeout_s is None:
             answer_timeout_s = read_timeout_s + MAX_ANSWER_S
         late = ConnectionLost(f"no whole answer from {pool.host}:{pool.port} in time")
         with eventlet.Timeout(answer_timeout_s, late):
-            return self._send(method, path, body, read_timeout_s, headers)
+            return self._send(method, path, body, read_timeout_s, limit_bytes, headers)
 
     def _send(
         self,
@@ -355,6 +358,7 @@
         path: str,
         body: bytes,
         read_timeout_s: float,
+        limit_bytes: int,
         headers: Mapping[str, str] | None,
     ) -> HttpAnswer:
         pool = self._pool
@@ -373,7 +377,7 @@
             with ExitStack() as stack:
                 # Closes the connection unless the answer has been read to its end.
                 stack.callback(answer.close)
-                data = COLLECTOR.collect(_chunks(answer))
+                data = COLLECTOR.collect(_chunks(answer), limit_bytes)
                 stack.pop_all()
             answer.release_conn()
         except (NewConnectionError, ConnectTimeoutError) as error:
--- a/tests/test_busy_peers.py
+++ b/tests/test_busy_peers.py
@@ -32,6 +32,8 @@
 # A request counts as unanswered half a second after its time-out.
 LONGEST_PAUSE_S = 0.5
 READ_S = 1.5
+# A report is asked for several times a second.
+LONGEST_WORK_S = 0.05
 PIECES_BYTES = 120_000
 TOKEN = "secret"
 MAX_BODY_BYTES = 4_000_000
@@ -183,6 +185,18 @@
 
         self.check(BODIES, read)
 
+    # Guards against a planner that hangs while it lists thousands of problems.
+    def test_large_malformed_report_does_not_hold_up_others(self):
+        for count in (2_000_000, 15_000):
+            body = b'{"models": [' + b"0," * count + b"0]}"
+            head = SIGNED + b"Content-Length: %d\r\n\r\n" % len(body)
+            with self.subTest(count=count), self.others_run():
+                server = backend("s1", address=self.flooding_server(head + body, b" "))
+                began_s = time.process_time()
+                with self.assertRaises(BackendFailed):
+                    PlatformReportReader().read(server, READ_S)
+                self.assertLess(time.process_time() - began_s, LONGEST_WORK_S)
+
     def test_reports_of_a_stream_do_not_hold_up_others(self):
         def read(address):
             with eventlet.Timeout(READ_S, False):
