Begin turns anew after any wait of a task

Cause: only a wait for a socket began a turn. A task that waits for a timer or an event, such as a backend server's stream between two events, or a request in a queue, counted as busy at its next send, and such tasks continue one after the other.

Now the event loop ends a turn whenever its task waits (switch_out, which eventlet calls at each switch to the loop), and the next check begins one. The sockets no longer need to tell.

--- a/poplarspar/transport/fair_sockets.py
+++ b/poplarspar/transport/fair_sockets.py
@@ -29,12 +29,6 @@
         wrapped.original = sock
         return wrapped
 
-    def _trampoline(self, *arguments, **options):
-        try:
-            return super()._trampoline(*arguments, **options)
-        finally:
-            TURNS.begin()
-
     def _recv_loop(self, receive, empty, *arguments):
         result = super()._recv_loop(receive, empty, *arguments)
         TURNS.check()
--- a/poplarspar/transport/strict_sockets.py
+++ b/poplarspar/transport/strict_sockets.py
@@ -31,7 +31,6 @@
     deadline = float("inf")
 
     def _recv_loop(self, receive, empty, *arguments):
-        has_waited = False
         while True:
             if time.monotonic() > self.deadline:
                 raise TimeoutError("the answer is not complete in time")
@@ -39,10 +38,8 @@
                 result = receive(*arguments)
             except BlockingIOError:
                 self._wait_readable()
-                has_waited = True
             else:
-                if not has_waited:
-                    TURNS.check()
+                TURNS.check()
                 return result
 
     def _wait_readable(self) -> None:
--- a/poplarspar/transport/turns.py
+++ b/poplarspar/transport/turns.py
@@ -1,8 +1,8 @@
 """Turns of tasks: how long one may run before the others do.
 
-A task gives way when it waits for its socket. One whose peer sends faster than the task
-can decode never waits, so it would run alone until its deadline. All sockets count the
-time since their task last waited, and let it give way after `MAX_TURN_S`.
+A task gives way when it waits. One whose peer sends faster than the task can decode
+never waits, so it would run alone until its deadline. All sockets check for how long
+their task has run, and let it give way after `MAX_TURN_S`.
 """
 
 from time import monotonic
@@ -17,6 +17,18 @@
 MAX_TURN_S = 0.004
 
 
+class _Turn:
+    """The turn of one task; the event loop calls `end` whenever the task waits."""
+
+    __slots__ = ("began_at",)
+
+    def __init__(self) -> None:
+        self.began_at: float | None = None
+
+    def end(self) -> None:
+        self.began_at = None
+
+
 class Turns:
     """Lets tasks that don't wait continue one after the other.
 
@@ -33,23 +45,23 @@
         self._next = Semaphore(1)
         self.ended = 0
 
-    @staticmethod
-    def begin() -> None:
-        """Begin the turn of the present task, which has just waited."""
-        getcurrent().turn_began_at = monotonic()
-
     def check(self) -> None:
-        """Let the present task give way if its turn has lasted long enough."""
+        """Let the present task give way if its turn has lasted long enough.
+
+        A turn begins with the first check after the task has waited, for whatever.
+        """
         task = getcurrent()
+        turn = getattr(task, "turn", None)
+        if turn is None:
+            turn = task.turn = _Turn()
+            task.switch_out = turn.end
         now = monotonic()
-        began_at = getattr(task, "turn_began_at", None)
-        if began_at is None:
-            task.turn_began_at = now
-        elif now > began_at + MAX_TURN_S and task is not get_hub().greenlet:
+        if turn.began_at is None:
+            turn.began_at = now
+        elif now > turn.began_at + MAX_TURN_S and task is not get_hub().greenlet:
             self.ended += 1
             with self._next:
                 eventlet.sleep(0)
-            self.begin()
 
 
 # One for the process, whose event loop all tasks share.
--- a/tests/test_busy_peers.py
+++ b/tests/test_busy_peers.py
@@ -23,6 +23,7 @@
 from poplarspar.transport.http import send_request
 from poplarspar.transport.links import Identity, LinkServer, connect
 from poplarspar.transport.server import HttpServer, Response, ServerLimits
+from poplarspar.transport.turns import TURNS
 from tests.test_endless_answers import AttemptTestCase
 from tests.test_forwarding import backend
 
@@ -38,6 +39,10 @@
 TOKEN = "secret"
 MAX_BODY_BYTES = 4_000_000
 SOUND_REQUESTS = 10
+SOUND_STREAMS = 30
+SOUND_EVENTS = 20
+# A task may be paused by the system in its turn.
+MOST_ENDED_SHARE = 0.1
 
 SIGNED = b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
 STREAM = SIGNED + b"Content-Type: text/event-stream\r\n"
@@ -356,6 +361,33 @@
         exchange.set_read_timeout(READ_S)
         self.assertEqual(body, exchange.read_body())
 
+    # Guards against tasks that wait for timers or events, not for their sockets, and
+    # have to wait for each other.
+    def test_tasks_that_wait_for_timers_keep_their_turns(self):
+        def events():
+            for _ in range(SOUND_EVENTS):
+                eventlet.sleep(0.01)
+                yield b"data: a\n\n"
+
+        listener = listen("127.0.0.1:0")
+        server = HttpServer(
+            listener,
+            lambda request: Response(200, events(), "text/event-stream"),
+            connection_limit=64,
+            limits=lambda: ServerLimits(1_000, READ_S, idle_timeout_s=15.0),
+        )
+        self.addCleanup(server.close)
+        address = bound_address(listener)
+        ended = TURNS.ended
+        tasks = [
+            eventlet.spawn(send_request, address, "GET", "/", read_timeout_s=10.0)
+            for _ in range(SOUND_STREAMS)
+        ]
+        for task in tasks:
+            self.assertEqual(SOUND_EVENTS * b"data: a\n\n", task.wait().body)
+        count = SOUND_STREAMS * SOUND_EVENTS
+        self.assertLess(TURNS.ended - ended, MOST_ENDED_SHARE * count)
+
 
 if __name__ == "__main__":
     unittest.main()
